Lay the frame: clock, result codes, events, wire, data model

Cause: every slice needs the same time, errors, log events and messages before several can be written side by side.

--- /dev/null
+++ b/bulrushlead/clock/__init__.py
@@ -0,0 +1,5 @@
+"""Monotonic time in milliseconds, with a manual clock for tests."""
+
+from bulrushlead.clock._clock import Clock, ManualClock, MonotonicClock
+
+__all__ = ["Clock", "ManualClock", "MonotonicClock"]
--- /dev/null
+++ b/bulrushlead/clock/_clock.py
@@ -0,0 +1,133 @@
+"""The clock type: every duration and time-out in the system is read from it."""
+
+import asyncio
+import heapq
+import itertools
+import time
+from collections.abc import Awaitable
+from typing import Protocol, TypeVar
+
+T = TypeVar("T")
+
+
+class Clock(Protocol):
+    """Monotonic time of one process.
+
+    Notes
+    -----
+    Readings of two processes are not comparable: no part of the system relies
+    on agreement between clocks of different hosts.
+    """
+
+    def now_ms(self) -> float:
+        """Return the time in milliseconds since an arbitrary fixed point."""
+        ...
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Suspend the calling task for ``duration_ms`` milliseconds."""
+        ...
+
+    async def wait_for(self, awaitable: Awaitable[T], timeout_ms: float) -> T:
+        """Return the result of ``awaitable``, or raise ``TimeoutError``."""
+        ...
+
+
+class MonotonicClock:
+    """Clock of the running process, unaffected by changes of wall time."""
+
+    def now_ms(self) -> float:
+        """Return the time in milliseconds since an arbitrary fixed point."""
+        return time.monotonic() * 1000.0
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Suspend the calling task for ``duration_ms`` milliseconds."""
+        await asyncio.sleep(max(0.0, duration_ms) / 1000.0)
+
+    async def wait_for(self, awaitable: Awaitable[T], timeout_ms: float) -> T:
+        """Return the result of ``awaitable``, or raise ``TimeoutError``.
+
+        Parameters
+        ----------
+        awaitable : Awaitable
+            What to wait for; cancelled when the time runs out.
+        timeout_ms : float
+            Time allowed, in milliseconds.
+
+        Raises
+        ------
+        TimeoutError
+            If ``awaitable`` has not finished within ``timeout_ms``.
+        """
+        return await asyncio.wait_for(awaitable, max(0.0, timeout_ms) / 1000.0)
+
+
+class ManualClock:
+    """Clock that moves only when a test moves it.
+
+    Parameters
+    ----------
+    start_ms : float, default=0.0
+        First reading, in milliseconds.
+    """
+
+    def __init__(self, start_ms: float = 0.0):
+        self.start_ms = start_ms
+        self._now_ms = start_ms
+        self._sleepers: list[tuple[float, int, asyncio.Future]] = []
+        self._sequence = itertools.count()
+
+    def now_ms(self) -> float:
+        """Return the current reading in milliseconds."""
+        return self._now_ms
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Suspend the calling task until the clock has been moved far enough."""
+        if duration_ms <= 0:
+            await asyncio.sleep(0)
+            return
+        future = asyncio.get_running_loop().create_future()
+        due_ms = self._now_ms + duration_ms
+        heapq.heappush(self._sleepers, (due_ms, next(self._sequence), future))
+        await future
+
+    async def wait_for(self, awaitable: Awaitable[T], timeout_ms: float) -> T:
+        """Return the result of ``awaitable``, or raise ``TimeoutError``."""
+        task = asyncio.ensure_future(awaitable)
+        timer = asyncio.ensure_future(self.sleep_ms(timeout_ms))
+        try:
+            await asyncio.wait({task, timer}, return_when=asyncio.FIRST_COMPLETED)
+            if task.done():
+                return task.result()
+            raise TimeoutError(f"not finished within {timeout_ms} ms")
+        finally:
+            task.cancel()
+            timer.cancel()
+
+    def next_due_ms(self) -> float | None:
+        """Return when the earliest sleeper wakes, or None if nobody sleeps."""
+        while self._sleepers and self._sleepers[0][2].done():
+            heapq.heappop(self._sleepers)
+        return self._sleepers[0][0] if self._sleepers else None
+
+    async def advance_ms(self, duration_ms: float, settle_rounds: int = 20) -> None:
+        """Move the clock, waking sleepers in order of their time.
+
+        Parameters
+        ----------
+        duration_ms : float
+            How far to move, in milliseconds.
+        settle_rounds : int, default=20
+            Event loop passes granted to woken tasks at each step.
+        """
+        target_ms = self._now_ms + duration_ms
+        await self._settle(settle_rounds)
+        while (due_ms := self.next_due_ms()) is not None and due_ms <= target_ms:
+            self._now_ms = max(self._now_ms, due_ms)
+            _, _, future = heapq.heappop(self._sleepers)
+            future.set_result(None)
+            await self._settle(settle_rounds)
+        self._now_ms = target_ms
+
+    async def _settle(self, rounds: int) -> None:
+        for _ in range(rounds):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/bulrushlead/clock/tests/test_clock.py
@@ -0,0 +1,40 @@
+import asyncio
+
+import pytest
+
+from bulrushlead.clock import ManualClock, MonotonicClock
+
+
+async def test_manual_clock_wakes_sleepers_in_order_of_their_time():
+    clock = ManualClock()
+    woken = []
+
+    async def sleeper(duration_ms):
+        await clock.sleep_ms(duration_ms)
+        woken.append((duration_ms, clock.now_ms()))
+
+    tasks = [asyncio.create_task(sleeper(d)) for d in (30, 10, 20)]
+    await clock.advance_ms(25)
+    assert woken == [(10, 10), (20, 20)]
+    assert clock.now_ms() == 25
+    await clock.advance_ms(5)
+    await asyncio.gather(*tasks)
+    assert woken[-1] == (30, 30)
+
+
+async def test_manual_clock_wait_for_times_out_and_cancels():
+    clock = ManualClock()
+    event = asyncio.Event()
+    waiting = asyncio.create_task(clock.wait_for(event.wait(), 50))
+    await clock.advance_ms(49)
+    assert not waiting.done()
+    await clock.advance_ms(1)
+    with pytest.raises(TimeoutError):
+        await waiting
+
+
+async def test_monotonic_clock_never_goes_back():
+    clock = MonotonicClock()
+    first_ms = clock.now_ms()
+    await clock.sleep_ms(1)
+    assert clock.now_ms() > first_ms
--- /dev/null
+++ b/bulrushlead/declaration/_model.py
@@ -0,0 +1,238 @@
+"""Data classes of a declaration."""
+
+from enum import Enum
+
+import attrs
+
+
+class HostRole(Enum):
+    """What a host of the system does."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+class RequestClass(Enum):
+    """Order in which waiting requests are served."""
+
+    INTERACTIVE = "interactive"
+    BULK = "bulk"
+
+
+class DrainTarget(Enum):
+    """What a planned drain empties."""
+
+    REGION = "region"
+    AVAILABILITY_ZONE = "availability_zone"
+    BACKEND_SERVER = "backend_server"
+    HOST = "host"
+
+
+@attrs.frozen
+class Region:
+    """A region.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    """
+
+    name: str
+
+
+@attrs.frozen
+class AvailabilityZone:
+    """An availability zone of a region.
+
+    Parameters
+    ----------
+    name : str
+        Unique name over all regions.
+    region : str
+        Name of its region.
+    """
+
+    name: str
+    region: str
+
+
+@attrs.frozen
+class Host:
+    """A host of the system.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    availability_zone : str
+        Name of its availability zone.
+    role : HostRole
+        What it does.
+    address : str
+        ``host:port`` by IP number, where callers reach an entry host.
+    capacity_rps : int
+        Requests per second that an entry host can carry; its share of callers
+        is in proportion.
+    """
+
+    name: str
+    availability_zone: str
+    role: HostRole = HostRole.ENTRY
+    address: str = ""
+    capacity_rps: int = 1_000
+
+
+@attrs.frozen
+class Service:
+    """A service that backend servers offer.
+
+    Parameters
+    ----------
+    name : str
+        Unique name, part of the request path.
+    request_class : RequestClass
+        Order among waiting requests.
+    timeout_ms : int
+        Time allowed when the caller names none.
+    max_duration_ms : int
+        Longest time a request may run on a backend server, in milliseconds.
+    needed_slots : int
+        Slots that must remain over all regions during a planned drain.
+    expected_answer_bytes : int
+        Size reserved on a link before the answer is known.
+    """
+
+    name: str
+    request_class: RequestClass = RequestClass.INTERACTIVE
+    timeout_ms: int = 5_000
+    max_duration_ms: int = 30_000
+    needed_slots: int = 1
+    expected_answer_bytes: int = 16_384
+
+
+@attrs.frozen
+class RegionCapacity:
+    """Most requests per second of a service that a region may receive.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    region : str
+        Name of the region.
+    requests_per_s : int
+        Limit over any second, over all entry hosts.
+    """
+
+    service: str
+    region: str
+    requests_per_s: int
+
+
+@attrs.frozen
+class Link:
+    """One way between two regions.
+
+    Parameters
+    ----------
+    from_region, to_region : str
+        Names of the regions.
+    bytes_per_s : int
+        Limit over any second, shared by all traffic of the system.
+    latency_ms : float
+        One-way latency in milliseconds.
+    """
+
+    from_region: str
+    to_region: str
+    bytes_per_s: int
+    latency_ms: float = 20.0
+
+
+@attrs.frozen
+class Shift:
+    """A shift of a service's traffic from one region to another.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    service : str
+        Name of the service.
+    from_region, to_region : str
+        Names of the regions.
+    percent_cap : float
+        Largest share of the source region's traffic, 0 to 100.
+    rate_cap_rps : int
+        Most shifted requests in any second, over all entry hosts.
+    step_percent : float
+        Share by which the shift grows when the target stays well.
+    step_interval_ms : int
+        Shortest time between two steps.
+    """
+
+    name: str
+    service: str
+    from_region: str
+    to_region: str
+    percent_cap: float
+    rate_cap_rps: int
+    step_percent: float = 5.0
+    step_interval_ms: int = 5_000
+
+
+@attrs.frozen
+class Drain:
+    """A planned drain.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    target : DrainTarget
+        Kind of what is drained.
+    target_name : str
+        Name of what is drained.
+    start_at : str
+        UTC time in ISO 8601 form; empty means at once.
+    """
+
+    name: str
+    target: DrainTarget
+    target_name: str
+    start_at: str = ""
+
+
+@attrs.frozen
+class ClientBlock:
+    """A block of client addresses and the region that is nearest to it.
+
+    Parameters
+    ----------
+    prefix : str
+        Address block, for example ``"10.2.0.0/16"``.
+    region : str
+        Name of the region.
+    """
+
+    prefix: str
+    region: str
+
+
+@attrs.frozen
+class Declaration:
+    """Everything that operators declare, as one value.
+
+    Every field is a tuple of the class it is named after.
+    """
+
+    regions: tuple[Region, ...] = ()
+    availability_zones: tuple[AvailabilityZone, ...] = ()
+    hosts: tuple[Host, ...] = ()
+    services: tuple[Service, ...] = ()
+    region_capacities: tuple[RegionCapacity, ...] = ()
+    links: tuple[Link, ...] = ()
+    shifts: tuple[Shift, ...] = ()
+    drains: tuple[Drain, ...] = ()
+    client_blocks: tuple[ClientBlock, ...] = ()
--- /dev/null
+++ b/bulrushlead/logs/__init__.py
@@ -0,0 +1,15 @@
+"""Numbered log events and their handlers."""
+
+from bulrushlead.logs._events import EVENTS, Event, EventInfo, render_catalogue
+from bulrushlead.logs._handlers import LogFormat, build_handler
+from bulrushlead.logs._logger import EventLogger
+
+__all__ = [
+    "EVENTS",
+    "Event",
+    "EventInfo",
+    "EventLogger",
+    "LogFormat",
+    "build_handler",
+    "render_catalogue",
+]
--- /dev/null
+++ b/bulrushlead/logs/_events.py
@@ -0,0 +1,143 @@
+"""The catalogue of log events."""
+
+from enum import IntEnum
+
+import attrs
+
+
+class Event(IntEnum):
+    """Stable numbers; a released number never changes its meaning."""
+
+    # Processes.
+    PROCESS_STARTED = 100
+    PROCESS_STOPPING = 101
+    PROCESS_STOPPED = 102
+    UNEXPECTED_ERROR = 103
+
+    # Look-ups, routing and placement.
+    LOOKUP_ANSWERED = 200
+    LOOKUP_REFUSED = 201
+    ROUTE_CHOSEN = 210
+    REQUEST_REFUSED = 211
+    REQUEST_DONE = 212
+    ATTEMPT_FAILED = 213
+    RETRY_CHOSEN = 214
+
+    # Configuration and distribution.
+    CONFIGURATION_ACCEPTED = 300
+    CONFIGURATION_REFUSED = 301
+    CONFIGURATION_IN_FORCE = 302
+    SESSION_OPENED = 310
+    SESSION_LOST = 311
+
+    # Replicated log.
+    LEADER_ELECTED = 400
+    LEADER_LOST = 401
+    SNAPSHOT_WRITTEN = 402
+    SNAPSHOT_INSTALLED = 403
+    MEMBERSHIP_CHANGED = 404
+    REPLICA_STALLED = 405
+
+    # Storage.
+    TAIL_REPAIRED = 450
+    STORAGE_FAILED = 451
+
+    # Limits and leases.
+    LEASE_GRANTED = 500
+    LEASE_EXPIRED = 501
+    SHIFT_STEPPED = 510
+    LIMIT_REACHED = 511
+
+    # Backend servers and signals.
+    BACKEND_ANNOUNCED = 600
+    BACKEND_LEAVING = 601
+    BACKEND_GONE = 602
+    BACKEND_DISTRUSTED = 603
+    DRAIN_STARTED = 610
+    DRAIN_ENDED = 611
+
+    # Idempotency keys.
+    KEY_CLAIMED = 700
+    KEY_FINISHED = 701
+    KEY_REPLAYED = 702
+    KEY_LOST = 703
+
+    # Connections between processes.
+    MESSAGE_REFUSED = 800
+
+
+@attrs.frozen
+class EventInfo:
+    """What an event records.
+
+    Parameters
+    ----------
+    level : str
+        Name of the log level.
+    summary : str
+        One sentence for the catalogue.
+    """
+
+    level: str
+    summary: str
+
+
+_E = Event
+
+EVENTS: dict[Event, EventInfo] = {
+    _E.PROCESS_STARTED: EventInfo("INFO", "A process has started."),
+    _E.PROCESS_STOPPING: EventInfo("INFO", "A graceful shutdown has begun."),
+    _E.PROCESS_STOPPED: EventInfo("INFO", "A process has stopped."),
+    _E.UNEXPECTED_ERROR: EventInfo("ERROR", "An unexpected error was caught."),
+    _E.LOOKUP_ANSWERED: EventInfo("INFO", "A look-up was answered."),
+    _E.LOOKUP_REFUSED: EventInfo("WARNING", "A look-up was refused."),
+    _E.ROUTE_CHOSEN: EventInfo("INFO", "A backend server was chosen."),
+    _E.REQUEST_REFUSED: EventInfo("WARNING", "A request was refused."),
+    _E.REQUEST_DONE: EventInfo("INFO", "A request was answered."),
+    _E.ATTEMPT_FAILED: EventInfo("WARNING", "An attempt at a request failed."),
+    _E.RETRY_CHOSEN: EventInfo("INFO", "A request is tried again elsewhere."),
+    _E.CONFIGURATION_ACCEPTED: EventInfo("INFO", "A change was accepted."),
+    _E.CONFIGURATION_REFUSED: EventInfo("WARNING", "A change was refused."),
+    _E.CONFIGURATION_IN_FORCE: EventInfo("INFO", "A revision is in force here."),
+    _E.SESSION_OPENED: EventInfo("INFO", "A session with control was opened."),
+    _E.SESSION_LOST: EventInfo("WARNING", "The session with control was lost."),
+    _E.LEADER_ELECTED: EventInfo("INFO", "This replica became the leader."),
+    _E.LEADER_LOST: EventInfo("WARNING", "This replica is no longer the leader."),
+    _E.SNAPSHOT_WRITTEN: EventInfo("INFO", "A snapshot was written."),
+    _E.SNAPSHOT_INSTALLED: EventInfo("INFO", "A snapshot was installed."),
+    _E.MEMBERSHIP_CHANGED: EventInfo("INFO", "The set of replicas changed."),
+    _E.REPLICA_STALLED: EventInfo("WARNING", "A replica stopped acknowledging."),
+    _E.TAIL_REPAIRED: EventInfo("WARNING", "An incomplete last record was removed."),
+    _E.STORAGE_FAILED: EventInfo("ERROR", "A write or sync failed."),
+    _E.LEASE_GRANTED: EventInfo("INFO", "Shares were granted to a host."),
+    _E.LEASE_EXPIRED: EventInfo("WARNING", "A lease has run out."),
+    _E.SHIFT_STEPPED: EventInfo("INFO", "A shift changed its step."),
+    _E.LIMIT_REACHED: EventInfo("WARNING", "A limit held back a request."),
+    _E.BACKEND_ANNOUNCED: EventInfo("INFO", "A backend server announced itself."),
+    _E.BACKEND_LEAVING: EventInfo("INFO", "A backend server is leaving."),
+    _E.BACKEND_GONE: EventInfo("WARNING", "A backend server stopped announcing."),
+    _E.BACKEND_DISTRUSTED: EventInfo("WARNING", "A backend server lost its share."),
+    _E.DRAIN_STARTED: EventInfo("INFO", "A planned drain has started."),
+    _E.DRAIN_ENDED: EventInfo("INFO", "A planned drain has ended."),
+    _E.KEY_CLAIMED: EventInfo("INFO", "An idempotency key was claimed."),
+    _E.KEY_FINISHED: EventInfo("INFO", "The outcome of a key was recorded."),
+    _E.KEY_REPLAYED: EventInfo("INFO", "A recorded answer was sent again."),
+    _E.KEY_LOST: EventInfo("WARNING", "The outcome of a key is unknown."),
+    _E.MESSAGE_REFUSED: EventInfo("WARNING", "A bad message closed a connection."),
+}
+
+
+def render_catalogue() -> str:
+    """Return the Markdown table of all events.
+
+    Returns
+    -------
+    str
+        One row per event: number, name, level, meaning.
+    """
+    rows = ["| event | name | level | meaning |", "| --- | --- | --- | --- |"]
+    rows += [
+        f"| {event.value} | {event.name} | {info.level} | {info.summary} |"
+        for event, info in sorted(EVENTS.items())
+    ]
+    return "\n".join(rows) + "\n"
--- /dev/null
+++ b/bulrushlead/wire/__init__.py
@@ -0,0 +1,23 @@
+"""Typed CBOR messages between the system's processes, over websockets."""
+
+from bulrushlead.wire._client import MessageClient
+from bulrushlead.wire._codec import (
+    MAX_MESSAGE_BYTES,
+    MessageCodec,
+    codec,
+    message,
+)
+from bulrushlead.wire._messages import ErrorReply
+from bulrushlead.wire._meter import ByteMeter
+from bulrushlead.wire._server import MessageServer
+
+__all__ = [
+    "MAX_MESSAGE_BYTES",
+    "ByteMeter",
+    "ErrorReply",
+    "MessageClient",
+    "MessageCodec",
+    "MessageServer",
+    "codec",
+    "message",
+]
--- /dev/null
+++ b/bulrushlead/wire/_client.py
@@ -0,0 +1,174 @@
+"""Calling side of a connection between two processes."""
+
+import asyncio
+import contextlib
+import itertools
+import ssl
+from typing import Any
+
+import websockets.asyncio.client
+from websockets.exceptions import WebSocketException
+
+from bulrushlead.clock import Clock
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.wire._codec import MAX_MESSAGE_BYTES, codec
+from bulrushlead.wire._frame import pack_frame, unpack_frame
+from bulrushlead.wire._messages import ErrorReply
+from bulrushlead.wire._meter import ByteMeter
+
+CONNECT_TIMEOUT_MS = 1_000
+
+
+class MessageClient:
+    """Sends calls to one process and matches its replies.
+
+    The connection is opened by the first call and again after a loss; a call
+    is never resent by the client itself.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` by IP number.
+    clock : Clock
+        Source of time.
+    meter : ByteMeter, optional
+        Where bytes are counted.
+    ssl_context : ssl.SSLContext, optional
+        Keys for an encrypted connection.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        meter: ByteMeter | None = None,
+        ssl_context: ssl.SSLContext | None = None,
+    ):
+        self.address = address
+        self.clock = clock
+        self.meter = meter or ByteMeter()
+        self.ssl_context = ssl_context
+        self._connection = None
+        self._reader: asyncio.Task | None = None
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._call_ids = itertools.count(1)
+        self._connect_lock = asyncio.Lock()
+        self._closed = False
+
+    async def call(self, request: Any, timeout_ms: float) -> Any:
+        """Send a request and return its reply.
+
+        Parameters
+        ----------
+        request : message
+            Any registered message.
+        timeout_ms : float
+            Time allowed for connecting and answering, in milliseconds.
+
+        Returns
+        -------
+        message
+            The reply.
+
+        Raises
+        ------
+        BulrushleadError
+            ``PEER_UNREACHABLE`` if the request cannot have been sent,
+            ``PEER_TIMEOUT`` if it may have been, or the code of an error reply.
+        """
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        connection = await self._connect(timeout_ms)
+        call_id = next(self._call_ids)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[call_id] = future
+        try:
+            frame = pack_frame(call_id, codec.encode(request))
+            self.meter.record_sent(len(frame))
+            remaining_ms = deadline_ms - self.clock.now_ms()
+            reply = await self.clock.wait_for(
+                self._exchange(connection, frame, future), remaining_ms
+            )
+        except TimeoutError as error:
+            raise BulrushleadError(
+                ResultCode.PEER_TIMEOUT,
+                f"{self.address} did not answer {type(request).__name__} within "
+                f"{timeout_ms:.0f} ms",
+            ) from error
+        except (OSError, WebSocketException) as error:
+            raise BulrushleadError(
+                ResultCode.PEER_TIMEOUT, f"connection to {self.address} broke: {error}"
+            ) from error
+        finally:
+            self._waiting.pop(call_id, None)
+        if isinstance(reply, ErrorReply):
+            raise BulrushleadError(ResultCode(reply.code), reply.detail)
+        return reply
+
+    async def close(self) -> None:
+        """Close the connection; calls in progress fail."""
+        self._closed = True
+        await self._drop_connection()
+
+    async def _exchange(self, connection, frame: bytes, future: asyncio.Future) -> Any:
+        await connection.send(frame)
+        return await future
+
+    async def _connect(self, timeout_ms: float):
+        async with self._connect_lock:
+            if self._closed:
+                raise BulrushleadError(
+                    ResultCode.PEER_UNREACHABLE, f"client of {self.address} is closed"
+                )
+            if self._connection is not None:
+                return self._connection
+            scheme = "wss" if self.ssl_context else "ws"
+            try:
+                self._connection = await self.clock.wait_for(
+                    websockets.asyncio.client.connect(
+                        f"{scheme}://{self.address}/",
+                        ssl=self.ssl_context,
+                        compression=None,
+                        max_size=MAX_MESSAGE_BYTES,
+                        proxy=None,
+                    ),
+                    min(timeout_ms, CONNECT_TIMEOUT_MS),
+                )
+            except (TimeoutError, OSError, WebSocketException) as error:
+                raise BulrushleadError(
+                    ResultCode.PEER_UNREACHABLE,
+                    f"cannot connect to {self.address}: {error or 'timed out'}",
+                ) from error
+            self._reader = asyncio.create_task(self._read(self._connection))
+            return self._connection
+
+    async def _read(self, connection) -> None:
+        try:
+            async for frame in connection:
+                self.meter.record_received(len(frame))
+                call_id, payload = unpack_frame(frame)
+                future = self._waiting.get(call_id)
+                if future is not None and not future.done():
+                    future.set_result(codec.decode(payload))
+        except (OSError, WebSocketException, BulrushleadError):
+            pass
+        finally:
+            if self._connection is connection:
+                self._connection = None
+            self._fail_waiting()
+            with contextlib.suppress(OSError, WebSocketException):
+                await connection.close()
+
+    def _fail_waiting(self) -> None:
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(ConnectionResetError("connection lost"))
+
+    async def _drop_connection(self) -> None:
+        reader, self._reader = self._reader, None
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
+        if reader is not None:
+            reader.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await reader
--- /dev/null
+++ b/bulrushlead/wire/tests/test_wire.py
@@ -0,0 +1,122 @@
+import asyncio
+
+import pytest
+import websockets.asyncio.client
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushlead.clock import MonotonicClock
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.wire import MessageClient, MessageServer, codec, message
+
+
+@message("test.echo")
+class Echo:
+    text: str
+    numbers: tuple[int, ...] = ()
+
+
+@pytest.fixture
+async def server():
+    server = MessageServer("127.0.0.1", 0)
+
+    async def echo(request):
+        if request.text == "fail":
+            raise BulrushleadError(ResultCode.NOT_FOUND, "no such thing")
+        if request.text == "hang":
+            await asyncio.Event().wait()
+        return request
+
+    server.handle(Echo, echo)
+    await server.start()
+    yield server
+    await server.close()
+
+
+@pytest.fixture
+async def client(server):
+    client = MessageClient(f"127.0.0.1:{server.bound_port}", MonotonicClock())
+    yield client
+    await client.close()
+
+
+async def test_calls_in_parallel_get_their_own_replies(client):
+    requests = [Echo(str(number), (number,)) for number in range(50)]
+    replies = await asyncio.gather(*(client.call(r, 5000) for r in requests))
+    assert replies == requests
+
+
+async def test_error_reply_becomes_an_error(client):
+    with pytest.raises(BulrushleadError) as caught:
+        await client.call(Echo("fail"), 5000)
+    assert caught.value.code is ResultCode.NOT_FOUND
+
+
+async def test_call_without_a_reply_times_out(client):
+    with pytest.raises(BulrushleadError) as caught:
+        await client.call(Echo("hang"), 20)
+    assert caught.value.code is ResultCode.PEER_TIMEOUT
+
+
+async def test_client_reconnects_after_the_server_restarts(server, client):
+    assert await client.call(Echo("a"), 5000) == Echo("a")
+    await server.close()
+    server.port = server.bound_port
+    await server.start()
+    for _ in range(100):
+        try:
+            assert await client.call(Echo("b"), 5000) == Echo("b")
+            break
+        except BulrushleadError:
+            await asyncio.sleep(0.01)
+    else:
+        pytest.fail("the client did not reconnect")
+
+
+async def test_unreachable_peer_is_known_as_not_sent():
+    client = MessageClient("127.0.0.1:1", MonotonicClock())
+    with pytest.raises(BulrushleadError) as caught:
+        await client.call(Echo("a"), 5000)
+    assert caught.value.code is ResultCode.PEER_UNREACHABLE
+
+
+@pytest.mark.parametrize(
+    "frame", [b"", b"12345678", b"12345678\xff\xff", "text", b"12345678\x80"]
+)
+async def test_bad_frame_closes_the_connection_and_others_go_on(server, client, frame):
+    url = f"ws://127.0.0.1:{server.bound_port}/"
+    async with websockets.asyncio.client.connect(url, proxy=None) as connection:
+        await connection.send(frame)
+        await connection.wait_closed()
+        assert connection.close_code == 1008
+    assert await client.call(Echo("a"), 5000) == Echo("a")
+
+
+async def test_oversized_frame_closes_the_connection(server, client):
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.bound_port)
+    writer.write(
+        b"GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+        b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+        b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+    )
+    assert b"101" in await reader.readuntil(b"\r\n\r\n")
+    frame_of_one_tebibyte = b"\x82\xff" + (1 << 40).to_bytes(8, "big") + b"mask"
+    writer.write(frame_of_one_tebibyte)
+    close_code = int.from_bytes((await reader.read())[2:4], "big")
+    assert close_code == 1009
+    writer.close()
+    assert await client.call(Echo("a"), 5000) == Echo("a")
+
+
+@given(st.text(), st.lists(st.integers(-(2**63), 2**63)))
+def test_messages_survive_the_round_trip(text, numbers):
+    echo = Echo(text, tuple(numbers))
+    assert codec.decode(codec.encode(echo)) == echo
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_decode_or_are_refused(data):
+    try:
+        codec.decode(data)
+    except BulrushleadError as error:
+        assert error.code is ResultCode.MESSAGE_MALFORMED
--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,9 @@
+"""Settings of the test run that hold for every slice."""
+
+from hypothesis import settings
+
+settings.register_profile(
+    "ci", derandomize=True, deadline=None, database=None, max_examples=100
+)
+settings.register_profile("long", deadline=None, database=None, max_examples=20_000)
+settings.load_profile("ci")
