--- /dev/null
+++ b/bulrushlead/settings/_programs.py
@@ -0,0 +1,143 @@
+"""Settings of the control program and of the entry program."""
+
+import attrs
+
+from bulrushlead.settings._fields import (
+    address_of,
+    in_range,
+    non_empty,
+    not_blank,
+    one_of,
+    setting,
+)
+
+
+@attrs.frozen
+class LogSettings:
+    """How a program writes its log.
+
+    Parameters
+    ----------
+    format : str
+        ``"human"`` or ``"json"``.
+    level : str
+        Lowest level written.
+    """
+
+    format: str = setting(
+        "Form of a log line.", one_of("human", "json"), default="human"
+    )
+    level: str = setting(
+        "Lowest level that is written.",
+        one_of("DEBUG", "INFO", "WARNING", "ERROR"),
+        default="INFO",
+    )
+
+
+@attrs.frozen
+class TlsSettings:
+    """Keys for encrypted connections; empty texts mean plain connections.
+
+    Parameters
+    ----------
+    certificate_file, key_file, authority_file : str
+        PEM files of this process and of the authority it trusts.
+    """
+
+    certificate_file: str = setting("PEM certificate of this process.", default="")
+    key_file: str = setting("PEM private key of this process.", default="")
+    authority_file: str = setting("PEM certificate of the authority.", default="")
+
+
+@attrs.frozen
+class ControlSettings:
+    """Settings of a control host.
+
+    Parameters
+    ----------
+    name : str
+        Name of the host.
+    peer_address, operator_address, metrics_address : str
+        ``IP:port`` for other processes, for operators, and for metrics.
+    peers : tuple of str
+        ``IP:port`` of all control hosts, this one included.
+    data_folder : str
+        Folder of the replicated log.
+    """
+
+    name: str = setting("Name of the host.", not_blank())
+    peer_address: str = setting("Where other processes connect.", address_of())
+    operator_address: str = setting("Where operators connect (gRPC).", address_of())
+    metrics_address: str = setting("Where metrics are served (HTTP).", address_of())
+    peers: tuple[str, ...] = setting(
+        "Peer addresses of all control hosts, this one included.",
+        non_empty(address_of()),
+    )
+    data_folder: str = setting("Folder of the replicated log.", not_blank())
+    bootstrap: bool = setting(
+        "Whether this is the first start of a new cluster.", default=False
+    )
+    lease_ms: int = setting(
+        "How long an entry host may use what it was granted, in milliseconds.",
+        in_range(500, 60_000),
+        default=2_000,
+    )
+    announcement_timeout_ms: int = setting(
+        "After this long without a report a backend server is gone, in milliseconds.",
+        in_range(500, 60_000),
+        default=3_000,
+    )
+    log: LogSettings = setting("How the log is written.", factory=LogSettings)
+    tls: TlsSettings = setting("Keys of this process.", factory=TlsSettings)
+
+
+@attrs.frozen
+class EntrySettings:
+    """Settings of an entry host.
+
+    Parameters
+    ----------
+    name : str
+        Name of the host.
+    region, availability_zone : str
+        Where the host is.
+    address : str
+        ``IP:port`` for callers and backend servers.
+    control_addresses : tuple of str
+        Peer addresses of all control hosts.
+    """
+
+    name: str = setting("Name of the host.", not_blank())
+    region: str = setting("Region of the host.", not_blank())
+    availability_zone: str = setting("Availability zone of the host.", not_blank())
+    address: str = setting("Where callers and backend servers connect.", address_of())
+    control_addresses: tuple[str, ...] = setting(
+        "Peer addresses of all control hosts.", non_empty(address_of())
+    )
+    capacity_rps: int = setting(
+        "Requests per second this host can carry.",
+        in_range(1, 1_000_000),
+        default=1_000,
+    )
+    lookup_ttl_ms: int = setting(
+        "How long callers may keep the answer of a look-up, in milliseconds.",
+        in_range(100, 600_000),
+        default=5_000,
+    )
+    sync_interval_ms: int = setting(
+        "Time between two renewals with control, in milliseconds.",
+        in_range(50, 10_000),
+        default=300,
+    )
+    max_body_bytes: int = setting(
+        "Largest request body, in bytes.",
+        in_range(1, 1_073_741_824),
+        default=8_388_608,
+    )
+    max_answer_bytes: int = setting(
+        "Largest answer of a backend server, in bytes.",
+        in_range(1, 1_073_741_824),
+        default=67_108_864,
+    )
+    log: LogSettings = setting("How the log is written.", factory=LogSettings)
+    tls: TlsSettings = setting("Keys of this process.", factory=TlsSettings)
