--- /dev/null
+++ b/bulrushlead/replication/_applier.py
@@ -0,0 +1,183 @@
+"""Brings committed entries into the state machine, in order."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from bulrushlead.logs import Event
+from bulrushlead.replication._generation import Snapshot, checksum_of
+from bulrushlead.replication._interfaces import StateMachine
+from bulrushlead.replication._messages import EntryKind, LogEntry, SnapshotHeader
+from bulrushlead.results import BulrushleadError, ResultCode
+
+if TYPE_CHECKING:
+    from bulrushlead.replication._replica import Replica
+
+ENTRIES_PER_TURN = 256  # then other tasks run
+
+
+@attrs.define(eq=False)
+class _Proposal:
+    term: int
+    result: asyncio.Future
+
+
+@attrs.frozen(eq=False)
+class _Reader:
+    index: int
+    applied: asyncio.Future
+
+
+class Applier:
+    """Applies committed entries and writes snapshots.
+
+    Parameters
+    ----------
+    replica : Replica
+        The replica whose log is applied.
+    state_machine : StateMachine
+        What the commands change.
+    """
+
+    def __init__(self, replica: "Replica", state_machine: StateMachine):
+        self.replica = replica
+        self.state_machine = state_machine
+        self._proposals: dict[int, _Proposal] = {}
+        self._readers: list[_Reader] = []
+        self._wake = asyncio.Event()
+
+    def wake(self) -> None:
+        """Apply what has been committed."""
+        self._wake.set()
+
+    def load(self) -> None:
+        """Put the snapshot of the own disk, if any, into the state machine."""
+        if self.replica.journal.snapshot is not None:
+            self.restore(self.replica.journal.snapshot)
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replace the state by a snapshot."""
+        self.state_machine.restore(snapshot.data)
+        self.replica.commit_to(snapshot.header.index)
+        self._note_applied(snapshot.header.index)
+
+    async def run(self) -> None:
+        """Apply entries as they are committed."""
+        replica = self.replica
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._can_apply():
+                last_index = min(
+                    replica.commit_index, replica.last_applied + ENTRIES_PER_TURN
+                )
+                while replica.last_applied < last_index:
+                    index = replica.last_applied + 1
+                    self._apply(replica.journal.entry_at(index))
+                self._compact()
+                await asyncio.sleep(0)
+
+    async def wait_result(self, entry: LogEntry, timeout_ms: float) -> bytes:
+        """Return the result of an entry that was just appended.
+
+        Raises
+        ------
+        BulrushleadError
+            ``CHANGE_OUTCOME_UNKNOWN`` if it is not known within ``timeout_ms``.
+        """
+        future = asyncio.get_running_loop().create_future()
+        proposal = _Proposal(entry.term, future)
+        self._proposals[entry.index] = proposal
+        try:
+            return await self.replica.clock.wait_for(future, timeout_ms)
+        except TimeoutError as error:
+            reason = f"{timeout_ms:.0f} ms passed"
+            raise outcome_unknown(entry.index, reason) from error
+        finally:
+            if self._proposals.get(entry.index) is proposal:
+                del self._proposals[entry.index]
+
+    async def wait_applied(self, index: int) -> None:
+        """Wait until an entry is applied."""
+        if self.replica.last_applied >= index:
+            return
+        future = asyncio.get_running_loop().create_future()
+        self._readers.append(_Reader(index, future))
+        await future
+
+    def abandon_proposals(self) -> None:
+        """Tell every proposer that the outcome is unknown."""
+        proposals, self._proposals = self._proposals, {}
+        for index, proposal in proposals.items():
+            if not proposal.result.done():
+                proposal.result.set_exception(outcome_unknown(index, "leader changed"))
+
+    def _can_apply(self) -> bool:
+        replica = self.replica
+        # A snapshot that is being installed leaves a gap until it is on the disk.
+        has_next = replica.last_applied >= replica.journal.base_index
+        return has_next and replica.last_applied < replica.commit_index
+
+    def _apply(self, entry: LogEntry) -> None:
+        result = b""
+        if entry.kind is EntryKind.COMMAND:
+            result = self.state_machine.apply(entry.index, entry.payload)
+        elif entry.kind is EntryKind.MEMBERS:
+            self._log_members(entry)
+        proposal = self._proposals.pop(entry.index, None)
+        if proposal is not None and not proposal.result.done():
+            if proposal.term == entry.term:
+                proposal.result.set_result(result)
+            else:
+                proposal.result.set_exception(
+                    outcome_unknown(entry.index, "another leader replaced it")
+                )
+        self._note_applied(entry.index)
+
+    def _note_applied(self, index: int) -> None:
+        self.replica.note_applied(index)
+        for reader in self._readers:
+            if reader.index <= index and not reader.applied.done():
+                reader.applied.set_result(None)
+        self._readers = [r for r in self._readers if not r.applied.done()]
+
+    def _compact(self) -> None:
+        replica, journal = self.replica, self.replica.journal
+        last = 0 if journal.snapshot is None else journal.snapshot.header.index
+        settings = replica.settings
+        if replica.last_applied - last < settings.snapshot_threshold_entries:
+            return
+        data = self.state_machine.snapshot()
+        header = SnapshotHeader(
+            index=replica.last_applied,
+            term=journal.term_at(replica.last_applied),
+            members=journal.members_at(replica.last_applied),
+            size_bytes=len(data),
+            checksum=checksum_of(data),
+        )
+        journal.compact(Snapshot(header, data), settings.snapshot_trailing_entries)
+        replica.log.write(
+            Event.SNAPSHOT_WRITTEN,
+            replica_id=replica.replica_id,
+            index=header.index,
+            size_bytes=header.size_bytes,
+        )
+
+    def _log_members(self, entry: LogEntry) -> None:
+        members = self.replica.journal.members_at(entry.index).members
+        self.replica.log.write(
+            Event.MEMBERSHIP_CHANGED,
+            replica_id=self.replica.replica_id,
+            index=entry.index,
+            members=[f"{m.replica_id}@{m.address}:{m.role.value}" for m in members],
+        )
+
+
+def outcome_unknown(index: int, reason: str) -> BulrushleadError:
+    """Return the error of a proposal that may or may not have been accepted."""
+    return BulrushleadError(
+        ResultCode.CHANGE_OUTCOME_UNKNOWN,
+        f"entry {index}: {reason} before the result was known; send the same change "
+        "again with its request identifier",
+    )
--- /dev/null
+++ b/bulrushlead/replication/_follower.py
@@ -0,0 +1,159 @@
+"""What a replica does with the messages of a leader."""
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from bulrushlead.logs import Event
+from bulrushlead.replication._applier import Applier
+from bulrushlead.replication._generation import Snapshot, checksum_of
+from bulrushlead.replication._messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    SnapshotChunk,
+    SnapshotHeader,
+    SnapshotReply,
+)
+from bulrushlead.results import BulrushleadError, ResultCode
+
+if TYPE_CHECKING:
+    from bulrushlead.replication._replica import Replica
+
+MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024
+
+
+@attrs.define
+class _PartialSnapshot:
+    header: SnapshotHeader
+    data: bytearray = attrs.field(factory=bytearray)
+
+
+class Follower:
+    """Takes entries and snapshots from the leader.
+
+    Parameters
+    ----------
+    replica : Replica
+        The replica that follows.
+    applier : Applier
+        What brings committed entries into the state machine.
+    """
+
+    def __init__(self, replica: "Replica", applier: Applier):
+        self.replica = replica
+        self.applier = applier
+        self._partial: _PartialSnapshot | None = None
+
+    async def answer_append(self, request: AppendRequest) -> AppendReply:
+        """Take entries; acknowledge them only once they are on the disk."""
+        replica, journal = self.replica, self.replica.journal
+        replica.check_addressee(request.target_id, request.cluster_id)
+        if request.term < replica.term:
+            return AppendReply(replica.term)
+        self._follow(request)
+        if not self._matches(request):
+            return AppendReply(replica.term, match_index=self._retry_index(request))
+        self._take_entries(request.entries)
+        await journal.sync()
+        if replica.term != request.term:
+            return AppendReply(replica.term, match_index=journal.base_index)
+        match_index = request.previous_index + len(request.entries)
+        replica.commit_to(min(request.commit_index, match_index))
+        return AppendReply(replica.term, True, match_index)
+
+    async def answer_chunk(self, chunk: SnapshotChunk) -> SnapshotReply:
+        """Collect the parts of a snapshot and install it when it is whole."""
+        replica = self.replica
+        replica.check_addressee(chunk.target_id, chunk.cluster_id)
+        if chunk.term < replica.term:
+            return SnapshotReply(replica.term)
+        self._follow(chunk)
+        if chunk.header.index <= replica.last_applied:
+            return SnapshotReply(replica.term, installed=True)
+        snapshot = self._collect(chunk)
+        if snapshot is None:
+            return SnapshotReply(replica.term, len(self._partial.data))
+        await self._install(snapshot)
+        return SnapshotReply(replica.term, chunk.header.size_bytes, installed=True)
+
+    def _follow(self, request: AppendRequest | SnapshotChunk) -> None:
+        replica = self.replica
+        if replica.leadership is not None and request.term == replica.term:
+            raise BulrushleadError(
+                ResultCode.INTERNAL,
+                f"replica {request.sender_id!r:.40} claims term {request.term}, which "
+                f"{replica.replica_id} leads; restart both and report this",
+            )
+        replica.follow(request.term, request.sender_address, request.cluster_id)
+
+    def _matches(self, request: AppendRequest) -> bool:
+        journal = self.replica.journal
+        if request.previous_index < journal.base_index:
+            # All of it is committed here already, and so it matches.
+            return True
+        return journal.term_at(request.previous_index) == request.previous_term
+
+    def _retry_index(self, request: AppendRequest) -> int:
+        """Return the last index that may match, skipping a whole term at once."""
+        journal = self.replica.journal
+        if request.previous_index > journal.last_index:
+            return journal.last_index
+        index = request.previous_index
+        term = journal.term_at(index)
+        while index > self.replica.commit_index and journal.term_at(index) == term:
+            index -= 1
+        return index
+
+    def _take_entries(self, entries: tuple[LogEntry, ...]) -> None:
+        journal = self.replica.journal
+        for position, entry in enumerate(entries):
+            if entry.index <= journal.base_index:
+                continue
+            if journal.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= self.replica.commit_index:
+                raise BulrushleadError(
+                    ResultCode.STORAGE_DAMAGED,
+                    f"entry {entry.index} of term {entry.term} contradicts a "
+                    "committed one; empty the data folder of the replica at fault",
+                )
+            journal.append(list(entries[position:]))
+            return
+
+    def _collect(self, chunk: SnapshotChunk) -> Snapshot | None:
+        header = chunk.header
+        if header.size_bytes > MAX_SNAPSHOT_BYTES:
+            raise BulrushleadError(
+                ResultCode.MESSAGE_TOO_LARGE,
+                f"snapshot of {header.size_bytes} bytes; at most "
+                f"{MAX_SNAPSHOT_BYTES} allowed",
+            )
+        if self._partial is None or self._partial.header != header:
+            self._partial = _PartialSnapshot(header)
+        data = self._partial.data
+        if chunk.offset_bytes == len(data):
+            data += chunk.data
+        if len(data) < header.size_bytes:
+            return None
+        self._partial = None
+        if checksum_of(bytes(data)) != header.checksum:
+            raise BulrushleadError(
+                ResultCode.MESSAGE_MALFORMED,
+                f"snapshot {header.index} does not match its checksum; it is sent "
+                "again",
+            )
+        return Snapshot(header, bytes(data))
+
+    async def _install(self, snapshot: Snapshot) -> None:
+        replica, journal = self.replica, self.replica.journal
+        journal.install(snapshot)
+        await journal.sync()
+        if snapshot.header.index > replica.last_applied:
+            self.applier.restore(snapshot)
+            replica.log.write(
+                Event.SNAPSHOT_INSTALLED,
+                replica_id=replica.replica_id,
+                index=snapshot.header.index,
+                size_bytes=snapshot.header.size_bytes,
+            )
--- /dev/null
+++ b/bulrushlead/replication/_interfaces.py
@@ -0,0 +1,45 @@
+"""What the replicated log asks of its surroundings."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+
+class StateMachine(Protocol):
+    """State that every replica builds from the same commands.
+
+    Notes
+    -----
+    The calls are made on the event loop, one at a time, and must not wait.
+    """
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a committed command and return its result.
+
+        The outcome may depend only on the state and on the command: no clock, no
+        random numbers, no settings of the host.
+        """
+        ...
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        ...
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by one that ``snapshot`` returned."""
+        ...
+
+
+class PeerLink(Protocol):
+    """Way to call one other replica; ``wire.MessageClient`` is one."""
+
+    async def call(self, request: Any, timeout_ms: float) -> Any:
+        """Send a message and return the reply, or raise ``BulrushleadError``."""
+        ...
+
+    async def close(self) -> None:
+        """Close the connection."""
+        ...
+
+
+LinkFactory = Callable[[str], PeerLink]
+LeadershipCallback = Callable[[bool], None]
--- /dev/null
+++ b/bulrushlead/replication/_journal.py
@@ -0,0 +1,361 @@
+"""The log of one replica, in memory and on disk, with group commit."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from bulrushlead.logs import Event, EventLogger
+from bulrushlead.replication._generation import (
+    Generation,
+    Snapshot,
+    load_generation,
+    write_generation,
+)
+from bulrushlead.replication._messages import EntryKind, LogEntry, Members, VoteState
+from bulrushlead.replication._records import pack_records
+from bulrushlead.replication._storage import Storage
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.wire import codec
+
+
+@attrs.frozen
+class _MembersAt:
+    index: int
+    members: Members
+
+
+@attrs.define
+class _Batch:
+    payloads: list[bytes]
+    waiters: list[asyncio.Future]
+    generation: Generation | None
+    last_index: int
+
+
+class Journal:
+    """Entries, vote and snapshot of one replica.
+
+    Changes show in memory at once and reach the disk in the order in which they
+    were made; ``sync`` waits for that. One task writes: what is added while a sync
+    is in progress goes into the next one together.
+
+    Parameters
+    ----------
+    storage : Storage
+        Where the files are.
+    on_durable : callable
+        Called after each successful sync.
+    on_failure : callable
+        Called once when a write or sync has failed. Nothing is written after that.
+
+    Attributes
+    ----------
+    durable_index : int
+        Last entry known to be on the disk.
+    failure : BulrushleadError or None
+        Why nothing more is written.
+    """
+
+    def __init__(
+        self,
+        storage: Storage,
+        on_durable: Callable[[], None],
+        on_failure: Callable[[], None],
+    ):
+        self.storage = storage
+        self.on_durable = on_durable
+        self.on_failure = on_failure
+        self.replica_id = ""
+        self.vote_state = VoteState()
+        self.base_index = 0
+        self.base_term = 0
+        self.snapshot: Snapshot | None = None
+        self.durable_index = 0
+        self.failure: BulrushleadError | None = None
+        self._entries: list[LogEntry] = []
+        self._member_history = [_MembersAt(0, Members())]
+        self._pending: list[bytes] = []
+        self._waiters: list[asyncio.Future] = []
+        self._rewrite_needed = False
+        self._number = 0
+        self._sequence = 0
+        self._in_flight_index = 0
+        self._wake = asyncio.Event()
+        self._writer: asyncio.Task | None = None
+        self._closing = False
+        self._log = EventLogger("replication")
+
+    async def start(self, new_replica_id: str) -> None:
+        """Read the folder, or make it with a new identity, and begin to write.
+
+        The journal is written anew at each start: after a failed sync the cache
+        of the operating system can show bytes that the disk does not hold.
+
+        Parameters
+        ----------
+        new_replica_id : str
+            Identity to take if the folder is empty.
+
+        Raises
+        ------
+        BulrushleadError
+            ``STORAGE_DAMAGED`` or ``STORAGE_FAILED``.
+        """
+        try:
+            generation = await self.storage.run(lambda: self._recover(new_replica_id))
+        except OSError as error:
+            raise _storage_failed(error) from error
+        if generation.torn_bytes:
+            self._log.write(
+                Event.TAIL_REPAIRED,
+                replica_id=generation.replica_id,
+                removed_bytes=generation.torn_bytes,
+            )
+        self._take_over(generation)
+        self._writer = asyncio.create_task(self._write())
+
+    async def close(self) -> None:
+        """Finish the write in progress and stop; what waits is not written."""
+        self._closing = True
+        self._wake.set()
+        if self._writer is not None:
+            await self._writer
+            self._writer = None
+        self.storage.close()
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def members(self) -> Members:
+        """Latest set of replicas in the log, committed or not."""
+        return self._member_history[-1].members
+
+    @property
+    def members_index(self) -> int:
+        """Index of the entry that holds the latest set of replicas."""
+        return self._member_history[-1].index
+
+    def members_at(self, index: int) -> Members:
+        """Return the set of replicas as of an entry."""
+        known = [at.members for at in self._member_history if at.index <= index]
+        return known[-1] if known else Members()
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].term
+
+    def entry_at(self, index: int) -> LogEntry:
+        """Return an entry that is held."""
+        return self._entries[index - self.base_index - 1]
+
+    def entries_from(self, index: int, max_bytes: int, max_count: int):
+        """Return entries from ``index`` on, at least one if there is one."""
+        first = index - self.base_index - 1
+        chosen: list[LogEntry] = []
+        size_bytes = 0
+        for entry in self._entries[first : first + max_count]:
+            size_bytes += len(entry.payload)
+            if chosen and size_bytes > max_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def set_vote_state(self, vote_state: VoteState) -> None:
+        """Replace the term, vote and cluster."""
+        self.vote_state = vote_state
+        self._add(vote_state)
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Add entries; one at an index already held replaces it and all after it."""
+        for entry in entries:
+            if entry.index <= self.last_index:
+                self._truncate(entry.index)
+            self._entries.append(entry)
+            if entry.kind is EntryKind.MEMBERS:
+                members = codec.decode(entry.payload)
+                self._member_history.append(_MembersAt(entry.index, members))
+            self._add(entry)
+
+    def compact(self, snapshot: Snapshot, trailing_entries: int) -> None:
+        """Keep a snapshot and drop the entries that it makes unnecessary."""
+        self.snapshot = snapshot
+        base_index = max(self.base_index, snapshot.header.index - trailing_entries)
+        base_term = self.term_at(base_index)
+        del self._entries[: base_index - self.base_index]
+        self.base_index, self.base_term = base_index, base_term
+        self._forget_members_before(snapshot)
+        self._request_rewrite()
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Take over the snapshot of another replica in place of older entries."""
+        header = snapshot.header
+        if self.term_at(header.index) == header.term:
+            del self._entries[: header.index - self.base_index]
+        else:
+            self._entries.clear()
+            self._member_history.clear()
+            self.durable_index = self._in_flight_index = 0
+        self.base_index, self.base_term = header.index, header.term
+        self.snapshot = snapshot
+        self._forget_members_before(snapshot)
+        self._request_rewrite()
+
+    async def sync(self) -> None:
+        """Wait until everything added so far is on the disk.
+
+        Raises
+        ------
+        BulrushleadError
+            ``STORAGE_FAILED`` if it will never be.
+        """
+        if self.failure is not None:
+            raise self.failure
+        if self._closing:
+            raise _storage_failed(OSError("the replica is closing"))
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        self._wake.set()
+        await waiter
+
+    def stop(self, error: Exception) -> None:
+        """Write nothing more, because of a fault elsewhere in this replica."""
+        if self.failure is None:
+            self._fail(
+                BulrushleadError(
+                    ResultCode.INTERNAL,
+                    f"replica stopped by {error!r}; restart it and report this",
+                )
+            )
+
+    def _recover(self, new_replica_id: str) -> Generation:
+        self.storage.open()
+        generation = load_generation(self.storage) or Generation(0, new_replica_id)
+        generation.number += 1
+        self._sequence = write_generation(self.storage, generation)
+        return generation
+
+    def _take_over(self, generation: Generation) -> None:
+        self._number = generation.number
+        self.replica_id = generation.replica_id
+        self.vote_state = generation.vote_state
+        self.base_index = generation.base_index
+        self.base_term = generation.base_term
+        self.snapshot = generation.snapshot
+        self._entries = generation.entries
+        self.durable_index = self._in_flight_index = self.last_index
+        for entry in self._entries:
+            if entry.kind is EntryKind.MEMBERS:
+                members = codec.decode(entry.payload)
+                self._member_history.append(_MembersAt(entry.index, members))
+        if self.snapshot is not None:
+            self._forget_members_before(self.snapshot)
+
+    def _add(self, record: LogEntry | VoteState) -> None:
+        self._pending.append(codec.encode(record))
+        self._wake.set()
+
+    def _truncate(self, index: int) -> None:
+        del self._entries[index - self.base_index - 1 :]
+        while self._member_history[-1].index >= index:
+            self._member_history.pop()
+        self.durable_index = min(self.durable_index, index - 1)
+        self._in_flight_index = min(self._in_flight_index, index - 1)
+
+    def _forget_members_before(self, snapshot: Snapshot) -> None:
+        header = snapshot.header
+        later = [at for at in self._member_history if at.index > header.index]
+        self._member_history = [_MembersAt(header.index, header.members), *later]
+
+    def _request_rewrite(self) -> None:
+        self._rewrite_needed = True
+        self._wake.set()
+
+    async def _write(self) -> None:
+        while not self._closing:
+            await self._wake.wait()
+            self._wake.clear()
+            if self._closing:
+                break
+            batch = self._take_batch()
+            try:
+                await self.storage.run(lambda batch=batch: self._write_batch(batch))
+            except Exception as error:
+                self._waiters = batch.waiters + self._waiters
+                self._fail(_storage_failed(error))
+                return
+            self._finish(batch)
+        for waiter in self._waiters:
+            waiter.cancel()
+
+    def _take_batch(self) -> _Batch:
+        generation = None
+        if self._rewrite_needed:
+            self._number += 1
+            generation = Generation(
+                self._number,
+                self.replica_id,
+                self.vote_state,
+                self.base_index,
+                self.base_term,
+                list(self._entries),
+                self.snapshot,
+            )
+        batch = _Batch(self._pending, self._waiters, generation, self.last_index)
+        self._pending, self._waiters, self._rewrite_needed = [], [], False
+        self._in_flight_index = self.last_index
+        return batch
+
+    def _write_batch(self, batch: _Batch) -> None:
+        if batch.generation is not None:
+            # The rewritten journal holds the pending records as well.
+            self._sequence = write_generation(self.storage, batch.generation)
+        elif batch.payloads:
+            name = f"journal-{self._number:016d}"
+            data = pack_records(batch.payloads, self._sequence + 1, self._sequence)
+            self.storage.append(name, data)
+            self.storage.sync(name)
+            self._sequence += len(batch.payloads)
+
+    def _finish(self, batch: _Batch) -> None:
+        self.durable_index = max(self.durable_index, self._in_flight_index)
+        for waiter in batch.waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        self.on_durable()
+
+    def _fail(self, failure: BulrushleadError) -> None:
+        self.failure = failure
+        self._closing = True
+        self._wake.set()
+        self._log.write(
+            Event.STORAGE_FAILED,
+            replica_id=self.replica_id,
+            code=failure.code.value,
+            error=failure.detail,
+        )
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_exception(failure)
+        self._waiters = []
+        self.on_failure()
+
+
+def _storage_failed(error: Exception) -> BulrushleadError:
+    return BulrushleadError(
+        ResultCode.STORAGE_FAILED,
+        f"writing the data folder failed: {error}; nothing more is acknowledged: "
+        "free or replace the disk, then restart this replica",
+    )
--- /dev/null
+++ b/bulrushlead/replication/_membership.py
@@ -0,0 +1,243 @@
+"""Changes of the set of replicas, one at a time through the log."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from bulrushlead.replication._applier import Applier
+from bulrushlead.replication._leadership import Leadership
+from bulrushlead.replication._messages import (
+    EntryKind,
+    JoinReply,
+    JoinRequest,
+    Member,
+    MemberRole,
+    Members,
+)
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.wire import codec
+
+if TYPE_CHECKING:
+    from bulrushlead.replication._replica import Replica
+
+
+class Membership:
+    """Adds, promotes, removes and replaces replicas.
+
+    Parameters
+    ----------
+    replica : Replica
+        The replica that is asked; changes are made by the leader only.
+    applier : Applier
+        Tells when a change is committed.
+    """
+
+    def __init__(self, replica: "Replica", applier: Applier):
+        self.replica = replica
+        self.applier = applier
+        self._lock = asyncio.Lock()
+
+    async def add_learner(self, address: str, timeout_ms: float) -> str:
+        """Add the replica at an address without a vote.
+
+        Returns
+        -------
+        str
+            Identity of the new learner.
+        """
+        leadership = self.require_leadership()
+        reply = await self._ask_identity(address, timeout_ms)
+        async with self._lock:
+            members = self._settled_members(leadership)
+            if members.find(reply.replica_id) is None:
+                learner = Member(reply.replica_id, address, MemberRole.LEARNER)
+                changed = Members((*members.members, learner))
+                await self._change(leadership, changed, timeout_ms)
+        return reply.replica_id
+
+    async def promote(self, replica_id: str, timeout_ms: float) -> None:
+        """Give a learner that has caught up its vote."""
+        leadership = self.require_leadership()
+        async with self._lock:
+            members = self._settled_members(leadership)
+            learner = members.find(replica_id)
+            if learner is None:
+                raise _refused(f"no replica {replica_id!r}; add it as a learner first")
+            if learner.role is MemberRole.VOTER:
+                return
+            if not self._has_caught_up(leadership, replica_id):
+                raise _refused(f"{replica_id} has not caught up yet; try again later")
+            voter = Member(replica_id, learner.address)
+            await self._change(
+                leadership, members.replaced(replica_id, voter), timeout_ms
+            )
+
+    async def remove(self, replica_id: str, timeout_ms: float) -> None:
+        """Take a replica out of the set."""
+        leadership = self.require_leadership()
+        async with self._lock:
+            members = self._settled_members(leadership)
+            if members.find(replica_id) is None:
+                return
+            if replica_id == self.replica.replica_id:
+                raise _refused(
+                    f"{replica_id} is the leader; stop it, then ask the next leader"
+                )
+            left = members.replaced(replica_id)
+            self._check_reachable_quorum(leadership, left)
+            await self._change(leadership, left, timeout_ms)
+
+    async def answer_join(self, request: JoinRequest) -> JoinReply:
+        """Tell what is known of a cluster; as the leader, let the replica in."""
+        replica = self.replica
+        if replica.journal.failure is not None:
+            raise replica.journal.failure
+        if replica.leadership is not None and not self._lock.locked():
+            await self._replace(request)
+        known = replica.cluster_id if replica.journal.last_index else ""
+        founders = (replica.settings.address, *replica.settings.peers)
+        return JoinReply(replica.replica_id, known, tuple(sorted(founders)))
+
+    def require_leadership(self) -> Leadership:
+        """Return the current leadership.
+
+        Raises
+        ------
+        BulrushleadError
+            ``NOT_LEADER`` with a hint, ``NO_QUORUM`` without a valid lease, or the
+            failure of the storage.
+        """
+        replica = self.replica
+        if replica.journal.failure is not None:
+            raise replica.journal.failure
+        leadership = replica.leadership
+        if leadership is None:
+            hint = replica.leader_address or "unknown"
+            raise BulrushleadError(
+                ResultCode.NOT_LEADER,
+                f"{replica.settings.address} is not the leader; ask {hint}",
+            )
+        if not leadership.announced or not leadership.holds_lease():
+            raise BulrushleadError(
+                ResultCode.NO_QUORUM,
+                f"{replica.settings.address} has not reached "
+                f"{replica.journal.members.quorum_size()} voters within "
+                f"{replica.settings.lease_ms:.0f} ms; try again",
+            )
+        return leadership
+
+    async def _replace(self, request: JoinRequest) -> None:
+        """Take the next step to put a replica in the place of one that is lost.
+
+        The newcomer is added as a learner, and once it has caught up the lost
+        voter is removed and the newcomer promoted at once: the removal needs no
+        more replicas than the set before it, and the promotion lets the newcomer
+        count for its own entry.
+        """
+        try:
+            leadership = self.require_leadership()
+            async with self._lock:
+                members = self._settled_members(leadership)
+                timeout_ms = self.replica.settings.call_timeout_ms
+                newcomer = members.find(request.replica_id)
+                if newcomer is None:
+                    changed = self._with_newcomer(members, request)
+                elif newcomer.replaces and self._has_caught_up(
+                    leadership, newcomer.replica_id
+                ):
+                    changed = await self._without_lost(
+                        leadership, members, newcomer, timeout_ms
+                    )
+                else:
+                    return
+                if changed is not None:
+                    await self._change(leadership, changed, timeout_ms)
+        except BulrushleadError:
+            return  # The newcomer asks again.
+
+    def _with_newcomer(self, members: Members, request: JoinRequest) -> Members | None:
+        same_address = [m for m in members.members if m.address == request.address]
+        if not same_address or request.address == self.replica.settings.address:
+            return None
+        voters = [m for m in same_address if m.role is MemberRole.VOTER]
+        replaces = voters[0].replica_id if voters else same_address[0].replaces
+        newcomer = Member(
+            request.replica_id, request.address, MemberRole.LEARNER, replaces
+        )
+        kept = [m for m in members.members if m not in same_address or m in voters]
+        return Members((*kept, newcomer))
+
+    async def _without_lost(
+        self,
+        leadership: Leadership,
+        members: Members,
+        newcomer: Member,
+        timeout_ms: float,
+    ) -> Members | None:
+        if members.find(newcomer.replaces) is not None:
+            if self._is_heard(leadership, newcomer.replaces):
+                return None
+            members = members.replaced(newcomer.replaces)
+            self._check_reachable_quorum(leadership, members)
+            await self._change(leadership, members, timeout_ms)
+        voter = Member(newcomer.replica_id, newcomer.address)
+        return members.replaced(newcomer.replica_id, voter)
+
+    def _settled_members(self, leadership: Leadership) -> Members:
+        replica = self.replica
+        if replica.leadership is not leadership:
+            raise BulrushleadError(ResultCode.NOT_LEADER, "the leader changed; retry")
+        if replica.commit_index < replica.journal.members_index:
+            raise _refused("the last change is not committed yet; try again later")
+        return replica.journal.members
+
+    def _check_reachable_quorum(self, leadership: Leadership, members: Members):
+        heard = [
+            voter
+            for voter in members.voters()
+            if voter.replica_id == self.replica.replica_id
+            or self._is_heard(leadership, voter.replica_id)
+        ]
+        if len(heard) < members.quorum_size():
+            raise _refused(
+                f"only {len(heard)} of the {len(members.voters())} voters left would "
+                "be reachable; restart or replace the others first"
+            )
+
+    def _is_heard(self, leadership: Leadership, replica_id: str) -> bool:
+        progress = leadership.progress_of(replica_id)
+        if progress is None:
+            return False
+        silence_ms = self.replica.clock.now_ms() - progress.acknowledged_ms
+        return silence_ms < self.replica.settings.election_min_ms
+
+    def _has_caught_up(self, leadership: Leadership, replica_id: str) -> bool:
+        progress = leadership.progress_of(replica_id)
+        return (
+            progress is not None
+            and self._is_heard(leadership, replica_id)
+            and progress.match_index >= self.replica.commit_index
+        )
+
+    async def _change(
+        self, leadership: Leadership, members: Members, timeout_ms: float
+    ) -> None:
+        if self.replica.leadership is not leadership:
+            raise BulrushleadError(ResultCode.NOT_LEADER, "the leader changed; retry")
+        entry = leadership.append(EntryKind.MEMBERS, codec.encode(members))
+        await self.applier.wait_result(entry, timeout_ms)
+
+    async def _ask_identity(self, address: str, timeout_ms: float) -> JoinReply:
+        replica = self.replica
+        link = replica.link_to(address)
+        request = JoinRequest(replica.replica_id, replica.settings.address)
+        reply = await link.call(request, timeout_ms)
+        if reply.cluster_id not in ("", replica.cluster_id):
+            raise _refused(
+                f"{address} belongs to cluster {reply.cluster_id}; empty its data "
+                "folder first"
+            )
+        return reply
+
+
+def _refused(detail: str) -> BulrushleadError:
+    return BulrushleadError(ResultCode.MEMBERSHIP_REFUSED, detail)
--- /dev/null
+++ b/bulrushlead/replication/_messages.py
@@ -0,0 +1,340 @@
+"""Messages between replicas, and the records that they keep on disk."""
+
+from enum import Enum
+
+from bulrushlead.wire import message
+
+
+class EntryKind(Enum):
+    """What the payload of a log entry is."""
+
+    COMMAND = 1
+    NOOP = 2
+    MEMBERS = 3
+
+
+class MemberRole(Enum):
+    """Whether a member counts towards a quorum."""
+
+    VOTER = "voter"
+    LEARNER = "learner"
+
+
+@message("log.member")
+class Member:
+    """One replica as the log knows it.
+
+    Parameters
+    ----------
+    replica_id : str
+        Random identity, made together with the data folder.
+    address : str
+        ``host:port`` of the replica.
+    role : MemberRole
+        Whether the replica counts.
+    replaces : str
+        Identity of the voter whose place this learner takes, or empty.
+    """
+
+    replica_id: str
+    address: str
+    role: MemberRole = MemberRole.VOTER
+    replaces: str = ""
+
+
+@message("log.members")
+class Members:
+    """The set of replicas.
+
+    Parameters
+    ----------
+    members : tuple of Member
+        Voters and learners.
+    """
+
+    members: tuple[Member, ...] = ()
+
+    def find(self, replica_id: str) -> Member | None:
+        """Return the member with this identity, or None."""
+        return next((m for m in self.members if m.replica_id == replica_id), None)
+
+    def voters(self) -> tuple[Member, ...]:
+        """Return the members that count towards a quorum."""
+        return tuple(m for m in self.members if m.role is MemberRole.VOTER)
+
+    def is_voter(self, replica_id: str) -> bool:
+        """Return whether this identity counts towards a quorum."""
+        member = self.find(replica_id)
+        return member is not None and member.role is MemberRole.VOTER
+
+    def quorum_size(self) -> int:
+        """Return how many voters make a quorum."""
+        return len(self.voters()) // 2 + 1
+
+    def replaced(self, replica_id: str, *new: Member) -> "Members":
+        """Return the set without one identity and with ``new`` members."""
+        kept = tuple(m for m in self.members if m.replica_id != replica_id)
+        return Members(kept + new)
+
+
+@message("log.entry")
+class LogEntry:
+    """One entry of the log.
+
+    Parameters
+    ----------
+    index : int
+        Position, from 1.
+    term : int
+        Term of the leader that appended it.
+    kind : EntryKind
+        What the payload is.
+    payload : bytes
+        A command of the state machine, or an encoded ``Members``.
+    """
+
+    index: int
+    term: int
+    kind: EntryKind
+    payload: bytes = b""
+
+
+@message("log.vote_state")
+class VoteState:
+    """What a replica must never forget.
+
+    Parameters
+    ----------
+    term : int
+        Highest term seen.
+    voted_for : str
+        Identity voted for in that term, or empty.
+    cluster_id : str
+        Random identity of the cluster, or empty before the first contact.
+    """
+
+    term: int = 0
+    voted_for: str = ""
+    cluster_id: str = ""
+
+
+@message("log.journal_header")
+class JournalHeader:
+    """First record of a journal file.
+
+    Parameters
+    ----------
+    replica_id : str
+        Identity of the replica that owns the folder.
+    record_count : int
+        Records that were synced before the file got its name.
+    base_index, base_term : int
+        Position just before the first entry kept.
+    snapshot_name : str
+        File of the snapshot that belongs to this journal, or empty.
+    format_version : int
+        Version of the file format.
+    """
+
+    replica_id: str
+    record_count: int
+    base_index: int = 0
+    base_term: int = 0
+    snapshot_name: str = ""
+    format_version: int = 1
+
+
+@message("log.snapshot_header")
+class SnapshotHeader:
+    """First record of a snapshot file.
+
+    Parameters
+    ----------
+    index, term : int
+        Last entry that the snapshot holds.
+    members : Members
+        Set of replicas as of that entry.
+    size_bytes : int
+        Size of the state.
+    checksum : int
+        64-bit xxHash of the state.
+    """
+
+    index: int
+    term: int
+    members: Members
+    size_bytes: int
+    checksum: int
+
+
+@message("log.vote")
+class VoteRequest:
+    """Asks for a vote, or with ``trial`` whether a vote would be given.
+
+    Parameters
+    ----------
+    cluster_id, target_id, sender_id : str
+        Cluster, addressee and candidate.
+    term : int
+        Term of the election.
+    last_index, last_term : int
+        End of the candidate's log.
+    trial : bool
+        True for a pre-vote, which changes nothing.
+    """
+
+    cluster_id: str
+    target_id: str
+    sender_id: str
+    term: int
+    last_index: int
+    last_term: int
+    trial: bool = False
+
+
+@message("log.vote_reply")
+class VoteReply:
+    """Answer to a vote request.
+
+    Parameters
+    ----------
+    term : int
+        Term of the answering replica.
+    granted : bool
+        Whether the vote is given.
+    """
+
+    term: int
+    granted: bool = False
+
+
+@message("log.append")
+class AppendRequest:
+    """Entries and heartbeat of the leader.
+
+    Parameters
+    ----------
+    cluster_id, target_id, sender_id : str
+        Cluster, addressee and leader.
+    sender_address : str
+        Address of the leader.
+    term : int
+        Term of the leader.
+    previous_index, previous_term : int
+        Entry just before ``entries``.
+    commit_index : int
+        Last committed entry.
+    entries : tuple of LogEntry
+        New entries, empty for a heartbeat.
+    """
+
+    cluster_id: str
+    target_id: str
+    sender_id: str
+    sender_address: str
+    term: int
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    entries: tuple[LogEntry, ...] = ()
+
+
+@message("log.append_reply")
+class AppendReply:
+    """Answer to an append request.
+
+    Parameters
+    ----------
+    term : int
+        Term of the answering replica.
+    success : bool
+        Whether the entries are on its disk.
+    match_index : int
+        With success the last entry known to match, otherwise where to try next.
+    """
+
+    term: int
+    success: bool = False
+    match_index: int = 0
+
+
+@message("log.snapshot_chunk")
+class SnapshotChunk:
+    """One part of a snapshot on its way to a replica far behind.
+
+    Parameters
+    ----------
+    cluster_id, target_id, sender_id : str
+        Cluster, addressee and leader.
+    sender_address : str
+        Address of the leader.
+    term : int
+        Term of the leader.
+    header : SnapshotHeader
+        What the whole snapshot is.
+    offset_bytes : int
+        Position of ``data`` in the state.
+    data : bytes
+        The part.
+    """
+
+    cluster_id: str
+    target_id: str
+    sender_id: str
+    sender_address: str
+    term: int
+    header: SnapshotHeader
+    offset_bytes: int = 0
+    data: bytes = b""
+
+
+@message("log.snapshot_reply")
+class SnapshotReply:
+    """Answer to a part of a snapshot.
+
+    Parameters
+    ----------
+    term : int
+        Term of the answering replica.
+    next_offset_bytes : int
+        Where the next part must begin.
+    installed : bool
+        Whether the whole snapshot is on its disk.
+    """
+
+    term: int
+    next_offset_bytes: int = 0
+    installed: bool = False
+
+
+@message("log.join")
+class JoinRequest:
+    """A replica without a vote asks what the addressee knows, and to be let in.
+
+    Parameters
+    ----------
+    replica_id, address : str
+        Identity and address of the asking replica.
+    """
+
+    replica_id: str
+    address: str
+
+
+@message("log.join_reply")
+class JoinReply:
+    """What a replica knows about a cluster.
+
+    Parameters
+    ----------
+    replica_id : str
+        Identity of the answering replica.
+    cluster_id : str
+        Cluster it belongs to, or empty.
+    founders : tuple of str
+        Addresses that its settings name for the first start, itself included.
+    """
+
+    replica_id: str
+    cluster_id: str = ""
+    founders: tuple[str, ...] = ()
--- /dev/null
+++ b/bulrushlead/replication/_peer.py
@@ -0,0 +1,201 @@
+"""The task that keeps one peer up to date with the leader's log."""
+
+import asyncio
+import contextlib
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from bulrushlead.logs import Event
+from bulrushlead.replication._messages import (
+    AppendReply,
+    AppendRequest,
+    Member,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from bulrushlead.results import BulrushleadError
+
+if TYPE_CHECKING:
+    from bulrushlead.replication._leadership import Leadership
+    from bulrushlead.replication._replica import Replica
+
+MAX_ENTRIES_PER_APPEND = 4096
+
+
+@attrs.define
+class Progress:
+    """How far a peer has come.
+
+    Parameters
+    ----------
+    next_index : int
+        Entry to send next.
+    match_index : int
+        Last entry known to be on the peer's disk.
+    acknowledged_ms : float
+        When the last message that it acknowledged was sent, in milliseconds.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acknowledged_ms: float = -math.inf
+
+
+class PeerReplicator:
+    """Sends entries, snapshots and heartbeats to one peer, one call at a time.
+
+    Parameters
+    ----------
+    replica : Replica
+        The replica that leads.
+    leadership : Leadership
+        Its term as the leader.
+    member : Member
+        The peer.
+    progress : Progress
+        How far the peer has come.
+    """
+
+    def __init__(
+        self,
+        replica: "Replica",
+        leadership: "Leadership",
+        member: Member,
+        progress: Progress,
+    ):
+        self.replica = replica
+        self.leadership = leadership
+        self.member = member
+        self.progress = progress
+        self._snapshot_offset_bytes = 0
+        self._snapshot_index = 0
+        self._stalled = False
+        self._wake = asyncio.Event()
+
+    def wake(self) -> None:
+        """Send now what there is to send."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Call the peer until this replica is no longer the leader."""
+        try:
+            await self._replicate()
+        except Exception as error:
+            self.replica.log.write(Event.UNEXPECTED_ERROR, error=repr(error))
+            self.replica.step_down(f"replicating to a peer failed: {error!r}")
+
+    async def _replicate(self) -> None:
+        settings = self.replica.settings
+        clock = self.replica.clock
+        link = self.replica.link_to(self.member.address)
+        while True:
+            self._wake.clear()
+            position = self._position()
+            request = self._next_request()
+            sent_ms = clock.now_ms()
+            try:
+                reply = await link.call(request, settings.call_timeout_ms)
+            except BulrushleadError as error:
+                self._note_stalled(error)
+                await clock.sleep_ms(settings.heartbeat_ms)
+                continue
+            self._take_reply(request, reply, sent_ms)
+            if self._is_up_to_date() or self._position() == position:
+                due_ms = sent_ms + settings.heartbeat_ms
+                with contextlib.suppress(TimeoutError):
+                    await clock.wait_for(self._wake.wait(), due_ms - clock.now_ms())
+
+    def _next_request(self) -> AppendRequest | SnapshotChunk:
+        if self.progress.next_index <= self.replica.journal.base_index:
+            return self._next_chunk()
+        return self._next_append()
+
+    def _next_append(self) -> AppendRequest:
+        journal = self.replica.journal
+        previous_index = self.progress.next_index - 1
+        return AppendRequest(
+            cluster_id=self.replica.cluster_id,
+            target_id=self.member.replica_id,
+            sender_id=self.replica.replica_id,
+            sender_address=self.replica.settings.address,
+            term=self.leadership.term,
+            previous_index=previous_index,
+            previous_term=journal.term_at(previous_index),
+            commit_index=self.replica.commit_index,
+            entries=journal.entries_from(
+                self.progress.next_index,
+                self.replica.settings.append_bytes,
+                MAX_ENTRIES_PER_APPEND,
+            ),
+        )
+
+    def _next_chunk(self) -> SnapshotChunk:
+        snapshot = self.replica.journal.snapshot
+        if snapshot.header.index != self._snapshot_index:
+            self._snapshot_index = snapshot.header.index
+            self._snapshot_offset_bytes = 0
+        offset = self._snapshot_offset_bytes
+        return SnapshotChunk(
+            cluster_id=self.replica.cluster_id,
+            target_id=self.member.replica_id,
+            sender_id=self.replica.replica_id,
+            sender_address=self.replica.settings.address,
+            term=self.leadership.term,
+            header=snapshot.header,
+            offset_bytes=offset,
+            data=snapshot.data[
+                offset : offset + self.replica.settings.snapshot_chunk_bytes
+            ],
+        )
+
+    def _take_reply(self, request, reply, sent_ms: float) -> None:
+        if reply.term > self.leadership.term:
+            self.replica.observe_term(reply.term)
+            return
+        if reply.term < self.leadership.term:
+            return
+        self._stalled = False
+        self.progress.acknowledged_ms = max(self.progress.acknowledged_ms, sent_ms)
+        if isinstance(reply, AppendReply):
+            self._take_append_reply(reply)
+        elif isinstance(reply, SnapshotReply):
+            self._take_snapshot_reply(request, reply)
+
+    def _take_append_reply(self, reply: AppendReply) -> None:
+        if reply.success:
+            self._take_match(reply.match_index)
+        else:
+            last_index = self.replica.journal.last_index
+            self.progress.next_index = min(reply.match_index, last_index) + 1
+
+    def _take_snapshot_reply(self, request: SnapshotChunk, reply: SnapshotReply):
+        self._snapshot_offset_bytes = reply.next_offset_bytes
+        if reply.installed:
+            self._take_match(request.header.index)
+
+    def _take_match(self, index: int) -> None:
+        self.progress.match_index = max(self.progress.match_index, index)
+        self.progress.next_index = self.progress.match_index + 1
+        self.leadership.advance_commit()
+
+    def _is_up_to_date(self) -> bool:
+        return self.progress.next_index > self.replica.journal.last_index
+
+    def _position(self) -> tuple[int, int, int]:
+        return (
+            self.progress.next_index,
+            self._snapshot_index,
+            self._snapshot_offset_bytes,
+        )
+
+    def _note_stalled(self, error: BulrushleadError) -> None:
+        if not self._stalled:
+            self._stalled = True
+            self.replica.log.write(
+                Event.REPLICA_STALLED,
+                peer_id=self.member.replica_id,
+                address=self.member.address,
+                error=error.detail,
+            )
--- /dev/null
+++ b/bulrushlead/replication/_replica.py
@@ -0,0 +1,197 @@
+"""State of one replica that its parts share."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from bulrushlead.clock import Clock
+from bulrushlead.logs import Event, EventLogger
+from bulrushlead.replication._interfaces import (
+    LeadershipCallback,
+    LinkFactory,
+    PeerLink,
+)
+from bulrushlead.replication._journal import Journal
+from bulrushlead.replication._leadership import Leadership
+from bulrushlead.replication._messages import VoteState
+from bulrushlead.replication._settings import ReplicaSettings
+from bulrushlead.results import BulrushleadError, ResultCode
+
+
+class Replica:
+    """State of one replica: its term, its leader and how far it has come.
+
+    Parameters
+    ----------
+    settings : ReplicaSettings
+        Settings of this replica.
+    clock : Clock
+        Source of time.
+    journal : Journal
+        Entries and vote of this replica.
+    links : callable
+        Makes the link to an address.
+    rng : random.Random
+        Source of random election times.
+
+    Attributes
+    ----------
+    leadership : Leadership or None
+        Present while this replica is the leader.
+    leader_address : str or None
+        Address of the last known leader of the current term.
+    heard_ms : float
+        When this replica last heard from a leader, gave a vote or started, in
+        milliseconds of its own clock.
+    commit_index, last_applied : int
+        Last entry known to be committed, and last one applied.
+    """
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        clock: Clock,
+        journal: Journal,
+        links: LinkFactory,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.journal = journal
+        self.rng = rng
+        self.leadership: Leadership | None = None
+        self.leader_address: str | None = None
+        self.heard_ms = clock.now_ms()
+        self.commit_index = 0
+        self.last_applied = 0
+        self.on_commit: Callable[[], None] = lambda: None
+        self.on_leadership_lost: Callable[[], None] = lambda: None
+        self.log = EventLogger("replication")
+        self._make_link = links
+        self._links: dict[str, PeerLink] = {}
+        self._watchers: list[LeadershipCallback] = []
+
+    @property
+    def term(self) -> int:
+        """Highest term seen."""
+        return self.journal.vote_state.term
+
+    @property
+    def cluster_id(self) -> str:
+        """Identity of the cluster, or empty before the first contact."""
+        return self.journal.vote_state.cluster_id
+
+    @property
+    def replica_id(self) -> str:
+        """Identity of this replica."""
+        return self.journal.replica_id
+
+    def is_voter(self) -> bool:
+        """Return whether this replica counts, as far as its log says."""
+        return self.journal.members.is_voter(self.replica_id)
+
+    def link_to(self, address: str) -> PeerLink:
+        """Return the link to another replica."""
+        if address not in self._links:
+            self._links[address] = self._make_link(address)
+        return self._links[address]
+
+    def heard_recently(self) -> bool:
+        """Return whether a leader may still rely on this replica for its lease."""
+        silence_ms = self.clock.now_ms() - self.heard_ms
+        return silence_ms < self.settings.election_min_ms
+
+    def check_addressee(self, target_id: str, cluster_id: str) -> None:
+        """Refuse a message that is meant for another replica or cluster.
+
+        Raises
+        ------
+        BulrushleadError
+            ``STORAGE_FAILED`` if this replica has stopped acknowledging,
+            ``MEMBERSHIP_REFUSED`` if the message is not meant for it.
+        """
+        if self.journal.failure is not None:
+            raise self.journal.failure
+        if target_id != self.replica_id:
+            raise BulrushleadError(
+                ResultCode.MEMBERSHIP_REFUSED,
+                f"{self.settings.address} is replica {self.replica_id}, not "
+                f"{target_id!r:.40}; its disk was replaced or the address is wrong",
+            )
+        if self.cluster_id and cluster_id != self.cluster_id:
+            raise BulrushleadError(
+                ResultCode.MEMBERSHIP_REFUSED,
+                f"{self.settings.address} belongs to cluster {self.cluster_id}, not "
+                f"{cluster_id!r:.40}; empty its data folder if it shall change over",
+            )
+
+    def observe_term(self, term: int) -> None:
+        """Give up the current term if a higher one exists."""
+        if term > self.term:
+            self.journal.set_vote_state(VoteState(term, "", self.cluster_id))
+            self.leader_address = None
+            self.step_down(f"term {term} has begun")
+
+    def follow(self, term: int, leader_address: str, cluster_id: str) -> None:
+        """Accept the leader of a term that is not lower than the current one."""
+        self.observe_term(term)
+        if not self.cluster_id:
+            state = attrs.evolve(self.journal.vote_state, cluster_id=cluster_id)
+            self.journal.set_vote_state(state)
+        self.leader_address = leader_address
+        self.heard_ms = self.clock.now_ms()
+
+    def lead(self, leadership: Leadership) -> None:
+        """Become the leader of the current term."""
+        self.leadership = leadership
+        self.leader_address = self.settings.address
+        leadership.start()
+        self.log.write(
+            Event.LEADER_ELECTED, replica_id=self.replica_id, term=leadership.term
+        )
+
+    def step_down(self, reason: str) -> None:
+        """Stop being the leader, if this replica is."""
+        leadership, self.leadership = self.leadership, None
+        if leadership is None:
+            return
+        if self.leader_address == self.settings.address:
+            self.leader_address = None
+        leadership.close()
+        self.log.write(
+            Event.LEADER_LOST,
+            replica_id=self.replica_id,
+            term=leadership.term,
+            reason=reason,
+        )
+        self.on_leadership_lost()
+        if leadership.announced:
+            self._notify(False)
+
+    def commit_to(self, index: int) -> None:
+        """Record that all entries up to ``index`` are committed."""
+        if index > self.commit_index:
+            self.commit_index = index
+            self.on_commit()
+
+    def note_applied(self, index: int) -> None:
+        """Record the last applied entry; a leader is ready once it is its own."""
+        self.last_applied = index
+        leadership = self.leadership
+        if leadership is not None and leadership.note_applied(index):
+            self._notify(True)
+
+    def watch_leadership(self, callback: LeadershipCallback) -> None:
+        """Call ``callback`` with True on gain and False on loss of leadership."""
+        self._watchers.append(callback)
+
+    async def close_links(self) -> None:
+        """Close the links to the other replicas."""
+        for link in self._links.values():
+            await link.close()
+        self._links.clear()
+
+    def _notify(self, leads: bool) -> None:
+        for callback in self._watchers:
+            callback(leads)
--- /dev/null
+++ b/bulrushlead/replication/_settings.py
@@ -0,0 +1,132 @@
+"""Settings of one replica and their constraints."""
+
+import attrs
+
+from bulrushlead.results import BulrushleadError, ResultCode
+
+MAX_PEERS = 15
+MAX_LEASE_SHARE = 0.9  # of the shortest election time-out; the rest is clock drift
+MIN_HEARTBEATS_PER_LEASE = 3
+
+
+def _invalid(key: str, value: object, allowed: str) -> BulrushleadError:
+    return BulrushleadError(
+        ResultCode.SETTINGS_INVALID, f"replica.{key} is {value!r}; set it to {allowed}"
+    )
+
+
+def _at_least(minimum: float):
+    def check(instance, attribute, value):
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise _invalid(attribute.name, value, "a number")
+        if value < minimum:
+            raise _invalid(attribute.name, value, f"at least {minimum}")
+
+    return check
+
+
+def _check_address(instance, attribute, value):
+    if not _is_address(value):
+        raise _invalid(attribute.name, value, "host:port by IP number")
+
+
+def _check_peers(instance, attribute, value):
+    for peer in value:
+        if not _is_address(peer):
+            raise _invalid(attribute.name, peer, "host:port by IP number")
+    if instance.address in value:
+        raise _invalid(attribute.name, value, "the other replicas only")
+    if len(set(value)) != len(value) or len(value) > MAX_PEERS:
+        raise _invalid(attribute.name, value, f"at most {MAX_PEERS} distinct addresses")
+
+
+def _is_address(value: object) -> bool:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    return bool(host) and port.isdecimal() and 0 < int(port) < 65536
+
+
+@attrs.frozen
+class ReplicaSettings:
+    """Settings of one replica of the log.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` by which the other replicas reach this one.
+    peers : sequence of str
+        Addresses of the other replicas of the first start, empty for one replica.
+        Once the cluster exists, the log says who its members are.
+    data_folder : str
+        Folder of the journal and the snapshots.
+    bootstrap : bool, default=False
+        Whether an empty folder may form a new cluster. It does so only when every
+        peer answers that it knows of no cluster.
+    heartbeat_ms : float, default=150
+        Time between two messages of the leader to an idle peer, in milliseconds.
+    lease_ms : float, default=700
+        How long the leader answers after a quorum last acknowledged it, in
+        milliseconds.
+    election_min_ms : float, default=800
+        Shortest time without a leader before an election, and the time for which
+        a replica refuses votes after it heard from a leader, in milliseconds.
+    election_max_ms : float, default=1400
+        Longest time without a leader before an election, in milliseconds.
+    call_timeout_ms : float, default=300
+        Time allowed for one call to a peer, in milliseconds.
+    snapshot_threshold_entries : int, default=2000
+        Applied entries after which a snapshot is written.
+    snapshot_trailing_entries : int, default=500
+        Entries kept behind a snapshot for replicas that are a little late.
+    append_bytes : int, default=512 KiB
+        Most bytes of commands in one append message.
+    snapshot_chunk_bytes : int, default=256 KiB
+        Most bytes of a snapshot in one message.
+
+    Raises
+    ------
+    BulrushleadError
+        ``SETTINGS_INVALID``, with the bad value and what is allowed.
+    """
+
+    address: str = attrs.field(validator=_check_address)
+    peers: tuple[str, ...] = attrs.field(
+        default=(), converter=tuple, validator=_check_peers
+    )
+    data_folder: str = ""
+    bootstrap: bool = False
+    heartbeat_ms: float = attrs.field(default=150, validator=_at_least(1))
+    lease_ms: float = attrs.field(default=700, validator=_at_least(1))
+    election_min_ms: float = attrs.field(default=800, validator=_at_least(1))
+    election_max_ms: float = attrs.field(default=1400, validator=_at_least(1))
+    call_timeout_ms: float = attrs.field(default=300, validator=_at_least(1))
+    snapshot_threshold_entries: int = attrs.field(default=2000, validator=_at_least(1))
+    snapshot_trailing_entries: int = attrs.field(default=500, validator=_at_least(0))
+    append_bytes: int = attrs.field(default=512 * 1024, validator=_at_least(1024))
+    snapshot_chunk_bytes: int = attrs.field(
+        default=256 * 1024, validator=_at_least(1024)
+    )
+
+    def __attrs_post_init__(self):
+        longest_lease_ms = self.election_min_ms * MAX_LEASE_SHARE
+        if self.lease_ms > longest_lease_ms:
+            raise _invalid(
+                "lease_ms",
+                self.lease_ms,
+                f"at most {longest_lease_ms:.0f} "
+                f"({MAX_LEASE_SHARE} of election_min_ms)",
+            )
+        if self.heartbeat_ms * MIN_HEARTBEATS_PER_LEASE > self.lease_ms:
+            raise _invalid(
+                "heartbeat_ms",
+                self.heartbeat_ms,
+                f"at most {self.lease_ms / MIN_HEARTBEATS_PER_LEASE:.0f} "
+                f"(lease_ms / {MIN_HEARTBEATS_PER_LEASE})",
+            )
+        if self.election_max_ms <= self.election_min_ms:
+            raise _invalid(
+                "election_max_ms",
+                self.election_max_ms,
+                f"more than election_min_ms ({self.election_min_ms})",
+            )
--- /dev/null
+++ b/bulrushlead/replication/_storage.py
@@ -0,0 +1,173 @@
+"""The folder of files in which a replica keeps its state."""
+
+import asyncio
+import fcntl
+import os
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+from bulrushlead.results import BulrushleadError, ResultCode
+
+T = TypeVar("T")
+
+LOCK_NAME = "lock"
+FILE_MODE = 0o600
+FOLDER_MODE = 0o700
+
+
+class Storage(Protocol):
+    """A flat folder of files with explicit durability.
+
+    Notes
+    -----
+    Written bytes survive a crash only after ``sync`` of the file, created,
+    renamed and removed names only after ``sync_folder``. The calls block; they are
+    made through ``run``.
+    """
+
+    def open(self) -> None:
+        """Make the folder ready and take it for this process alone."""
+        ...
+
+    def close(self) -> None:
+        """Give the folder back."""
+        ...
+
+    async def run(self, steps: Callable[[], T]) -> T:
+        """Run blocking steps without blocking the event loop."""
+        ...
+
+    def list_names(self) -> list[str]:
+        """Return the names of the files, sorted."""
+        ...
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        ...
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file, which is created if absent."""
+        ...
+
+    def sync(self, name: str) -> None:
+        """Make the content of a file durable."""
+        ...
+
+    def rename(self, source: str, target: str) -> None:
+        """Give a file another name atomically."""
+        ...
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        ...
+
+    def sync_folder(self) -> None:
+        """Make the names in the folder durable."""
+        ...
+
+
+class FileStorage:
+    """Storage in a folder of the file system.
+
+    Parameters
+    ----------
+    folder : str
+        Path of the data folder; created if absent.
+    """
+
+    def __init__(self, folder: str):
+        self.folder = folder
+        self._descriptors: dict[str, int] = {}
+        self._lock_descriptor: int | None = None
+
+    def open(self) -> None:
+        """Make the folder ready and take it for this process alone.
+
+        Raises
+        ------
+        BulrushleadError
+            ``STORAGE_FAILED`` if another process uses the folder.
+        OSError
+            If the folder cannot be made or opened.
+        """
+        os.makedirs(self.folder, mode=FOLDER_MODE, exist_ok=True)
+        parent = os.path.dirname(os.path.abspath(self.folder))
+        _sync_path(parent)
+        descriptor = os.open(self._path(LOCK_NAME), os.O_RDWR | os.O_CREAT, FILE_MODE)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(descriptor)
+            raise BulrushleadError(
+                ResultCode.STORAGE_FAILED,
+                f"data folder {self.folder!r} is in use by another process; give "
+                "each replica a folder of its own",
+            ) from error
+        self._lock_descriptor = descriptor
+
+    def close(self) -> None:
+        """Close every file and give the folder back."""
+        for descriptor in self._descriptors.values():
+            os.close(descriptor)
+        self._descriptors.clear()
+        if self._lock_descriptor is not None:
+            os.close(self._lock_descriptor)
+            self._lock_descriptor = None
+
+    async def run(self, steps: Callable[[], T]) -> T:
+        """Run blocking steps in a thread."""
+        return await asyncio.to_thread(steps)
+
+    def list_names(self) -> list[str]:
+        """Return the names of the files, sorted."""
+        return sorted(name for name in os.listdir(self.folder) if name != LOCK_NAME)
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        with open(self._path(name), "rb") as file:
+            return file.read()
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file, which is created if absent."""
+        descriptor = self._descriptor(name)
+        view = memoryview(data)
+        while view:
+            view = view[os.write(descriptor, view) :]
+
+    def sync(self, name: str) -> None:
+        """Make the content of a file durable."""
+        os.fsync(self._descriptor(name))
+
+    def rename(self, source: str, target: str) -> None:
+        """Give a file another name atomically."""
+        os.rename(self._path(source), self._path(target))
+        if source in self._descriptors:
+            self._descriptors[target] = self._descriptors.pop(source)
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        descriptor = self._descriptors.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+        os.unlink(self._path(name))
+
+    def sync_folder(self) -> None:
+        """Make the names in the folder durable."""
+        _sync_path(self.folder)
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self.folder, name)
+
+    def _descriptor(self, name: str) -> int:
+        if name not in self._descriptors:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            self._descriptors[name] = os.open(self._path(name), flags, FILE_MODE)
+        return self._descriptors[name]
+
+
+def _sync_path(path: str) -> None:
+    descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
