Add the router: trust by own observations, zones, policies

Cause: reports of backend servers lag and lie, so shares must follow what the entry host sees itself. New servers ramp up. Events 604 to 606 record trust that returns and zones that fail or recover.

--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -53,6 +53,9 @@
     BACKEND_LEAVING = 601
     BACKEND_GONE = 602
     BACKEND_DISTRUSTED = 603
+    BACKEND_TRUSTED = 604
+    ZONE_DISTRUSTED = 605
+    ZONE_TRUSTED = 606
     DRAIN_STARTED = 610
     DRAIN_ENDED = 611
 
@@ -117,6 +120,9 @@
     _E.BACKEND_LEAVING: EventInfo("INFO", "A backend server is leaving."),
     _E.BACKEND_GONE: EventInfo("WARNING", "A backend server stopped announcing."),
     _E.BACKEND_DISTRUSTED: EventInfo("WARNING", "A backend server lost its share."),
+    _E.BACKEND_TRUSTED: EventInfo("INFO", "A backend server got its share back."),
+    _E.ZONE_DISTRUSTED: EventInfo("WARNING", "A zone fails as a whole."),
+    _E.ZONE_TRUSTED: EventInfo("INFO", "A zone takes traffic again."),
     _E.DRAIN_STARTED: EventInfo("INFO", "A planned drain has started."),
     _E.DRAIN_ENDED: EventInfo("INFO", "A planned drain has ended."),
     _E.KEY_CLAIMED: EventInfo("INFO", "An idempotency key was claimed."),
--- /dev/null
+++ b/bulrushlead/routing/__init__.py
@@ -0,0 +1,39 @@
+"""Routing: choice of region, availability zone and backend server."""
+
+from bulrushlead.routing._model import (
+    AttemptOutcome,
+    Candidate,
+    Distrust,
+    RouteDecision,
+    RouteReason,
+    RouteRequest,
+    ServerStatus,
+)
+from bulrushlead.routing._policies import (
+    LatencyAware,
+    LeastReportedLoad,
+    Policy,
+    PowerOfTwoChoices,
+    RandomChoice,
+    RoundRobin,
+)
+from bulrushlead.routing._router import Router
+from bulrushlead.routing._settings import RouterSettings
+
+__all__ = [
+    "AttemptOutcome",
+    "Candidate",
+    "Distrust",
+    "LatencyAware",
+    "LeastReportedLoad",
+    "Policy",
+    "PowerOfTwoChoices",
+    "RandomChoice",
+    "RoundRobin",
+    "RouteDecision",
+    "RouteReason",
+    "RouteRequest",
+    "Router",
+    "RouterSettings",
+    "ServerStatus",
+]
--- /dev/null
+++ b/bulrushlead/routing/_policies.py
@@ -0,0 +1,166 @@
+"""Policies: which of the allowed backend servers gets a request."""
+
+import random
+from collections.abc import Sequence
+from functools import singledispatch
+
+import attrs
+
+from bulrushlead.routing._model import Candidate
+from bulrushlead.routing._signals import ServerSignals
+
+MIN_SUCCESS_RATE = 0.05
+
+
+@attrs.frozen(eq=False)
+class Option:
+    """A candidate with what is known of it.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        What may be chosen.
+    signals : ServerSignals
+        What the entry host knows of the server.
+    baseline_ms : float
+        Median latency of the servers of its region.
+    extra_latency_ms : float
+        Round trip to its zone above that to the own zone.
+    """
+
+    candidate: Candidate
+    signals: ServerSignals
+    baseline_ms: float
+    extra_latency_ms: float
+
+
+@attrs.frozen(eq=False)
+class Choice:
+    """What a policy chose.
+
+    Parameters
+    ----------
+    option : Option
+        The choice.
+    score : float
+        What was compared; lower is better.
+    """
+
+    option: Option
+    score: float
+
+
+@attrs.frozen
+class Policy:
+    """Base of the policies; compares options by their score."""
+
+
+@attrs.frozen
+class RoundRobin(Policy):
+    """The server that was chosen longest ago."""
+
+
+@attrs.frozen
+class RandomChoice(Policy):
+    """Any server, each with the same chance."""
+
+
+@attrs.frozen
+class LeastReportedLoad(Policy):
+    """The server with the lowest load by its own account."""
+
+
+@attrs.frozen
+class PowerOfTwoChoices(Policy):
+    """Of two random servers the one with fewer own requests in flight."""
+
+
+@attrs.frozen
+class LatencyAware(Policy):
+    """The lowest expected latency times load, among a few random servers.
+
+    Parameters
+    ----------
+    n_choices : int
+        How many random servers are compared.
+    """
+
+    n_choices: int = 2
+
+
+@singledispatch
+def pick(
+    policy: Policy, options: Sequence[Option], rng: random.Random, now_ms: float
+) -> Choice:
+    """Choose one of the options.
+
+    Parameters
+    ----------
+    policy : Policy
+        How to choose.
+    options : sequence of Option
+        What may be chosen, at least one.
+    rng : random.Random
+        Source of random numbers.
+    now_ms : float
+        The current time.
+
+    Returns
+    -------
+    Choice
+        The choice and its score.
+    """
+    raise NotImplementedError(f"policy {policy!r} has no rule to pick a server")
+
+
+@pick.register
+def _(policy: RoundRobin, options, rng, now_ms):
+    option = min(options, key=lambda one: one.signals.last_chosen)
+    return Choice(option, float(option.signals.last_chosen))
+
+
+@pick.register
+def _(policy: RandomChoice, options, rng, now_ms):
+    return Choice(rng.choice(options), 0.0)
+
+
+@pick.register
+def _(policy: LeastReportedLoad, options, rng, now_ms):
+    def load(option: Option) -> float:
+        return option.signals.reported_load or 0.0
+
+    lowest = min(load(option) for option in options)
+    equal = [option for option in options if load(option) == lowest]
+    return Choice(rng.choice(equal), lowest)
+
+
+@pick.register
+def _(policy: PowerOfTwoChoices, options, rng, now_ms):
+    sampled = _sample(options, 2, rng)
+    option = min(sampled, key=lambda one: one.signals.in_flight)
+    return Choice(option, float(option.signals.in_flight))
+
+
+@pick.register
+def _(policy: LatencyAware, options, rng, now_ms):
+    sampled = _sample(options, policy.n_choices, rng)
+    scores = [latency_score(option, now_ms) for option in sampled]
+    best = min(range(len(sampled)), key=scores.__getitem__)
+    return Choice(sampled[best], scores[best])
+
+
+def latency_score(option: Option, now_ms: float) -> float:
+    """Return latency times load over success rate and ramp, in milliseconds."""
+    signals = option.signals
+    latency_ms = signals.latency_ms(now_ms, option.baseline_ms)
+    latency_ms += option.extra_latency_ms
+    success_rate = max(MIN_SUCCESS_RATE, 1.0 - signals.error_rate)
+    return latency_ms * (signals.load(now_ms) + 1.0) / (success_rate * signals.ramp())
+
+
+def _sample(
+    options: Sequence[Option], count: int, rng: random.Random
+) -> Sequence[Option]:
+    if len(options) <= count:
+        return options
+    return rng.sample(options, count)
