Add leased shares of slots and rates

Cause: entry hosts must start requests without a call per request, and yet requests in flight never exceed a backend server's slots nor a rate its limit. Change: LeaseTable (leader) and LeaseHolder (entry host) with their messages. Only the answer to a host's latest request is ever applied, so each request bounds exactly what its sender holds; a new leader adopts reports made under its own term and treats the rest as held until leases and work have ended.

--- /dev/null
+++ b/bulrushlead/leases/__init__.py
@@ -0,0 +1,36 @@
+"""Leased shares of slots and rates: granting side and holding side."""
+
+from bulrushlead.leases._holder import LeaseHolder, SlotToken
+from bulrushlead.leases._messages import (
+    Demand,
+    HeldSlots,
+    LeaseGrant,
+    LeaseRequest,
+    LimitKey,
+    LimitKind,
+    RateLimit,
+    RateShare,
+    SlotShare,
+)
+from bulrushlead.leases._pool import HolderId, SharePool
+from bulrushlead.leases._settings import LeaseSettings
+from bulrushlead.leases._table import HolderView, LeaseTable
+
+__all__ = [
+    "Demand",
+    "HeldSlots",
+    "HolderId",
+    "HolderView",
+    "LeaseGrant",
+    "LeaseHolder",
+    "LeaseRequest",
+    "LeaseSettings",
+    "LeaseTable",
+    "LimitKey",
+    "LimitKind",
+    "RateLimit",
+    "RateShare",
+    "SharePool",
+    "SlotShare",
+    "SlotToken",
+]
--- /dev/null
+++ b/bulrushlead/leases/_table.py
@@ -0,0 +1,318 @@
+"""Granting side of the lease protocol, on the control leader."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from bulrushlead.backend import BackendServer
+from bulrushlead.clock import Clock
+from bulrushlead.declaration import AvailabilityZone, Host, HostRole, Service
+from bulrushlead.leases._messages import (
+    LeaseGrant,
+    LeaseRequest,
+    LimitKey,
+    RateLimit,
+)
+from bulrushlead.leases._pool import HolderId
+from bulrushlead.leases._rates import RateDivision
+from bulrushlead.leases._record import HolderRecord
+from bulrushlead.leases._settings import LeaseSettings
+from bulrushlead.leases._slots import SlotDivision
+from bulrushlead.logs import Event, EventLogger
+from bulrushlead.results import BulrushleadError, ResultCode
+
+
+@attrs.frozen
+class HolderView:
+    """What one run of an entry host holds, for status and tests.
+
+    Parameters
+    ----------
+    host, incarnation : str
+        Which run of which host.
+    live : bool
+        Whether its lease still runs by the leader's clock.
+    remaining_ms : float
+        Time until its lease ends, 0 if it has ended.
+    slots : int
+        Slots that it may be using, over all backend servers.
+    """
+
+    host: str
+    incarnation: str
+    live: bool
+    remaining_ms: float
+    slots: int
+
+
+class LeaseTable:
+    """Grants shares of slots and rates to entry hosts.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the control host.
+    settings : LeaseSettings
+        Durations of the protocol.
+
+    Notes
+    -----
+    The table does no I/O. The owner calls ``start_term`` when this process has
+    become leader *and* the previous leader's own lease has run out, and
+    ``stop_term`` as soon as this process may no longer be leader.
+    """
+
+    def __init__(self, clock: Clock, settings: LeaseSettings):
+        self.clock = clock
+        self.settings = settings
+        self._term: int | None = None
+        self._slots = SlotDivision(settings)
+        self._rates = RateDivision(settings)
+        self._records: dict[HolderId, HolderRecord] = {}
+        self._regions: dict[str, str] = {}
+        self._rebalance_due_ms = 0.0
+        self._forget_before_ms = 0.0
+        self._log = EventLogger("leases")
+
+    def start_term(self, term: int, *, known: bool = False) -> None:
+        """Begin to grant as the leader of a new term.
+
+        Parameters
+        ----------
+        term : int
+            Term of this leader, higher than every earlier one.
+        known : bool, default=False
+            Whether it is certain that no leader has ever granted anything, as
+            in the first term of a new installation. Otherwise hosts keep what
+            they report, and what nobody reports stays unused until leases and
+            running work of the earlier terms have surely ended.
+        """
+        now_ms = self.clock.now_ms()
+        self._term = term
+        self._records = {}
+        self._rebalance_due_ms = now_ms
+        self._forget_before_ms = now_ms + self.settings.with_margin(
+            self.settings.lease_ms + self._slots.longest_duration_ms()
+        )
+        self._slots.start_term(now_ms, known)
+        self._rates.start_term(now_ms, known)
+
+    def stop_term(self) -> None:
+        """Stop granting; ``renew`` refuses from now on."""
+        self._term = None
+
+    def update_servers(
+        self, servers: Sequence[BackendServer], services: Sequence[Service] = ()
+    ) -> None:
+        """Replace the set of backend servers.
+
+        Parameters
+        ----------
+        servers : sequence of BackendServer
+            All servers; a missing one is treated as draining.
+        services : sequence of Service
+            Declared services, for their ``max_duration_ms``.
+        """
+        durations = {service.name: service.max_duration_ms for service in services}
+        self._slots.set_servers(servers, durations, self.clock.now_ms())
+        self._rebalance_due_ms = self.clock.now_ms()
+
+    def update_limits(
+        self,
+        limits: Sequence[RateLimit],
+        hosts: Sequence[Host],
+        availability_zones: Sequence[AvailabilityZone] = (),
+    ) -> None:
+        """Replace the rate limits and the declared hosts.
+
+        Parameters
+        ----------
+        limits : sequence of RateLimit
+            All limits. A lowered limit binds a host with its next grant, and
+            all hosts once each has confirmed that grant or lost its lease.
+        hosts : sequence of Host
+            Declared hosts; only entry hosts receive shares.
+        availability_zones : sequence of AvailabilityZone
+            Tells the region of each host, for preferring near servers.
+        """
+        regions = {zone.name: zone.region for zone in availability_zones}
+        self._regions = {
+            host.name: regions.get(host.availability_zone, "")
+            for host in hosts
+            if host.role is HostRole.ENTRY
+        }
+        self._rates.set_hosts(tuple(self._regions))
+        self._rates.set_limits(limits, self.clock.now_ms())
+        self._rebalance_due_ms = self.clock.now_ms()
+
+    def renew(self, request: LeaseRequest) -> LeaseGrant:
+        """Take the report of an entry host and grant its shares.
+
+        Parameters
+        ----------
+        request : LeaseRequest
+            Report, possibly late, repeated or overtaken by a newer one.
+
+        Returns
+        -------
+        LeaseGrant
+            The shares, or with ``lease_ms`` 0 the call to report under the
+            present term.
+
+        Raises
+        ------
+        BulrushleadError
+            ``NOT_LEADER`` if this process is not the leader of the request's
+            term, ``NOT_FOUND`` if the host is not declared as an entry host,
+            ``NO_LEASE`` if a newer request was received before this one.
+        """
+        self._check(request)
+        if request.term < self._term:
+            return LeaseGrant(
+                request.host, request.incarnation, self._term, request.sequence
+            )
+        holder = HolderId(request.host, request.incarnation)
+        record = self._records.get(holder)
+        if record is not None and request.sequence <= record.sequence:
+            return self._answer_again(record, request)
+        self.expire()
+        return self._grant(self._accept(holder, request))
+
+    def expire(self) -> None:
+        """End the leases of silent hosts, and forget what has surely ended."""
+        now_ms = self.clock.now_ms()
+        for holder, record in list(self._records.items()):
+            if record.live and now_ms >= record.lease_end_ms:
+                self._end_lease(record)
+            if not record.live and now_ms >= self._forgettable_at_ms(record):
+                del self._records[holder]
+
+    def forget_host(self, host: str) -> None:
+        """Grant nothing more to a host; what it has stays counted to its end."""
+        self._regions.pop(host, None)
+        self._rebalance_due_ms = self.clock.now_ms()
+
+    def holders(self) -> tuple[HolderView, ...]:
+        """Return what every known run of an entry host holds."""
+        return tuple(self._view(record) for record in self._records.values())
+
+    def slot_bound(self, server: str, host: str) -> int:
+        """Return the most slots of a server that a host may be using."""
+        pool = self._slots.pool(server)
+        if pool is None:
+            return 0
+        return sum(pool.bound(item) for item in pool.holders() if item.host == host)
+
+    def rate_bound(self, key: LimitKey, host: str) -> int:
+        """Return the most of a rate limit that a host may be using."""
+        pool = self._rates.pool(key)
+        if pool is None:
+            return 0
+        return sum(pool.bound(item) for item in pool.holders() if item.host == host)
+
+    def free_slots(self, server: str) -> int:
+        """Return the slots of a server that nobody can be using."""
+        pool = self._slots.pool(server)
+        return max(0, pool.free(self.clock.now_ms())) if pool is not None else 0
+
+    def _check(self, request: LeaseRequest) -> None:
+        if self._term is None or request.term > self._term:
+            raise BulrushleadError(
+                ResultCode.NOT_LEADER,
+                f"term {request.term} was requested and this control host leads "
+                f"{self._term}; ask another control host",
+            )
+        if request.host not in self._regions:
+            raise BulrushleadError(
+                ResultCode.NOT_FOUND,
+                f"host {request.host!r} is not declared as an entry host; add it "
+                "to the declaration",
+            )
+
+    def _answer_again(self, record: HolderRecord, request: LeaseRequest) -> LeaseGrant:
+        if request.sequence == record.sequence and record.grant is not None:
+            return record.grant
+        raise BulrushleadError(
+            ResultCode.NO_LEASE,
+            f"request {request.sequence} of host {request.host!r} was overtaken by "
+            f"request {record.sequence}; drop its answer",
+        )
+
+    def _accept(self, holder: HolderId, request: LeaseRequest) -> HolderRecord:
+        now_ms = self.clock.now_ms()
+        record = self._records.get(holder)
+        if record is None:
+            record = self._records[holder] = HolderRecord(holder)
+            self._rebalance_due_ms = now_ms
+            self._slots.adopt(record, request.held, now_ms)
+            self._rates.adopt(record, request.rates, now_ms)
+        else:
+            self._slots.report(record, request.held, now_ms)
+            self._rates.confirm(record, request.acked_sequence, now_ms)
+        if not record.live or record.leaving != request.leaving:
+            self._rebalance_due_ms = now_ms
+        record.region = self._regions[holder.host]
+        record.sequence = request.sequence
+        record.demands = request.demands
+        record.leaving = request.leaving
+        record.live = True
+        record.lease_end_ms = now_ms + self.settings.with_margin(self.settings.lease_ms)
+        return record
+
+    def _grant(self, record: HolderRecord) -> LeaseGrant:
+        now_ms = self.clock.now_ms()
+        self._rebalance_if_due(now_ms)
+        slots = self._slots.grant(record, now_ms)
+        rates = self._rates.grant(record, now_ms)
+        record.grant = LeaseGrant(
+            host=record.holder.host,
+            incarnation=record.holder.incarnation,
+            term=self._term,
+            sequence=record.sequence,
+            lease_ms=self.settings.lease_ms,
+            slots=slots,
+            rates=rates,
+        )
+        return record.grant
+
+    def _rebalance_if_due(self, now_ms: float) -> None:
+        if now_ms < self._rebalance_due_ms:
+            return
+        self._rebalance_due_ms = now_ms + self.settings.rebalance_interval_ms
+        live = [
+            record
+            for record in self._records.values()
+            if record.live
+            and not record.leaving
+            and record.holder.host in self._regions
+        ]
+        self._slots.rebalance(live, now_ms)
+        self._rates.rebalance(live)
+
+    def _end_lease(self, record: HolderRecord) -> None:
+        record.live = False
+        self._slots.release(record)
+        self._rates.release(record)
+        self._rebalance_due_ms = self.clock.now_ms()
+        self._log.write(
+            Event.LEASE_EXPIRED,
+            host=record.holder.host,
+            incarnation=record.holder.incarnation,
+            sequence=record.sequence,
+        )
+
+    def _forgettable_at_ms(self, record: HolderRecord) -> float:
+        work_end_ms = record.lease_end_ms + self.settings.with_margin(
+            self._slots.longest_duration_ms()
+        )
+        return max(work_end_ms, self._forget_before_ms)
+
+    def _view(self, record: HolderRecord) -> HolderView:
+        remaining_ms = max(0.0, record.lease_end_ms - self.clock.now_ms())
+        return HolderView(
+            host=record.holder.host,
+            incarnation=record.holder.incarnation,
+            live=record.live and remaining_ms > 0,
+            remaining_ms=remaining_ms,
+            slots=self._slots.bound_of(record.holder),
+        )
