--- /dev/null
+++ b/bulrushlead/limits/_link.py
@@ -0,0 +1,111 @@
+"""Bytes per second over one way between two regions."""
+
+import attrs
+
+from bulrushlead.clock import Clock
+from bulrushlead.limits._window import RateWindow
+
+
+@attrs.define(eq=False)
+class Reservation:
+    """Bytes of one message that may still be sent.
+
+    Parameters
+    ----------
+    remaining_bytes : int
+        Reserved and not yet recorded.
+    recorded_bytes : int
+        Really sent so far.
+    is_open : bool
+        Whether the message may still send bytes.
+    """
+
+    remaining_bytes: int
+    recorded_bytes: int = 0
+    is_open: bool = True
+
+
+class LinkBudget:
+    """Leased share of one way between two regions.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the entry host.
+    limit_bytes_per_s : int
+        Share; 0 when the lease has ended.
+
+    Notes
+    -----
+    A request over a link reserves its own size on the way there and the expected
+    size of its answer on the way back, before its first byte is sent. Reserved
+    bytes count against the limit until they are settled, whenever they are sent;
+    recorded bytes count for one window. A share that was lowered, or an answer
+    larger than expected, therefore delays later messages and is never doubled.
+    """
+
+    def __init__(self, clock: Clock, limit_bytes_per_s: int):
+        self.clock = clock
+        self.limit_bytes_per_s = limit_bytes_per_s
+        self._window = RateWindow(clock, limit_bytes_per_s)
+        self._reserved_bytes = 0
+
+    def reserve(self, estimated_bytes: int) -> Reservation | None:
+        """Reserve bytes for a message before it is sent.
+
+        Returns
+        -------
+        Reservation or None
+            None if the share is used up.
+        """
+        if self.used_bytes() + estimated_bytes > self._window.limit_per_s:
+            return None
+        self._reserved_bytes += estimated_bytes
+        return Reservation(estimated_bytes)
+
+    def record(self, reservation: Reservation, sent_bytes: int) -> bool:
+        """Count bytes of a message as they pass.
+
+        Returns
+        -------
+        bool
+            False if the message has outgrown its reservation and the share is
+            used up: nothing was counted, and the bytes must wait
+            ``retry_after_ms``.
+        """
+        covered = min(sent_bytes, reservation.remaining_bytes)
+        extra = sent_bytes - covered
+        if extra and self.used_bytes() + extra > self._window.limit_per_s:
+            return False
+        self._move(reservation, covered, sent_bytes)
+        return True
+
+    def settle(self, reservation: Reservation, actual_bytes: int) -> None:
+        """Replace the reservation by what was really sent in all.
+
+        Repeated settling of one reservation has no effect.
+        """
+        if not reservation.is_open:
+            return
+        unrecorded = max(0, actual_bytes - reservation.recorded_bytes)
+        self._move(reservation, reservation.remaining_bytes, unrecorded)
+        reservation.is_open = False
+
+    def used_bytes(self) -> int:
+        """Return the bytes sent in the window that ends now, and the reserved."""
+        return self._window.used() + self._reserved_bytes
+
+    def retry_after_ms(self, size_bytes: int) -> float:
+        """Return when ``size_bytes`` might fit, in milliseconds."""
+        return self._window.retry_after_ms(size_bytes + self._reserved_bytes)
+
+    def set_limit(self, limit_bytes_per_s: int) -> None:
+        """Change the share."""
+        self.limit_bytes_per_s = limit_bytes_per_s
+        self._window.set_limit(limit_bytes_per_s)
+
+    def _move(self, reservation: Reservation, covered: int, sent_bytes: int) -> None:
+        reservation.remaining_bytes -= covered
+        reservation.recorded_bytes += sent_bytes
+        self._reserved_bytes -= covered
+        self._window.record(sent_bytes)
