--- /dev/null
+++ b/bulrushlead/forwarding/__init__.py
@@ -0,0 +1,24 @@
+"""Attempts at backend servers, and what their outcome proves."""
+
+from bulrushlead.forwarding._forwarder import Forwarder, ForwarderSettings
+from bulrushlead.forwarding._model import (
+    REPEATABLE_METHODS,
+    ForwardAnswer,
+    ForwardError,
+    ForwardRequest,
+    ran_of,
+)
+from bulrushlead.forwarding._retry import RetryBudget, RetryLoop, is_retryable
+
+__all__ = [
+    "REPEATABLE_METHODS",
+    "ForwardAnswer",
+    "ForwardError",
+    "ForwardRequest",
+    "Forwarder",
+    "ForwarderSettings",
+    "RetryBudget",
+    "RetryLoop",
+    "is_retryable",
+    "ran_of",
+]
--- /dev/null
+++ b/bulrushlead/keys/__init__.py
@@ -0,0 +1,55 @@
+"""Idempotency keys: a request that must not repeat runs at most once."""
+
+from bulrushlead.keys._coordinator import KeyControl, KeyCoordinator, KeySettings
+from bulrushlead.keys._digest import request_digest
+from bulrushlead.keys._messages import (
+    AbandonHost,
+    AbandonKey,
+    AnswerHeader,
+    ChangeReply,
+    ClaimKey,
+    ClaimReply,
+    ClaimState,
+    FinishKey,
+    ForgetKeys,
+    KeyOutcome,
+    KeyRecord,
+    KeySnapshot,
+    KeyStatus,
+    ListUnknownKeys,
+    ReadKey,
+    ResolveKey,
+    ServiceSnapshot,
+    UnknownKey,
+    UnknownKeyList,
+)
+from bulrushlead.keys._state import KeyState
+from bulrushlead.keys._table import KeyLimits
+
+__all__ = [
+    "AbandonHost",
+    "AbandonKey",
+    "AnswerHeader",
+    "ChangeReply",
+    "ClaimKey",
+    "ClaimReply",
+    "ClaimState",
+    "FinishKey",
+    "ForgetKeys",
+    "KeyControl",
+    "KeyCoordinator",
+    "KeyLimits",
+    "KeyOutcome",
+    "KeyRecord",
+    "KeySettings",
+    "KeySnapshot",
+    "KeyState",
+    "KeyStatus",
+    "ListUnknownKeys",
+    "ReadKey",
+    "ResolveKey",
+    "ServiceSnapshot",
+    "UnknownKey",
+    "UnknownKeyList",
+    "request_digest",
+]
--- a/bulrushlead/results/_codes.py
+++ b/bulrushlead/results/_codes.py
@@ -68,6 +68,8 @@
     BACKEND_REFUSED = 3206
     STOPPING = 3207
     BODY_TOO_LARGE = 3208
+    ANSWER_TOO_LARGE = 3209
+    ANSWER_MALFORMED = 3210
 
     # Idempotency keys.
     KEY_REUSED = 3301
@@ -166,6 +168,15 @@
     ),
     _C.STOPPING: CodeInfo("The entry host is stopping.", 503),
     _C.BODY_TOO_LARGE: CodeInfo("The request body exceeds the limit.", 413),
+    _C.ANSWER_TOO_LARGE: CodeInfo(
+        "The answer exceeds the size limit.", 502, 1, Ran.UNKNOWN
+    ),
+    _C.ANSWER_MALFORMED: CodeInfo(
+        "The answer is not valid HTTP or belongs to another request.",
+        502,
+        1,
+        Ran.UNKNOWN,
+    ),
     # Idempotency keys.
     _C.KEY_REUSED: CodeInfo("The key was used for another request.", 422),
     _C.KEY_OUTCOME_UNKNOWN: CodeInfo(
@@ -174,7 +185,12 @@
         1,
         Ran.UNKNOWN,
     ),
-    _C.KEY_CLAIM_FAILED: CodeInfo("The key could not be claimed.", 503),
+    _C.KEY_CLAIM_FAILED: CodeInfo(
+        "The key could not be claimed; resend the request with the same key.",
+        503,
+        1,
+        Ran.UNKNOWN,
+    ),
     _C.KEY_ANSWER_NOT_KEPT: CodeInfo(
         "The request ran; its answer was too large to keep.", 409, 1, Ran.YES
     ),
