Test the replicated log through losses, partitions and restarts

Cause: the paths between several replicas were written but not run.

Found and mended: the wait before an election compared a silence with a time-out, and rounding could keep it a hair below for ever; it now waits for a point in time.

Conclusion: lose-repair-lose, a lost disk under partition, restart of all and a minority far behind end with every acknowledged change on every replica.

--- a/bulrushlead/replication/_election.py
+++ b/bulrushlead/replication/_election.py
@@ -30,10 +30,8 @@
         replica, settings = self.replica, self.replica.settings
         while True:
             patience_ms = self._patience_ms()
-            while (
-                silence_ms := replica.clock.now_ms() - replica.heard_ms
-            ) < patience_ms:
-                await replica.clock.sleep_ms(patience_ms - silence_ms)
+            while (due_ms := replica.heard_ms + patience_ms) > replica.clock.now_ms():
+                await replica.clock.sleep_ms(due_ms - replica.clock.now_ms())
             if replica.leadership is not None or not replica.is_voter():
                 await replica.clock.sleep_ms(settings.election_min_ms)
                 continue
@@ -121,10 +119,8 @@
         try:
             while len(votes) < quorum_size and pending:
                 sent_ms = votes[replica.replica_id]
-                done, _ = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
-                )
-                for task in done:
+                await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                for task in [task for task in pending if task.done()]:
                     voter = pending.pop(task)
                     if task.result():
                         votes[voter.replica_id] = sent_ms
--- a/bulrushlead/replication/_leadership.py
+++ b/bulrushlead/replication/_leadership.py
@@ -135,7 +135,7 @@
             for member in journal.members.members
             if member.replica_id != self.replica.replica_id
         }
-        for replica_id in self._peers.keys() - wanted.keys():
+        for replica_id in [known for known in self._peers if known not in wanted]:
             self._peers.pop(replica_id).task.cancel()
         for replica_id, member in wanted.items():
             if replica_id not in self._peers:
--- /dev/null
+++ b/bulrushlead/replication/tests/test_sequences.py
@@ -0,0 +1,270 @@
+"""Sequences of failures that the replicated log must stand."""
+
+import pytest
+
+from bulrushlead.replication._messages import AppendRequest, VoteRequest
+from bulrushlead.replication.tests.cluster import LEASE_MS, Cluster
+from bulrushlead.results import BulrushleadError, ResultCode
+
+
+@pytest.fixture
+async def cluster():
+    cluster = Cluster(snapshot_threshold_entries=50, snapshot_trailing_entries=10)
+    yield cluster
+    await cluster.close()
+
+
+def commands(count):
+    return [f"change {number}".encode() for number in range(count)]
+
+
+async def propose_all(cluster, changes, among=None):
+    for change in changes:
+        await cluster.propose(change, among)
+
+
+def assert_all_hold(cluster, changes):
+    for node in cluster.alive:
+        assert node.machine.commands == changes
+
+
+async def test_change_reaches_every_replica(cluster):
+    await cluster.start()
+    await cluster.propose(b"a")
+    await cluster.wait_settled()
+    assert_all_hold(cluster, [b"a"])
+
+
+@pytest.mark.parametrize("lose_leader", [True, False])
+async def test_lose_repair_lose(cluster, lose_leader):
+    leader = await cluster.start()
+    changes = commands(5)
+    await propose_all(cluster, changes)
+    first = leader if lose_leader else cluster.others(leader)[0]
+    old_id = first.log.replica_id
+    first.wipe()
+    await cluster.wait_leader()
+    await first.start()
+    assert first.log.replica_id != old_id
+    await cluster.wait_settled()
+    assert len(cluster.leaders[0].log.members) == 3
+
+    second = cluster.leaders[0] if lose_leader else cluster.others(first)[0]
+    second.wipe()
+    left = [node for node in cluster.nodes.values() if node is not second]
+    await cluster.propose(b"after", left)
+    await cluster.run_until(lambda: first.machine.commands == [*changes, b"after"])
+
+    await second.start()
+    await cluster.wait_settled()
+    assert_all_hold(cluster, [*changes, b"after"])
+
+
+async def test_second_loss_before_the_repair_is_over_blocks_but_loses_nothing(cluster):
+    await cluster.start()
+    await cluster.propose(b"a")
+    await cluster.wait_settled()
+    leader = cluster.leaders[0]
+    wiped, other = cluster.others(leader)
+    wiped.wipe()
+    other.crash()
+    await wiped.start()
+    await cluster.run_for(5_000)
+    assert cluster.leaders == [], "a replica that has not caught up was counted"
+    await other.start()
+    await cluster.wait_settled()
+    assert_all_hold(cluster, [b"a"])
+
+
+async def test_lose_disk_under_partition(cluster):
+    leader = await cluster.start()
+    await cluster.propose(b"a")
+    stays, wiped = cluster.others(leader)
+    cluster.isolate(leader)
+    wiped.wipe()
+    await wiped.start()
+    await cluster.run_for(5_000)
+    assert cluster.leaders == [], "a forgotten vote was given again"
+    assert wiped.log.members == ()
+    cluster.network.cut.clear()
+    await cluster.wait_settled()
+    assert_all_hold(cluster, [b"a"])
+
+
+async def test_lost_disk_of_the_forming_replica_forms_no_second_cluster(cluster):
+    await cluster.start()
+    await cluster.propose(b"a")
+    former = min(cluster.nodes.values(), key=lambda node: node.address)
+    cluster_id = former.log.cluster_id
+    former.wipe()
+    cluster.isolate(former)
+    await former.start(bootstrap=True)
+    await cluster.run_for(5_000)
+    assert former.log.cluster_id == ""
+    cluster.network.cut.clear()
+    await cluster.wait_settled()
+    assert {node.log.cluster_id for node in cluster.alive} == {cluster_id}
+    assert_all_hold(cluster, [b"a"])
+
+
+async def test_restart_of_all_together(cluster):
+    await cluster.start()
+    changes = commands(120)
+    await propose_all(cluster, changes)
+    for node in cluster.nodes.values():
+        node.crash()
+    for node in cluster.nodes.values():
+        await node.start()
+    await cluster.propose(b"after")
+    await cluster.wait_settled()
+    assert_all_hold(cluster, [*changes, b"after"])
+
+
+async def test_minority_restarts_after_hundreds_of_changes(cluster):
+    cluster.settings["snapshot_chunk_bytes"] = 1024
+    leader = await cluster.start()
+    late = cluster.others(leader)[0]
+    await cluster.propose(b"first")
+    late.crash()
+    changes = commands(400)
+    await propose_all(cluster, changes)
+    chunks = []
+    cluster.network.on_message = lambda source, target, message: (
+        chunks.append(message.offset_bytes) if hasattr(message, "offset_bytes") else 0
+    )
+    await late.start()
+    await cluster.wait_settled()
+    assert len(set(chunks)) > 1, "the snapshot was not sent in chunks"
+    assert_all_hold(cluster, [b"first", *changes])
+    late.crash()
+    await late.start()
+    await cluster.wait_settled()
+    assert_all_hold(cluster, [b"first", *changes])
+
+
+async def test_leader_killed_between_append_and_acknowledgement(cluster):
+    """A change on the disk of one follower may survive, a change on none is gone."""
+    leader = await cluster.start()
+    await cluster.propose(b"a")
+    await cluster.wait_settled()
+    keeper, other = cluster.others(leader)
+
+    def kill_leader(source, target, message):
+        if isinstance(message, AppendRequest) and message.entries and leader.alive:
+            cluster.network.cut |= {(leader.address, other.address)}
+            cluster.network.cut |= {(target, leader.address)}
+
+    cluster.network.on_message = kill_leader
+    proposal = cluster.spawn(leader.log.propose(b"b", 5_000))
+    await cluster.run_for(30)
+    leader.crash()
+    await cluster.run_until(proposal.done)
+    with pytest.raises(BulrushleadError) as caught:
+        proposal.result()
+    assert caught.value.code is ResultCode.CHANGE_OUTCOME_UNKNOWN
+    cluster.network.cut.clear()
+    cluster.network.on_message = lambda source, target, message: None
+    await cluster.propose(b"c", [keeper, other])
+    await leader.start()
+    await cluster.wait_settled()
+    final = leader.machine.commands
+    assert final in ([b"a", b"b", b"c"], [b"a", b"c"])
+    assert_all_hold(cluster, final)
+
+
+async def test_cut_off_leader_stops_within_its_lease(cluster):
+    leader = await cluster.start()
+    await cluster.propose(b"a")
+    seen = []
+    leader.log.watch_leadership(seen.append)
+    cluster.isolate(leader)
+    await cluster.run_for(LEASE_MS + 1)
+    assert not leader.log.is_leader()
+    assert seen == [False]
+    for call in (leader.log.propose(b"x", 100), leader.log.read_barrier(100)):
+        with pytest.raises(BulrushleadError) as caught:
+            await call
+        assert caught.value.code in (ResultCode.NOT_LEADER, ResultCode.NO_QUORUM)
+    await cluster.propose(b"b", cluster.others(leader))
+    cluster.network.cut.clear()
+    await cluster.wait_settled()
+    assert_all_hold(cluster, [b"a", b"b"])
+
+
+async def test_returning_replica_does_not_depose_the_leader(cluster):
+    leader = await cluster.start()
+    term = leader.log.term
+    cluster.isolate(cluster.others(leader)[0])
+    await cluster.run_for(5_000)
+    cluster.network.cut.clear()
+    await cluster.run_for(5_000)
+    assert cluster.leaders == [leader]
+    assert leader.log.term == term
+
+
+async def test_restarted_follower_gives_no_vote_while_a_lease_may_stand(cluster):
+    leader = await cluster.start()
+    voter, candidate = cluster.others(leader)
+    voter.crash()
+    await voter.start()
+    request = VoteRequest(
+        cluster_id=candidate.log.cluster_id,
+        target_id=voter.log.replica_id,
+        sender_id=candidate.log.replica_id,
+        term=candidate.log.term + 1,
+        last_index=10**6,
+        last_term=10**6,
+    )
+    reply = await cluster.result(voter.handlers[VoteRequest](request))
+    assert not reply.granted
+
+
+async def test_read_on_a_deposed_leader_is_refused_not_stale(cluster):
+    leader = await cluster.start()
+    await cluster.propose(b"a")
+    cluster.isolate(leader)
+    await cluster.propose(b"b", cluster.others(leader))
+    with pytest.raises(BulrushleadError):
+        await leader.log.read_barrier(100)
+
+
+async def test_message_for_the_former_identity_is_refused(cluster):
+    leader = await cluster.start()
+    wiped, other = cluster.others(leader)
+    old_id = wiped.log.replica_id
+    wiped.wipe()
+    await wiped.start()
+    request = VoteRequest(leader.log.cluster_id, old_id, "x", 10**6, 10**6, 10**6)
+    with pytest.raises(BulrushleadError) as caught:
+        await wiped.handlers[VoteRequest](request)
+    assert caught.value.code is ResultCode.MEMBERSHIP_REFUSED
+
+
+async def test_members_change_one_at_a_time():
+    cluster = Cluster(size=4)
+    newcomer = cluster.nodes.popitem()[1]
+    leader = await cluster.start()
+    log = leader.log
+    cluster.nodes[newcomer.address] = newcomer
+    await newcomer.start(bootstrap=False)
+    new_id = await cluster.result(log.add_learner(newcomer.address, 1000))
+    assert new_id == newcomer.log.replica_id
+    cluster.isolate(newcomer)
+    await cluster.propose(b"missed")
+    with pytest.raises(BulrushleadError, match="not caught up"):
+        await cluster.result(log.promote(new_id, 1000))
+    cluster.network.cut.clear()
+    await cluster.run_for(1_000)
+    await cluster.result(log.promote(new_id, 1000))
+    await cluster.wait_settled()
+    leaving = next(n for n in cluster.others(leader) if n is not newcomer)
+    await cluster.result(log.remove_member(leaving.log.replica_id, 1000))
+    with pytest.raises(BulrushleadError, match="is the leader"):
+        await cluster.result(log.remove_member(log.replica_id, 1000))
+    leaving.crash()
+    next(n for n in cluster.others(leader) if n not in (newcomer, leaving)).crash()
+    await cluster.propose(b"two of three")
+    with pytest.raises(BulrushleadError, match="would be reachable"):
+        await cluster.run_for(400)
+        await cluster.result(log.remove_member(new_id, 1000))
+    await cluster.close()
