Test the files of a replica through torn, damaged and failed writes

Cause: the issue asks that nothing is acknowledged before it is synced and that damage is never silently dropped; no test caused these failures.

Conclusion: a replica with a failed disk stops with STORAGE_FAILED and the others go on; no case needed a change of the code.

--- a/bulrushlead/replication/tests/cluster.py
+++ b/bulrushlead/replication/tests/cluster.py
@@ -6,7 +6,12 @@
 import cbor2
 
 from bulrushlead.clock import ManualClock
-from bulrushlead.replication import MemoryStorage, ReplicaSettings, ReplicatedLog
+from bulrushlead.replication import (
+    MemberRole,
+    MemoryStorage,
+    ReplicaSettings,
+    ReplicatedLog,
+)
 from bulrushlead.results import BulrushleadError, ResultCode
 
 SETTLE_ROUNDS = 8
@@ -36,6 +41,22 @@
         self.commands = cbor2.loads(data)
 
 
+class DriftingClock:
+    """Clock of one host: it runs a little fast or slow, from its own zero."""
+
+    def __init__(self, clock, rate, offset_ms):
+        self.clock, self.rate, self.offset_ms = clock, rate, offset_ms
+
+    def now_ms(self):
+        return self.clock.now_ms() * self.rate + self.offset_ms
+
+    async def sleep_ms(self, duration_ms):
+        await self.clock.sleep_ms(duration_ms / self.rate)
+
+    async def wait_for(self, awaitable, timeout_ms):
+        return await self.clock.wait_for(awaitable, timeout_ms / self.rate)
+
+
 class Network:
     """What happens to messages between addresses."""
 
@@ -109,12 +130,14 @@
 
     def __init__(self, cluster, address):
         self.cluster, self.address = cluster, address
+        self.clock = cluster.clock
         self.storage = MemoryStorage()
         self.log = self.machine = None
         self.alive = False
         self.handlers = {}
         self.answers = set()
-        self.disk_ids = set()  # identities that this disk has held; empty after wipe
+        self.disk_ids = set()  # identity on the disk, if any
+        self.members = ()  # as last seen before a crash
 
     def handle(self, message_type, handler):
         self.handlers[message_type] = handler
@@ -126,7 +149,7 @@
         self.machine = Recorder(cluster.observe_apply)
         self.log = ReplicatedLog(
             ReplicaSettings(self.address, **values),
-            cluster.clock,
+            self.clock,
             self.storage,
             lambda target: Link(cluster, self.address, target),
             self.machine,
@@ -143,6 +166,7 @@
         if self.log is None:
             return
         self.alive = False
+        self.members = self.log.members
         self.storage = self.storage.crash(rng)
         for answer in self.answers:
             answer.cancel()
@@ -155,6 +179,12 @@
         self.crash()
         self.storage = MemoryStorage(self.storage.before_step, self.storage.before_run)
         self.disk_ids = set()
+        self.members = ()
+
+    def members_seen(self):
+        """Return the identities of the voters as this node knows them."""
+        members = self.log.members if self.alive else self.members
+        return [m.replica_id for m in members if m.role is MemberRole.VOTER]
 
 
 class Cluster:
@@ -188,7 +218,7 @@
 
     async def start(self):
         for node in self.nodes.values():
-            await node.start()
+            await self.result(node.start())
         return await self.wait_leader()
 
     async def close(self):
--- /dev/null
+++ b/bulrushlead/replication/tests/test_storage.py
@@ -0,0 +1,256 @@
+"""What the files of a replica stand, and what they refuse."""
+
+import errno
+import random
+
+import pytest
+
+from bulrushlead.logs import Event
+from bulrushlead.replication import MemoryStorage, ReplicaSettings, ReplicatedLog
+from bulrushlead.replication._journal import Journal
+from bulrushlead.replication._messages import VoteRequest, VoteState
+from bulrushlead.replication._records import pack_records, scan_records
+from bulrushlead.replication.tests.cluster import ELECTION_MIN_MS, Cluster
+from bulrushlead.results import BulrushleadError, ResultCode
+
+
+@pytest.fixture
+async def cluster():
+    cluster = Cluster(snapshot_threshold_entries=8, snapshot_trailing_entries=2)
+    yield cluster
+    await cluster.close()
+
+
+@pytest.fixture
+def events(monkeypatch):
+    written = []
+
+    def write(self, event, **fields):
+        written.append(event)
+
+    monkeypatch.setattr("bulrushlead.logs.EventLogger.write", write)
+    return written
+
+
+def journal_file(node):
+    names = [n for n in node.storage.list_names() if n.startswith("journal-")]
+    return node.storage._files[names[-1]].content
+
+
+async def restart(cluster, node):
+    await node.start()
+    await cluster.wait_settled()
+
+
+async def test_torn_tail_is_removed_and_logged(cluster, events):
+    leader = await cluster.start()
+    await cluster.propose(b"a")
+    node = cluster.others(leader)[0]
+    node.crash()
+    journal_file(node).extend(pack_records([b"never synced"], 99, 98)[:-3])
+    await restart(cluster, node)
+    assert Event.TAIL_REPAIRED in events
+    assert node.machine.commands == [b"a"]
+
+
+async def test_every_torn_length_of_the_last_write_is_tolerated():
+    synced = pack_records([b"one", b"two"], 1, 0)
+    last = pack_records([b"three", b"four"], 3, 2)
+    for kept in range(len(last)):
+        scan = scan_records(synced + last[:kept], "journal")
+        assert scan.payloads[:2] == [b"one", b"two"]
+        assert len(scan.payloads) <= 3
+
+
+async def test_every_damaged_byte_of_a_synced_write_is_refused():
+    synced = pack_records([b"one", b"two"], 1, 0)
+    data = synced + pack_records([b"three"], 3, 2)
+    for position in range(len(synced)):
+        damaged = bytearray(data)
+        damaged[position] ^= 0x40
+        with pytest.raises(BulrushleadError) as caught:
+            scan_records(bytes(damaged), "journal")
+        assert caught.value.code is ResultCode.STORAGE_DAMAGED
+
+
+@pytest.mark.parametrize("name_start", ["journal-", "snapshot-"])
+async def test_damage_in_the_middle_is_refused(cluster, name_start):
+    leader = await cluster.start()
+    for number in range(20):
+        await cluster.propose(b"change %d" % number)
+    node = cluster.others(leader)[0]
+    node.crash()
+    names = [n for n in node.storage.list_names() if n.startswith(name_start)]
+    content = node.storage._files[names[-1]].content
+    content[len(content) // 3] ^= 1
+    with pytest.raises(BulrushleadError) as caught:
+        await node.start()
+    assert caught.value.code is ResultCode.STORAGE_DAMAGED
+    assert "empty the data folder" in caught.value.detail
+
+
+@pytest.mark.parametrize("lost_start", ["journal-", "snapshot-"])
+async def test_missing_file_is_refused(cluster, lost_start):
+    leader = await cluster.start()
+    for number in range(20):
+        await cluster.propose(b"change %d" % number)
+    node = cluster.others(leader)[0]
+    node.crash()
+    for name in node.storage.list_names():
+        if name.startswith(lost_start):
+            node.storage.remove(name)
+    with pytest.raises(BulrushleadError) as caught:
+        await node.start()
+    assert caught.value.code is ResultCode.STORAGE_DAMAGED
+
+
+@pytest.mark.parametrize(
+    ("step", "error"),
+    [("append", errno.ENOSPC), ("sync", errno.EIO)],
+)
+@pytest.mark.parametrize("on_leader", [True, False])
+async def test_failed_write_stops_the_replica_loudly(
+    cluster, events, step, error, on_leader
+):
+    leader = await cluster.start()
+    await cluster.propose(b"a")
+    node = leader if on_leader else cluster.others(leader)[0]
+    failures = []
+
+    def fail_once(found, name):
+        if found == step and not failures:
+            failures.append(name)
+            raise OSError(error, "no")
+
+    node.storage.before_step = fail_once
+    if on_leader:
+        with pytest.raises(BulrushleadError) as caught:
+            await cluster.result(node.log.propose(b"b", 1000))
+        assert caught.value.code is ResultCode.CHANGE_OUTCOME_UNKNOWN
+    else:
+        await cluster.propose(b"b")
+    await cluster.propose(b"c", cluster.others(node))
+    assert events.count(Event.STORAGE_FAILED) == 1
+    assert node.log.failure.code is ResultCode.STORAGE_FAILED
+    assert not node.log.is_leader()
+    with pytest.raises(BulrushleadError) as caught:
+        await node.log.propose(b"d", 100)
+    assert caught.value.code is ResultCode.STORAGE_FAILED
+    for name, handler in node.handlers.items():
+        if name.__name__ == "AppendRequest":
+            request = name("", node.log.replica_id, "x", "y:1", 10**6, 0, 0, 0)
+            with pytest.raises(BulrushleadError):
+                await handler(request)
+    assert len(failures) == 1, "a failed sync was tried again"
+    node.crash()
+    await restart(cluster, node)
+    assert [c for c in node.machine.commands if c != b"b"] == [b"a", b"c"]
+    assert on_leader or b"b" in node.machine.commands
+
+
+@pytest.mark.parametrize("on_leader", [True, False])
+@pytest.mark.parametrize("torn", [True, False])
+async def test_power_lost_before_each_durable_step(on_leader, torn):
+    """Kill one replica before its n-th step, for every n of a run with snapshots."""
+    steps = 0
+    while True:
+        cluster = Cluster(
+            seed=steps, snapshot_threshold_entries=4, snapshot_trailing_entries=1
+        )
+        leader = await cluster.start()
+        node = leader if on_leader else cluster.others(leader)[0]
+        left = [steps]
+
+        def lose_power(step, name, left=left):
+            left[0] -= 1
+            if left[0] < 0:
+                raise OSError("power lost")
+
+        node.storage.before_step = lose_power
+        accepted = []
+        for number in range(12):
+            change = b"change %d" % number
+            await cluster.propose(change)
+            accepted.append(change)
+        node.storage.before_step = None
+        node.crash(random.Random(steps) if torn else None)
+        await restart(cluster, node)
+        for other in cluster.alive:
+            assert list(dict.fromkeys(other.machine.commands)) == accepted
+        await cluster.close()
+        if left[0] >= 0:
+            break
+        steps += 1
+    assert steps > 20
+
+
+async def test_unsynced_journal_is_not_durable():
+    disk = MemoryStorage()
+    journal = Journal(disk, lambda: None, lambda: None)
+    await journal.start("id")
+    journal.set_vote_state(VoteState(7, "id", "c"))
+    lost = Journal(disk.crash(), lambda: None, lambda: None)
+    await lost.start("other")
+    assert (lost.replica_id, lost.vote_state.term) == ("id", 0)
+
+
+async def test_vote_that_was_told_is_never_forgotten(cluster):
+    leader = await cluster.start()
+    voter = cluster.others(leader)[0]
+    cluster.isolate(voter)
+
+    async def ask(candidate_id):
+        await cluster.run_for(ELECTION_MIN_MS)
+        request = VoteRequest(
+            cluster_id=leader.log.cluster_id,
+            target_id=voter.log.replica_id,
+            sender_id=candidate_id,
+            term=10**6,
+            last_index=10**6,
+            last_term=10**6,
+        )
+        return await cluster.result(voter.handlers[VoteRequest](request))
+
+    assert (await ask("first")).granted
+    voter.crash()
+    await voter.start()
+    assert not (await ask("second")).granted
+    assert (await ask("first")).granted
+
+
+async def test_group_commit_syncs_many_proposals_at_once():
+    cluster = Cluster(size=1)
+    leader = await cluster.start()
+    syncs = []
+    leader.storage.before_step = lambda step, name: (
+        syncs.append(name) if step == "sync" else None
+    )
+    work = [cluster.spawn(leader.log.propose(b"x", 1000)) for _ in range(200)]
+    await cluster.run_until(lambda: all(task.done() for task in work))
+    assert len(syncs) <= 2
+    await cluster.close()
+
+
+async def test_slow_disk_does_not_acknowledge_early(cluster):
+    leader = await cluster.start()
+    gate = [False]
+
+    async def wait_for_gate():
+        while not gate[0]:
+            await cluster.clock.sleep_ms(1)
+
+    for node in cluster.others(leader):
+        node.storage.before_run = wait_for_gate
+    proposal = cluster.spawn(leader.log.propose(b"a", 5_000))
+    await cluster.run_for(200)
+    assert not proposal.done()
+    gate[0] = True
+    await cluster.run_until(proposal.done)
+    await cluster.wait_settled()
+    assert all(node.machine.commands == [b"a"] for node in cluster.alive)
+
+
+def test_unused_storage_needs_no_folder(tmp_path):
+    settings = ReplicaSettings("127.0.0.1:1", data_folder=str(tmp_path / "absent"))
+    ReplicatedLog(settings, Cluster().clock, MemoryStorage(), None, None, None)
+    assert not (tmp_path / "absent").exists()
