Prove outcomes against the execution log; retry only what can help

Change: RetryLoop passes over errors that another server would repeat. Keys: calls, settings and records in modules of their own. An answer that comes before the request body was read was feared to leave the sending task hanging: tried with a one-place pool and an 8 MB body, aiohttp 3.14.5 cancels the writer and closes the connection by itself; kept as a test. Conclusion: no schedule found ran a key twice or told "not run" of what ran.

--- a/bulrushlead/forwarding/_forwarder.py
+++ b/bulrushlead/forwarding/_forwarder.py
@@ -1,5 +1,6 @@
 """Sends one request to one backend server and reads its whole answer."""
 
+import contextlib
 import itertools
 import re
 import secrets
@@ -37,8 +38,8 @@
     pooled_connections : int
         Most connections to one server that are reused, for repeatable requests.
     single_use_connections : int
-        Most connections to one server that carry one request each, for requests
-        that are not repeatable.
+        Most connections to one server that carry one request each, for all other
+        requests.
     connect_timeout_ms : float
         Time for a free place in the pool and a new connection, in milliseconds.
     idle_timeout_ms : float
@@ -210,28 +211,28 @@
             _check_own(server, response, attempt_id)
             _check_framing(server, request, response)
             if _is_refusal(response):
-                await self._discard(server, response)
-                raise _refused(server)
+                raise await self._refused(server, response)
             body = await self._read_body(server, response)
-            response.release()
         except BaseException:
             # The rest of this answer must never meet another request.
             response.close()
             raise
+        response.release()
         return ForwardAnswer(
             response.status, answer_headers(response.headers, request.method), body
         )
 
-    async def _discard(
+    async def _refused(
         self, server: BackendServer, response: aiohttp.ClientResponse
-    ) -> None:
+    ) -> ForwardError:
         """Read a refusal to its end, so that the connection can be used again."""
-        try:
+        with contextlib.suppress(ForwardError):
             await self._read_body(server, response)
-        except ForwardError:
-            response.close()
-        else:
             response.release()
+        return ForwardError(
+            ResultCode.BACKEND_REFUSED,
+            f"{server.name} refused before running; try another server or later",
+        )
 
     async def _read_body(
         self, server: BackendServer, response: aiohttp.ClientResponse
@@ -274,13 +275,6 @@
     return response.status == 503 and response.headers.get(RAN_HEADER) == Ran.NO.value
 
 
-def _refused(server: BackendServer) -> ForwardError:
-    return ForwardError(
-        ResultCode.BACKEND_REFUSED,
-        f"{server.name} refused before running; try another server or later",
-    )
-
-
 def _check_framing(
     server: BackendServer, request: ForwardRequest, response: aiohttp.ClientResponse
 ) -> None:
--- a/bulrushlead/forwarding/_retry.py
+++ b/bulrushlead/forwarding/_retry.py
@@ -11,12 +11,24 @@
     ForwardRequest,
 )
 from bulrushlead.logs import Event, EventLogger
-from bulrushlead.results import Ran
+from bulrushlead.results import Ran, ResultCode
 
 DEFAULT_RATIO = 0.1
 DEFAULT_BURST = 10.0
 DEFAULT_MAX_ATTEMPTS = 3
 
+# Another server would bring the same result.
+SAME_EVERYWHERE = frozenset(
+    {
+        ResultCode.BAD_REQUEST,
+        ResultCode.BODY_TOO_LARGE,
+        ResultCode.ANSWER_TOO_LARGE,
+        ResultCode.DEADLINE_TOO_SHORT,
+        ResultCode.DEADLINE_EXPIRED,
+        ResultCode.STOPPING,
+    }
+)
+
 Pick = Callable[[frozenset[str]], BackendServer | None]
 Send = Callable[[BackendServer, ForwardRequest], Awaitable[ForwardAnswer]]
 
@@ -50,7 +62,7 @@
 
 
 def is_retryable(request: ForwardRequest, error: ForwardError) -> bool:
-    """Return whether sending ``request`` again cannot run it twice.
+    """Return whether sending ``request`` again is safe and can help.
 
     Parameters
     ----------
@@ -59,6 +71,8 @@
     error : ForwardError
         How the attempt failed.
     """
+    if error.code in SAME_EVERYWHERE:
+        return False
     if error.ran is Ran.NO:
         return True
     return request.repeatable and request.method in REPEATABLE_METHODS
--- a/bulrushlead/forwarding/tests/conftest.py
+++ b/bulrushlead/forwarding/tests/conftest.py
@@ -2,6 +2,7 @@
 import contextlib
 
 import pytest
+import uvloop
 from multidict import CIMultiDict
 
 from bulrushlead.backend import BackendServer, SampleServer, SampleServerSettings
@@ -12,6 +13,11 @@
 LONG_MS = 60_000
 
 
+def pytest_asyncio_loop_factories(config, item):
+    """Run each test on both event loops: their errors differ."""
+    return {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
+
+
 class RawServer:
     """Runs a script for each connection, on raw streams."""
 
--- a/bulrushlead/forwarding/tests/test_forwarder.py
+++ b/bulrushlead/forwarding/tests/test_forwarder.py
@@ -1,6 +1,8 @@
 import asyncio
 import json
+import re
 
+import attrs
 import pytest
 from multidict import CIMultiDict
 
@@ -75,8 +77,10 @@
     server = await raw_server(
         answering(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nSet-Cookie: a=1\r\n\r\n")
     )
+    # aiohttp keeps no cookies of servers that are named by an IP number.
+    named = attrs.evolve(server.description, address=f"localhost:{server.port}")
     for _ in range(2):
-        await forwarder.forward(server.description, build_request("POST"))
+        await forwarder.forward(named, build_request("POST"))
     assert "cookie" not in server.requests[1][0].lower()
 
 
@@ -281,6 +285,38 @@
     await asyncio.gather(*orders)
 
 
+async def test_an_answer_before_the_body_was_read_ends_the_sending(raw_server):
+    over = asyncio.Event()
+
+    async def script(server, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+        await writer.drain()
+        await over.wait()
+
+    server = await raw_server(script)
+    forwarder = Forwarder(CLOCK, ForwarderSettings(single_use_connections=1))
+    await forwarder.start()
+    request = build_request("POST", body=bytes(8_000_000))
+    for _ in range(2):
+        answer = await forwarder.forward(server.description, request)
+        assert (answer.status, answer.body) == (413, b"no")
+    over.set()
+    await forwarder.close()
+
+
+async def test_a_body_cut_off_on_its_way_may_have_run(forwarder, raw_server):
+    async def script(server, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+
+    server = await raw_server(script)
+    request = build_request("POST", body=bytes(8_000_000))
+    seen = await fail(forwarder, server.description, request)
+    assert seen == (ResultCode.ANSWER_LOST, Ran.UNKNOWN)
+    assert server.connections == 1
+
+
 @pytest.mark.parametrize("path", ["prices", "/a b", "/a\r\nX: 1", "/a#b", ""])
 async def test_a_bad_path_is_refused(forwarder, sample, path):
     request = build_request("POST", path_qs=path)
@@ -305,3 +341,24 @@
     answer = await forwarder.forward(again.describe_server(), build_request("GET"))
     assert answer.status == 200
     await again.close()
+
+
+async def test_a_redirect_is_an_answer_like_any_other(forwarder, raw_server):
+    server = await raw_server(
+        answering(
+            b"HTTP/1.1 307 Temporary Redirect\r\nLocation: /elsewhere\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+    )
+    answer = await forwarder.forward(server.description, build_request("POST"))
+    assert (answer.status, answer.headers["Location"]) == (307, "/elsewhere")
+    assert len(server.requests) == 1
+
+
+async def test_the_remaining_time_passes_on(forwarder, raw_server):
+    server = await raw_server(answering(b"HTTP/1.1 204 No Content\r\n\r\n"))
+    request = build_request(deadline_ms=CLOCK.now_ms() + 9_000)
+    await forwarder.forward(server.description, request)
+    head = server.requests[0][0].lower()
+    [sent_ms] = re.findall(r"bulrushlead-timeout-ms: (\d+)\r\n", head)
+    assert 0 < int(sent_ms) <= 9_000
--- a/bulrushlead/keys/__init__.py
+++ b/bulrushlead/keys/__init__.py
@@ -1,6 +1,6 @@
 """Idempotency keys: a request that must not repeat runs at most once."""
 
-from bulrushlead.keys._coordinator import KeyControl, KeyCoordinator, KeySettings
+from bulrushlead.keys._coordinator import KeyCoordinator
 from bulrushlead.keys._digest import request_digest
 from bulrushlead.keys._messages import (
     AbandonHost,
@@ -13,16 +13,19 @@
     FinishKey,
     ForgetKeys,
     KeyOutcome,
-    KeyRecord,
-    KeySnapshot,
-    KeyStatus,
     ListUnknownKeys,
     ReadKey,
     ResolveKey,
-    ServiceSnapshot,
     UnknownKey,
     UnknownKeyList,
 )
+from bulrushlead.keys._records import (
+    KeyRecord,
+    KeySnapshot,
+    KeyStatus,
+    ServiceSnapshot,
+)
+from bulrushlead.keys._settings import KeyControl, KeySettings
 from bulrushlead.keys._state import KeyState
 from bulrushlead.keys._table import KeyLimits
 
--- a/bulrushlead/keys/_coordinator.py
+++ b/bulrushlead/keys/_coordinator.py
@@ -4,13 +4,14 @@
 import itertools
 import secrets
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 
 from bulrushlead.clock import Clock
 from bulrushlead.forwarding import ForwardAnswer, ForwardError, ran_of
 from bulrushlead.keys._answers import answer_of, finish_of, raise_for, refusal
+from bulrushlead.keys._calls import KeyCalls
 from bulrushlead.keys._messages import (
     AbandonKey,
     ClaimKey,
@@ -21,68 +22,13 @@
     ReadKey,
 )
 from bulrushlead.keys._observed import ObservedAttempts
+from bulrushlead.keys._settings import KeyControl, KeySettings
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.results import BulrushleadError, Ran, ResultCode
 
 Attempt = Callable[[], Awaitable[ForwardAnswer]]
 
 
-class KeyControl(Protocol):
-    """Way to the replicated state of idempotency keys."""
-
-    async def call(self, command: Any) -> Any:
-        """Return the reply to a command or a `ReadKey`.
-
-        Raises
-        ------
-        BulrushleadError
-            If there is no reply; the command may have taken effect.
-        """
-        ...
-
-
-@attrs.frozen
-class KeySettings:
-    """How an entry host works with idempotency keys.
-
-    Parameters
-    ----------
-    host, incarnation : str
-        This entry host, and this run of it.
-    call_timeout_ms : float
-        Time for one call to the control hosts, in milliseconds.
-    resend_interval_ms : float
-        Pause before a call is sent again, in milliseconds.
-    first_poll_ms, max_poll_ms : float
-        Shortest and longest pause between two reads of a key that another host
-        holds, in milliseconds.
-    record_wait_ms : float
-        Longest time that an answer waits for its own record, in milliseconds;
-        recording goes on after that.
-    record_attempts : int
-        Most tries to record one outcome.
-    abandon_after_ms : float
-        Time after which an attempt of another host is taken to be gone; at least
-        the longest request duration of any service, in milliseconds.
-    max_kept_answer_bytes : int
-        Largest answer that is recorded.
-    close_timeout_ms : float
-        Longest time that ``close()`` waits, in milliseconds.
-    """
-
-    host: str
-    incarnation: str
-    call_timeout_ms: float = 500
-    resend_interval_ms: float = 50
-    first_poll_ms: float = 20
-    max_poll_ms: float = 250
-    record_wait_ms: float = 250
-    record_attempts: int = 1_000
-    abandon_after_ms: float = 35_000
-    max_kept_answer_bytes: int = 64 * 1024
-    close_timeout_ms: float = 30_000
-
-
 @attrs.define(eq=False)
 class _Run:
     """One caller's request with a key, while this host works on it."""
@@ -115,7 +61,7 @@
         self.settings = settings
         self._numbers = itertools.count(1)
         self._prefix = f"{settings.host}/{settings.incarnation}/{secrets.token_hex(4)}"
-        self._tasks: set[asyncio.Task] = set()
+        self._calls = KeyCalls(clock, control, settings)
         self._held: dict[str, asyncio.Event] = {}
         self._observed = ObservedAttempts()
         self._log = EventLogger("keys")
@@ -129,21 +75,11 @@
         What is not recorded within ``close_timeout_ms`` stays in progress in the
         replicated state until it is abandoned.
         """
-        try:
-            await self.clock.wait_for(self._all_done(), self.settings.close_timeout_ms)
-        except TimeoutError:
-            await self.abort()
+        await self._calls.close()
 
     async def abort(self) -> None:
         """Stop at once; keys held here stay in progress until abandoned."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    async def _all_done(self) -> None:
-        while self._tasks:
-            await asyncio.wait(set(self._tasks))
+        await self._calls.abort()
 
     async def run(
         self,
@@ -186,7 +122,7 @@
         run = _Run(key, service, digest, attempt, deadline_ms, self._new_attempt_id())
         if self.clock.now_ms() >= deadline_ms:
             raise _not_settled(run)
-        task = self._spawn(self._work(run))
+        task = self._calls.spawn(self._work(run))
         try:
             return await self.clock.wait_for(
                 asyncio.shield(task), deadline_ms - self.clock.now_ms()
@@ -226,12 +162,12 @@
                 raise _not_started(run)
             answer = await run.attempt()
         except Exception as error:
-            await self._record_and_wait(self._failed(run, error))
+            await self._calls.record_and_wait(self._failed(run, error))
             raise
         else:
             limit_bytes = self.settings.max_kept_answer_bytes
             end = finish_of(run.key, run.service, run.attempt_id, answer, limit_bytes)
-            await self._record_and_wait(end)
+            await self._calls.record_and_wait(end)
             return answer
         finally:
             ended.set()
@@ -251,12 +187,12 @@
             return await self._call_until(command, run)
         except BulrushleadError as error:
             # A claim without a reply may still take hold: give it back.
-            self._record(self._end(run, KeyOutcome.NOT_RUN))
+            self._calls.record(self._end(run, KeyOutcome.NOT_RUN))
             raise _not_claimed(run, error.detail) from error
 
     async def _claim_anew(self, run: _Run) -> ClaimReply:
         """Give up an attempt that was ended for us before it began."""
-        await self._record_and_wait(self._end(run, KeyOutcome.NOT_RUN))
+        await self._calls.record_and_wait(self._end(run, KeyOutcome.NOT_RUN))
         run.attempt_id = self._new_attempt_id()
         return await self._claim(run)
 
@@ -311,26 +247,9 @@
             raise _not_settled(run) from error
 
     async def _call_until(self, command: Any, run: _Run) -> Any:
-        """Call until there is a reply or the deadline has passed."""
-        while True:
-            remaining_ms = run.deadline_ms - self.clock.now_ms()
-            try:
-                return await self._call(command, remaining_ms)
-            except BulrushleadError:
-                pause_ms = self.settings.resend_interval_ms
-                if run.caller_gone or remaining_ms <= pause_ms:
-                    raise
-                await self.clock.sleep_ms(pause_ms)
-
-    async def _call(self, command: Any, remaining_ms: float) -> Any:
-        timeout_ms = min(self.settings.call_timeout_ms, remaining_ms)
-        try:
-            return await self.clock.wait_for(self.control.call(command), timeout_ms)
-        except TimeoutError as error:
-            raise BulrushleadError(
-                ResultCode.PEER_TIMEOUT,
-                f"no reply to {type(command).__name__} within {timeout_ms:.0f} ms",
-            ) from error
+        return await self._calls.call_until(
+            command, run.deadline_ms, lambda: run.caller_gone
+        )
 
     def _failed(self, run: _Run, error: Exception) -> FinishKey:
         ran = ran_of(error)
@@ -340,47 +259,6 @@
     def _end(self, run: _Run, outcome: KeyOutcome, note: str = "") -> FinishKey:
         return FinishKey(run.key, run.service, run.attempt_id, outcome, note=note[:500])
 
-    async def _record_and_wait(self, end: FinishKey) -> None:
-        task = self._record(end)
-        try:
-            await self.clock.wait_for(
-                asyncio.shield(task), self.settings.record_wait_ms
-            )
-        except TimeoutError:
-            return
-
-    def _record(self, end: FinishKey) -> asyncio.Task:
-        return self._spawn(self._record_until(end))
-
-    async def _record_until(self, end: FinishKey) -> None:
-        for _ in range(self.settings.record_attempts):
-            try:
-                await self._call(end, self.settings.call_timeout_ms)
-            except BulrushleadError:
-                await self.clock.sleep_ms(self.settings.resend_interval_ms)
-            else:
-                event = Event.KEY_FINISHED
-                if end.outcome is KeyOutcome.UNKNOWN:
-                    event = Event.KEY_LOST
-                self._log.write(
-                    event, key=end.key, service=end.service, outcome=end.outcome.value
-                )
-                return
-        self._log.write(
-            Event.KEY_LOST, key=end.key, service=end.service, detail="not recorded"
-        )
-
-    def _spawn(self, work) -> asyncio.Task:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._forget_task)
-        return task
-
-    def _forget_task(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled():
-            task.exception()
-
     def _new_attempt_id(self) -> str:
         return f"{self._prefix}/{next(self._numbers)}"
 
--- a/bulrushlead/keys/_state.py
+++ b/bulrushlead/keys/_state.py
@@ -16,15 +16,17 @@
     FinishKey,
     ForgetKeys,
     KeyOutcome,
-    KeyRecord,
-    KeySnapshot,
-    KeyStatus,
     ListUnknownKeys,
     ReadKey,
     ResolveKey,
     UnknownKey,
     UnknownKeyList,
 )
+from bulrushlead.keys._records import (
+    KeyRecord,
+    KeySnapshot,
+    KeyStatus,
+)
 from bulrushlead.keys._table import KeyLimits, ServiceKeys
 from bulrushlead.wire import codec
 
--- a/bulrushlead/keys/_table.py
+++ b/bulrushlead/keys/_table.py
@@ -8,6 +8,8 @@
 from bulrushlead.keys._messages import (
     ClaimState,
     FinishKey,
+)
+from bulrushlead.keys._records import (
     KeyRecord,
     KeyStatus,
     ServiceSnapshot,
--- /dev/null
+++ b/bulrushlead/keys/tests/test_at_most_once.py
@@ -0,0 +1,221 @@
+"""What callers are told, compared with what ran, under random and real faults."""
+
+import asyncio
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from multidict import CIMultiDict
+
+from bulrushlead.backend import (
+    ClosePoint,
+    SampleServer,
+    SampleServerSettings,
+    ServerFaults,
+)
+from bulrushlead.clock import ManualClock, MonotonicClock
+from bulrushlead.forwarding import (
+    ForwardAnswer,
+    Forwarder,
+    ForwardError,
+    ForwardRequest,
+)
+from bulrushlead.keys import (
+    AbandonHost,
+    KeyCoordinator,
+    KeySettings,
+    request_digest,
+)
+from bulrushlead.keys.tests.control import FakeControl, Fault
+from bulrushlead.results import Ran, ResultCode
+
+DIGEST = request_digest("POST", "/orders", b"")
+HOSTS = ["h1", "h2"]
+
+
+class Scenario:
+    """Several sends of one key over hosts that crash, with a faulty leader."""
+
+    def __init__(self, plan):
+        self.clock = ManualClock()
+        self.control = FakeControl()
+        self.control.plan.extend(plan)
+        self.incarnation = 0
+        self.hosts = {name: self.build_host(name) for name in HOSTS}
+        self.executions = 0
+        self.told = []
+        self.callers = set()
+
+    def build_host(self, name):
+        self.incarnation += 1
+        settings = KeySettings(name, f"i{self.incarnation}", abandon_after_ms=3_000)
+        return KeyCoordinator(self.clock, self.control, settings)
+
+    def send(self, host, end):
+        caller = asyncio.create_task(self.call(self.hosts[host], end))
+        self.callers.add(caller)
+
+    async def call(self, host, end):
+        async def attempt():
+            if end == "refused":
+                raise ForwardError(ResultCode.BACKEND_REFUSED, "refused")
+            self.executions += 1
+            number = self.executions
+            await self.clock.sleep_ms(300)
+            if end == "lost":
+                raise ForwardError(ResultCode.ANSWER_LOST, "broke")
+            return ForwardAnswer(200, CIMultiDict(), b"%d" % number)
+
+        deadline_ms = self.clock.now_ms() + 2_000
+        try:
+            answer = await host.run("k", "stock", DIGEST, attempt, deadline_ms)
+            self.told.append(answer.body)
+        except ForwardError as error:
+            self.told.append((error.ran, self.executions))
+
+    async def crash(self, name):
+        await self.hosts[name].abort()
+        self.hosts[name] = self.build_host(name)
+
+    async def finish(self):
+        await self.clock.advance_ms(10_000)
+        await asyncio.gather(*self.callers, return_exceptions=True)
+        for host in self.hosts.values():
+            await host.abort()
+
+
+send_steps = st.tuples(
+    st.just("send"), st.sampled_from(HOSTS), st.sampled_from(["ok", "lost", "refused"])
+)
+other_steps = st.tuples(
+    st.sampled_from(["crash", "abandon", "fail_over", "leave"]),
+    st.sampled_from(HOSTS),
+    st.just(""),
+)
+steps = st.tuples(st.one_of(send_steps, send_steps, other_steps), st.integers(0, 800))
+faults = st.lists(st.sampled_from([None, None, *Fault]), max_size=12)
+
+
+@given(st.lists(steps, min_size=1, max_size=8), faults)
+def test_no_schedule_runs_a_key_twice(schedule, plan):
+    asyncio.run(play(schedule, plan))
+
+
+async def play(schedule, plan):
+    scenario = Scenario(plan)
+    for (kind, host, end), pause_ms in schedule:
+        if kind == "send":
+            scenario.send(host, end)
+        elif kind == "crash":
+            await scenario.crash(host)
+        elif kind == "abandon":
+            scenario.control.apply(AbandonHost(host))
+        elif kind == "leave" and scenario.callers:
+            scenario.callers.pop().cancel()
+        elif kind == "fail_over":
+            scenario.control.fail_over()
+        await scenario.clock.advance_ms(pause_ms)
+    await scenario.finish()
+    assert scenario.executions <= 1
+    for told in scenario.told:
+        if isinstance(told, tuple):
+            ran, executions_then = told
+            assert ran is not Ran.NO or executions_then == 0
+        else:
+            assert told == b"1"
+
+
+class Site:
+    """Two entry hosts and a real backend server on loopback."""
+
+    async def start(self):
+        self.clock = MonotonicClock()
+        self.server = SampleServer(
+            SampleServerSettings("stock-1", "stock", "fes", "fes-a", slots=8),
+            self.clock,
+        )
+        await self.server.start()
+        self.forwarder = Forwarder(self.clock)
+        await self.forwarder.start()
+        self.control = FakeControl()
+
+    async def close(self):
+        await self.forwarder.close()
+        await self.server.close()
+
+    def host(self, name):
+        return KeyCoordinator(self.clock, self.control, KeySettings(name, "i1"))
+
+    async def order(self, host, key, body=b"12 bales", timeout_ms=5_000):
+        request = ForwardRequest(
+            method="POST",
+            path_qs="/orders",
+            headers=CIMultiDict(),
+            body=body,
+            deadline_ms=self.clock.now_ms() + timeout_ms,
+            idempotency_key=key,
+        )
+        digest = request_digest("POST", "/orders", body)
+
+        async def attempt():
+            return await self.forwarder.forward(self.server.describe_server(), request)
+
+        return await host.run(key, "stock", digest, attempt, request.deadline_ms)
+
+
+@pytest.fixture
+async def site():
+    site = Site()
+    await site.start()
+    yield site
+    await site.close()
+
+
+@pytest.mark.parametrize(
+    ("faults", "runs", "first_told", "then_told"),
+    [
+        (ServerFaults(), 1, 200, 200),
+        (ServerFaults(status=500), 1, 500, 500),
+        (ServerFaults(refuse=True), 1, Ran.NO, 200),
+        (ServerFaults(truncate=True), 1, Ran.UNKNOWN, Ran.UNKNOWN),
+        (
+            ServerFaults(close_at=ClosePoint.BEFORE_RUNNING),
+            0,
+            Ran.UNKNOWN,
+            Ran.UNKNOWN,
+        ),
+        (
+            ServerFaults(close_at=ClosePoint.AFTER_RUNNING),
+            1,
+            Ran.UNKNOWN,
+            Ran.UNKNOWN,
+        ),
+    ],
+)
+async def test_callers_are_told_what_the_execution_log_holds(
+    site, faults, runs, first_told, then_told
+):
+    async def told(host):
+        try:
+            return (await site.order(host, "k1")).status
+        except ForwardError as error:
+            return error.ran
+
+    site.server.faults = faults
+    assert await told(site.host("h1")) == first_told
+    site.server.faults = ServerFaults()
+    assert await told(site.host("h2")) == then_told
+    assert await told(site.host("h1")) == then_told
+    assert len(site.server.executions_of("k1")) == runs
+
+
+async def test_many_sends_of_many_keys_each_run_once(site):
+    hosts = [site.host(f"h{number}") for number in range(4)]
+    keys = [f"k{number}" for number in range(8)]
+    sends = [(host, key) for key in keys for host in hosts]
+    answers = await asyncio.gather(*(site.order(*send) for send in sends))
+    for (_, key), answer in zip(sends, answers, strict=True):
+        [execution] = site.server.executions_of(key)
+        told = json.loads(answer.body)
+        assert (told["key"], told["execution"]) == (key, execution.sequence)
