--- a/bulrushlead/keys/_records.py
+++ b/bulrushlead/keys/_records.py
@@ -2,7 +2,9 @@
 
 from enum import Enum
 
-from bulrushlead.keys._messages import FinishKey
+import attrs
+
+from bulrushlead.keys._messages import AnswerHeader
 from bulrushlead.wire import message
 
 
@@ -15,6 +17,31 @@
     FREE = "free"
 
 
+@message("keys.recorded_answer")
+class RecordedAnswer:
+    """Answer of a finished key.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of AnswerHeader
+        Headers.
+    body : bytes
+        Body.
+    kept : bool
+        Whether status, headers and body are given.
+    note : str
+        Who decided that the request ran, if an operator did.
+    """
+
+    status: int = 0
+    headers: tuple[AnswerHeader, ...] = ()
+    body: bytes = b""
+    kept: bool = True
+    note: str = ""
+
+
 @message("keys.record")
 class KeyRecord:
     """State of one key.
@@ -33,8 +60,8 @@
         Position of the claim in the replicated log.
     note : str
         What is known about an unknown outcome.
-    answer : FinishKey or None
-        The record of its end, when finished.
+    answer : RecordedAnswer or None
+        The answer, when finished.
     """
 
     key: str
@@ -46,7 +73,7 @@
     status: KeyStatus
     claimed_index: int
     note: str = ""
-    answer: FinishKey | None = None
+    answer: RecordedAnswer | None = None
 
 
 @message("keys.service_snapshot")
@@ -59,8 +86,8 @@
         Name of the service.
     open_keys : tuple of KeyRecord
         Keys in progress or unknown, in order.
-    answered_keys : tuple of KeyRecord
-        Finished keys, oldest end first.
+    answered_keys : dict of str to bytes
+        Encoded records of finished keys, oldest end first.
     released_keys : tuple of KeyRecord
         Keys whose request did not run, oldest end first.
     spent_prints : bytes
@@ -69,7 +96,7 @@
 
     service: str
     open_keys: tuple[KeyRecord, ...] = ()
-    answered_keys: tuple[KeyRecord, ...] = ()
+    answered_keys: dict[str, bytes] = attrs.Factory(dict)
     released_keys: tuple[KeyRecord, ...] = ()
     spent_prints: bytes = b""
 
--- a/bulrushlead/keys/_state.py
+++ b/bulrushlead/keys/_state.py
@@ -26,6 +26,7 @@
     KeyRecord,
     KeySnapshot,
     KeyStatus,
+    RecordedAnswer,
 )
 from bulrushlead.keys._table import KeyLimits, ServiceKeys
 from bulrushlead.wire import codec
@@ -306,7 +307,8 @@
     if end.outcome is KeyOutcome.ANSWERED:
         if record.status is KeyStatus.FINISHED and record.answer.kept:
             return record
-        return attrs.evolve(record, status=KeyStatus.FINISHED, answer=end, note="")
+        answer = RecordedAnswer(end.status, end.headers, end.body, end.kept, end.note)
+        return attrs.evolve(record, status=KeyStatus.FINISHED, answer=answer, note="")
     if record.status not in _OPEN:
         return record
     if end.outcome is KeyOutcome.NOT_RUN:
--- a/bulrushlead/keys/_table.py
+++ b/bulrushlead/keys/_table.py
@@ -15,6 +15,7 @@
     ServiceSnapshot,
 )
 from bulrushlead.keys._spent import SpentKeys
+from bulrushlead.wire import codec
 
 _OPEN = (KeyStatus.IN_PROGRESS, KeyStatus.UNKNOWN)
 
@@ -28,7 +29,7 @@
     answered_keys : int
         Most finished keys with their answers.
     answer_bytes : int
-        Most bytes of recorded answers together.
+        Most bytes of encoded records of finished keys together.
     released_keys : int
         Most keys whose request did not run; the oldest are forgotten, which is
         safe since a resend may run.
@@ -70,7 +71,8 @@
         self.limits = limits
         self.spent = SpentKeys()
         self._open: dict[str, KeyRecord] = {}
-        self._answered: dict[str, KeyRecord] = {}
+        # Encoded once, so that a snapshot only copies bytes.
+        self._answered: dict[str, bytes] = {}
         self._released: dict[str, KeyRecord] = {}
         self._answer_bytes = 0
 
@@ -81,7 +83,10 @@
 
     def get(self, key: str) -> KeyRecord | None:
         """Return the record of a key, or None."""
-        return self._open.get(key) or self._answered.get(key) or self._released.get(key)
+        record = self._open.get(key) or self._released.get(key)
+        if record is None and key in self._answered:
+            return codec.decode(self._answered[key])
+        return record
 
     def is_spent(self, key: str) -> bool:
         """Return whether the key ran and only that is remembered."""
@@ -111,7 +116,7 @@
         self._released.pop(key, None)
         previous = self._answered.pop(key, None)
         if previous is not None:
-            self._answer_bytes -= _size_bytes(previous.answer)
+            self._answer_bytes -= len(previous)
         if record.status in _OPEN:
             self._open[key] = record
             return
@@ -120,8 +125,8 @@
             self._released[key] = record
             self._forget_released()
         else:
-            self._answered[key] = record
-            self._answer_bytes += _size_bytes(record.answer)
+            self._answered[key] = codec.encode(record)
+            self._answer_bytes += len(self._answered[key])
             self._forget_answers()
 
     def snapshot(self) -> ServiceSnapshot:
@@ -129,7 +134,7 @@
         return ServiceSnapshot(
             service=self.service,
             open_keys=tuple(self._open.values()),
-            answered_keys=tuple(self._answered.values()),
+            answered_keys=dict(self._answered),
             released_keys=tuple(self._released.values()),
             spent_prints=self.spent.to_bytes(),
         )
@@ -139,13 +144,10 @@
         """Return the keys that `snapshot` described."""
         table = cls(snapshot.service, limits)
         table.spent = SpentKeys.from_bytes(snapshot.spent_prints)
-        for records in (
-            snapshot.open_keys,
-            snapshot.answered_keys,
-            snapshot.released_keys,
-        ):
-            for record in records:
-                table.put(record)
+        table._answered = dict(snapshot.answered_keys)
+        table._answer_bytes = sum(map(len, table._answered.values()))
+        for record in (*snapshot.open_keys, *snapshot.released_keys):
+            table.put(record)
         return table
 
     def _forget_answers(self) -> None:
@@ -154,9 +156,9 @@
             len(self._answered) > limits.answered_keys
             or self._answer_bytes > limits.answer_bytes
         ):
-            record = self._answered.pop(next(iter(self._answered)))
-            self._answer_bytes -= _size_bytes(record.answer)
-            self.spent.add(key_print(self.service, record.key))
+            key = next(iter(self._answered))
+            self._answer_bytes -= len(self._answered.pop(key))
+            self.spent.add(key_print(self.service, key))
 
     def _forget_released(self) -> None:
         while len(self._released) > self.limits.released_keys:
--- a/bulrushlead/keys/tests/test_state.py
+++ b/bulrushlead/keys/tests/test_state.py
@@ -77,6 +77,13 @@
     assert reply.state is ClaimState.REUSED
 
 
+@pytest.mark.parametrize("outcome", list(KeyOutcome))
+def test_the_first_recorded_answer_stays(state, outcome):
+    second = finish(outcome, status=500, body=b"other")
+    reply = apply_all(state, claim(), ANSWERED, second, claim("a2"))
+    assert (reply.state, reply.body) == (ClaimState.FINISHED, b"booked")
+
+
 def test_a_key_whose_request_did_not_run_can_be_claimed_again(state):
     assert apply_all(state, claim(), NOT_RUN, claim("a2")).state is ClaimState.CLAIMED
 
@@ -206,8 +213,8 @@
         state.apply(1, Foreign())
 
 
-names = st.sampled_from(["k1", "k2"])
-attempts = st.sampled_from(["a1", "a2", "a3", "a4"])
+names = st.sampled_from(["k1", "k1", "k1", "k2"])
+attempts = st.sampled_from(["a1", "a2", "a3"])
 outcomes = st.sampled_from(list(KeyOutcome))
 commands = st.one_of(
     st.builds(
@@ -259,5 +266,5 @@
 
 def _releases(command, reply):
     if isinstance(command, FinishKey):
-        return command.outcome is KeyOutcome.NOT_RUN and reply.applied
-    return isinstance(command, ResolveKey) and not command.ran and reply.applied
+        return command.outcome is KeyOutcome.NOT_RUN and reply.count == 1
+    return isinstance(command, ResolveKey) and not command.ran and reply.count == 1
