Abort abandoned connections; tell a known result at the deadline

Cause: aiohttp closes a transport only after its buffer has been sent, so a server that read late still received the whole body of a request that was given up, and could run it long after the deadline. An answer that waited for its record at the deadline was told as unknown. Change: an attempt that fails or is cancelled aborts its transport. The coordinator tells the answer or error it has when time runs out, and refuses keys over 256 characters. Checks of answers moved to a module of their own. Figures: with the abort taken out, a server that reads after the deadline receives all 32 000 000 bytes (caught by test_the_rest_of_an_abandoned_body); with it fewer, and the test ends. Conclusion: a stalled server no longer holds the connection of a caller who left.

--- a/bulrushlead/forwarding/_connector.py
+++ b/bulrushlead/forwarding/_connector.py
@@ -1,5 +1,6 @@
 """Connections to backend servers, watched for what an attempt may have sent."""
 
+import asyncio
 from contextvars import ContextVar
 
 import aiohttp
@@ -16,9 +17,22 @@
     ----------
     may_have_sent : bool
         Whether a byte of the request can have left this process.
+    transport : asyncio.Transport or None
+        The connection, while it belongs to this attempt.
     """
 
     may_have_sent: bool = False
+    transport: asyncio.Transport | None = None
+
+    def abort(self) -> None:
+        """Close the connection without sending what is still buffered.
+
+        aiohttp closes a transport only after its buffer has been sent: a server
+        that reads late would still receive the whole request and run it.
+        """
+        if self.transport is not None:
+            self.transport.abort()
+            self.transport = None
 
 
 current_attempt: ContextVar[AttemptTrace] = ContextVar("current_attempt")
@@ -48,7 +62,9 @@
         for _ in range(MAX_STALE_CONNECTIONS):
             connection = await super().connect(req, traces, timeout)
             if not connection.protocol.should_close:
-                current_attempt.get().may_have_sent = True
+                trace = current_attempt.get()
+                trace.transport = connection.transport
+                trace.may_have_sent = True
                 return connection
             connection.close()
         raise aiohttp.ClientConnectionError(
--- a/bulrushlead/forwarding/_forwarder.py
+++ b/bulrushlead/forwarding/_forwarder.py
@@ -9,21 +9,27 @@
 import attrs
 from yarl import URL
 
-from bulrushlead.backend import ATTEMPT_ID_HEADER, RAN_HEADER, BackendServer
+from bulrushlead.backend import BackendServer
 from bulrushlead.clock import Clock
+from bulrushlead.forwarding._checks import (
+    check_framing,
+    check_own,
+    is_bodiless,
+    is_refusal,
+    not_answered,
+    too_large,
+    too_late,
+)
 from bulrushlead.forwarding._connector import (
     AttemptConnector,
     AttemptTrace,
-    ConnectionBrokenError,
     current_attempt,
     forbid_resending,
 )
 from bulrushlead.forwarding._headers import answer_headers, request_headers
 from bulrushlead.forwarding._model import ForwardAnswer, ForwardError, ForwardRequest
 from bulrushlead.logs import Event, EventLogger
-from bulrushlead.results import Ran, ResultCode
-
-BODILESS_STATUSES = frozenset({204, 304})
+from bulrushlead.results import ResultCode
 
 _TARGET = re.compile(r"/[^\x00-\x20\x7f#]*")
 _AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -128,17 +134,24 @@
         trace = AttemptTrace()
         try:
             return await self._attempt(server, request, trace)
-        except ForwardError as error:
-            self._log.write(
-                Event.ATTEMPT_FAILED,
-                server=server.name,
-                method=request.method,
-                code=error.code.value,
-                ran=error.ran.value,
-                detail=error.detail,
-            )
+        except BaseException as error:
+            trace.abort()
+            if isinstance(error, ForwardError):
+                self._note_failure(server, request, error)
             raise
 
+    def _note_failure(
+        self, server: BackendServer, request: ForwardRequest, error: ForwardError
+    ) -> None:
+        self._log.write(
+            Event.ATTEMPT_FAILED,
+            server=server.name,
+            method=request.method,
+            code=error.code.value,
+            ran=error.ran.value,
+            detail=error.detail,
+        )
+
     def _open_session(self, connector: AttemptConnector) -> aiohttp.ClientSession:
         return aiohttp.ClientSession(
             connector=connector,
@@ -164,13 +177,13 @@
             )
         remaining_ms = request.deadline_ms - self.clock.now_ms()
         if remaining_ms <= 0:
-            raise _too_late(server, request, trace)
+            raise too_late(server, request, trace)
         try:
             return await self.clock.wait_for(
                 self._exchange(server, request, trace, remaining_ms), remaining_ms
             )
         except TimeoutError as error:
-            raise _too_late(server, request, trace) from error
+            raise too_late(server, request, trace) from error
 
     async def _exchange(
         self,
@@ -197,8 +210,8 @@
         except ForwardError:
             raise
         except Exception as error:
-            raise _not_answered(server, trace, error) from error
-        return await self._read(server, request, response, attempt_id)
+            raise not_answered(server, trace, error) from error
+        return await self._read(server, request, response, attempt_id, trace)
 
     async def _read(
         self,
@@ -206,29 +219,33 @@
         request: ForwardRequest,
         response: aiohttp.ClientResponse,
         attempt_id: str,
+        trace: AttemptTrace,
     ) -> ForwardAnswer:
         try:
-            _check_own(server, response, attempt_id)
-            _check_framing(server, request, response)
-            if _is_refusal(response):
-                raise await self._refused(server, response)
+            check_own(server, response, attempt_id)
+            check_framing(server, request, response)
+            if is_refusal(response):
+                raise await self._refused(server, response, trace)
             body = await self._read_body(server, response)
         except BaseException:
             # The rest of this answer must never meet another request.
             response.close()
             raise
-        response.release()
+        _release(response, trace)
         return ForwardAnswer(
             response.status, answer_headers(response.headers, request.method), body
         )
 
     async def _refused(
-        self, server: BackendServer, response: aiohttp.ClientResponse
+        self,
+        server: BackendServer,
+        response: aiohttp.ClientResponse,
+        trace: AttemptTrace,
     ) -> ForwardError:
         """Read a refusal to its end, so that the connection can be used again."""
         with contextlib.suppress(ForwardError):
             await self._read_body(server, response)
-            response.release()
+            _release(response, trace)
         return ForwardError(
             ResultCode.BACKEND_REFUSED,
             f"{server.name} refused before running; try another server or later",
@@ -238,15 +255,15 @@
         self, server: BackendServer, response: aiohttp.ClientResponse
     ) -> bytes:
         limit_bytes = self.settings.max_answer_bytes
-        if (response.content_length or 0) > limit_bytes and not _is_bodiless(response):
-            raise _too_large(server, response.content_length, limit_bytes)
+        if (response.content_length or 0) > limit_bytes and not is_bodiless(response):
+            raise too_large(server, response.content_length, limit_bytes)
         chunks = []
         size_bytes = 0
         try:
             async for chunk in response.content.iter_any():
                 size_bytes += len(chunk)
                 if size_bytes > limit_bytes:
-                    raise _too_large(server, size_bytes, limit_bytes)
+                    raise too_large(server, size_bytes, limit_bytes)
                 chunks.append(chunk)
         except (aiohttp.ClientError, OSError) as error:
             raise ForwardError(
@@ -256,88 +273,7 @@
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
 
-def _is_bodiless(response: aiohttp.ClientResponse) -> bool:
-    return response.method == "HEAD" or response.status in BODILESS_STATUSES
-
-
-def _check_own(
-    server: BackendServer, response: aiohttp.ClientResponse, attempt_id: str
-) -> None:
-    echoed = response.headers.get(ATTEMPT_ID_HEADER, attempt_id)
-    if echoed != attempt_id:
-        raise ForwardError(
-            ResultCode.ANSWER_MALFORMED,
-            f"{server.name} answered attempt {echoed!r:.80} in place of {attempt_id}",
-        )
-
-
-def _is_refusal(response: aiohttp.ClientResponse) -> bool:
-    return response.status == 503 and response.headers.get(RAN_HEADER) == Ran.NO.value
-
-
-def _check_framing(
-    server: BackendServer, request: ForwardRequest, response: aiohttp.ClientResponse
-) -> None:
-    """Refuse an answer whose end cannot be told from a broken connection."""
-    if response.status < 200:
-        raise ForwardError(
-            ResultCode.ANSWER_MALFORMED,
-            f"{server.name} answered status {response.status} to {request.method}; "
-            "expected a final status",
-        )
-    if _is_bodiless(response):
-        return
-    encodings = response.headers.getall("Transfer-Encoding", [])
-    lengths = response.headers.getall("Content-Length", [])
-    chunked = ",".join(encodings).strip().lower() == "chunked"
-    if chunked == bool(lengths) or (encodings and not chunked) or len(lengths) > 1:
-        raise ForwardError(
-            ResultCode.ANSWER_MALFORMED,
-            f"{server.name} sent Content-Length {lengths} and Transfer-Encoding "
-            f"{encodings}; exactly one Content-Length or chunked is needed",
-        )
-
-
-def _too_late(
-    server: BackendServer, request: ForwardRequest, trace: AttemptTrace
-) -> ForwardError:
-    if trace.may_have_sent:
-        return ForwardError(
-            ResultCode.DEADLINE_EXPIRED,
-            f"{server.name} had not answered {request.method} at the deadline",
-        )
-    return ForwardError(
-        ResultCode.DEADLINE_TOO_SHORT,
-        f"the deadline passed before {request.method} was sent to {server.name}; "
-        "allow more time",
-    )
-
-
-def _not_answered(
-    server: BackendServer, trace: AttemptTrace, error: Exception
-) -> ForwardError:
-    reason = f"{type(error).__name__}: {error}"[:300]
-    if not trace.may_have_sent:
-        return ForwardError(
-            ResultCode.CONNECT_FAILED,
-            f"no connection to {server.name} at {server.address}: {reason}",
-        )
-    if isinstance(error, aiohttp.ClientResponseError):
-        return ForwardError(
-            ResultCode.ANSWER_MALFORMED, f"{server.name} sent no valid HTTP: {reason}"
-        )
-    if isinstance(error, ConnectionBrokenError):
-        reason = str(error)
-    return ForwardError(
-        ResultCode.ANSWER_LOST, f"connection to {server.name} broke: {reason}"
-    )
-
-
-def _too_large(
-    server: BackendServer, size_bytes: int, limit_bytes: int
-) -> ForwardError:
-    return ForwardError(
-        ResultCode.ANSWER_TOO_LARGE,
-        f"{server.name} answered with {size_bytes} bytes or more; at most "
-        f"{limit_bytes} are passed on: fetch it in ranges",
-    )
+def _release(response: aiohttp.ClientResponse, trace: AttemptTrace) -> None:
+    """Give the connection back to the pool: it no longer belongs to the attempt."""
+    trace.transport = None
+    response.release()
--- a/bulrushlead/forwarding/tests/test_forwarder.py
+++ b/bulrushlead/forwarding/tests/test_forwarder.py
@@ -209,6 +209,34 @@
     assert sample.open_connections == 0
 
 
+@pytest.mark.parametrize("end", ["deadline", "cancelled"])
+async def test_the_rest_of_an_abandoned_body_is_not_sent(forwarder, raw_server, end):
+    over, received = asyncio.Event(), bytearray()
+
+    async def script(server, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await over.wait()
+        while chunk := await reader.read(1_000_000):
+            received.extend(chunk)
+
+    server = await raw_server(script)
+    body = bytes(32_000_000)
+    timeout_ms = 100 if end == "deadline" else 60_000
+    request = build_request("POST", body=body, deadline_ms=CLOCK.now_ms() + timeout_ms)
+    caller = asyncio.create_task(forwarder.forward(server.description, request))
+    if end == "deadline":
+        with pytest.raises(ForwardError):
+            await caller
+    else:
+        while server.connections == 0:
+            await asyncio.sleep(0)
+        caller.cancel()
+        await asyncio.wait({caller})
+    over.set()
+    await server.closed.wait()
+    assert len(received) < len(body)
+
+
 async def test_a_caller_who_leaves_frees_the_slot(forwarder, sample):
     sample.faults.gate = asyncio.Event()
     caller = asyncio.create_task(
--- a/bulrushlead/keys/_coordinator.py
+++ b/bulrushlead/keys/_coordinator.py
@@ -26,6 +26,8 @@
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.results import BulrushleadError, Ran, ResultCode
 
+MAX_KEY_CHARACTERS = 256
+
 Attempt = Callable[[], Awaitable[ForwardAnswer]]
 
 
@@ -40,6 +42,14 @@
     deadline_ms: float
     attempt_id: str
     caller_gone: bool = False
+    answer: ForwardAnswer | None = None
+    error: Exception | None = None
+
+    def known_result(self) -> ForwardAnswer:
+        """Return the answer, or raise why there is none by the deadline."""
+        if self.answer is not None:
+            return self.answer
+        raise self.error or _not_settled(self)
 
 
 class KeyCoordinator:
@@ -113,13 +123,20 @@
         Raises
         ------
         ForwardError
-            ``KEY_REUSED``, ``KEY_CLAIM_FAILED``, ``KEY_OUTCOME_UNKNOWN``,
-            ``KEY_ANSWER_NOT_KEPT`` (ran), or the error of the attempt. Its ``ran``
-            speaks of every send of the key: ``Ran.NO`` only if none has run.
+            ``BAD_REQUEST``, ``KEY_REUSED``, ``KEY_CLAIM_FAILED``,
+            ``KEY_OUTCOME_UNKNOWN``, ``KEY_ANSWER_NOT_KEPT`` (ran), or the error of
+            the attempt. Its ``ran`` speaks of every send of the key: ``Ran.NO``
+            only if none has run.
         BulrushleadError
             Whatever else the attempt raised.
         """
         run = _Run(key, service, digest, attempt, deadline_ms, self._new_attempt_id())
+        if not 0 < len(key) <= MAX_KEY_CHARACTERS:
+            raise refusal(
+                ResultCode.BAD_REQUEST,
+                key,
+                f"it has {len(key)} characters; 1 to {MAX_KEY_CHARACTERS} are allowed",
+            )
         if self.clock.now_ms() >= deadline_ms:
             raise _not_settled(run)
         task = self._calls.spawn(self._work(run))
@@ -130,9 +147,9 @@
         except asyncio.CancelledError:
             run.caller_gone = True
             raise
-        except TimeoutError as error:
+        except TimeoutError:
             run.caller_gone = True
-            raise _not_settled(run) from error
+            return run.known_result()
 
     async def _work(self, run: _Run) -> ForwardAnswer:
         poll_ms = self.settings.first_poll_ms
@@ -160,15 +177,14 @@
             # gone to another host, so nothing may start later than that.
             if run.caller_gone or self.clock.now_ms() >= run.deadline_ms:
                 raise _not_started(run)
-            answer = await run.attempt()
+            run.answer = await run.attempt()
         except Exception as error:
+            run.error = error
             await self._calls.record_and_wait(self._failed(run, error))
             raise
         else:
-            limit_bytes = self.settings.max_kept_answer_bytes
-            end = finish_of(run.key, run.service, run.attempt_id, answer, limit_bytes)
-            await self._calls.record_and_wait(end)
-            return answer
+            await self._calls.record_and_wait(self._answered(run))
+            return run.answer
         finally:
             ended.set()
             del self._held[run.attempt_id]
@@ -251,6 +267,10 @@
             command, run.deadline_ms, lambda: run.caller_gone
         )
 
+    def _answered(self, run: _Run) -> FinishKey:
+        limit_bytes = self.settings.max_kept_answer_bytes
+        return finish_of(run.key, run.service, run.attempt_id, run.answer, limit_bytes)
+
     def _failed(self, run: _Run, error: Exception) -> FinishKey:
         ran = ran_of(error)
         outcome = KeyOutcome.NOT_RUN if ran is Ran.NO else KeyOutcome.UNKNOWN
--- a/bulrushlead/keys/tests/test_coordinator.py
+++ b/bulrushlead/keys/tests/test_coordinator.py
@@ -261,6 +261,32 @@
     assert await world.run(world.host("h2")) == answer
 
 
+@pytest.mark.parametrize("error", [None, ResultCode.ANSWER_LOST])
+async def test_a_result_that_waits_for_its_record_is_told_at_the_deadline(world, error):
+    world.gate.clear()
+    if error:
+        world.error = ForwardError(error, "connection to stock-7 broke")
+    caller = world.start(world.host(), deadline_ms=1_000)
+    await world.began.wait()
+    world.control.down = True
+    await world.clock.advance_ms(900)
+    world.gate.set()
+    await world.clock.advance_ms(100)
+    assert caller.done()
+    if error:
+        assert caller.exception().code is error
+    else:
+        assert caller.result().body == b"order 1"
+
+
+@pytest.mark.parametrize("key", ["", "k" * 257])
+async def test_a_key_of_bad_length_is_refused(world, key):
+    with pytest.raises(ForwardError) as caught:
+        await world.host().run(key, "stock", DIGEST, world.attempt, DEADLINE_MS)
+    assert caught.value.code is ResultCode.BAD_REQUEST
+    assert world.control.calls == []
+
+
 async def test_the_claim_comes_before_the_attempt_and_costs_one_call(world):
     calls_at_start = []
 
--- a/bulrushlead/keys/tests/test_state.py
+++ b/bulrushlead/keys/tests/test_state.py
@@ -157,6 +157,8 @@
         key = f"k{number}"
         state.apply(number, claim(f"a{number}", key))
         state.apply(number, finish(KeyOutcome.ANSWERED, f"a{number}", key))
+    snapshot, state = state.snapshot(), KeyState(state.limits)
+    state.restore(snapshot)
     states = [state.apply(9, claim("b", f"k{n}")).state for n in range(3)]
     assert states == [
         ClaimState.ANSWER_NOT_KEPT,
