Add TOML declarations and operators' calls over gRPC

Cause: the control program and the command line need declarations from files and a way to put them in force that two operators and lost answers cannot upset.

--- /dev/null
+++ b/bulrushlead/declaration/_risks.py
@@ -0,0 +1,216 @@
+"""Finds what a change may break, so that it needs explicit force."""
+
+from collections.abc import Iterator, Sequence
+from enum import Enum
+
+import attrs
+
+from bulrushlead.backend import BackendServer
+from bulrushlead.declaration._model import (
+    Declaration,
+    DrainTarget,
+    HostRole,
+    Service,
+)
+
+
+class RiskKind(Enum):
+    """What a change may break."""
+
+    REGION_REMOVED = "region_removed"
+    SERVICE_REMOVED = "service_removed"
+    LINK_REMOVED = "link_removed"
+    CAPACITY_REMOVED = "capacity_removed"
+    SLOTS_UNDER_NEED = "slots_under_need"
+    SHIFT_INTO_DRAIN = "shift_into_drain"
+    NO_ENTRY_HOST = "no_entry_host"
+    NO_CONTROL_QUORUM = "no_control_quorum"
+
+
+@attrs.frozen
+class Risk:
+    """Something that a change may break.
+
+    Parameters
+    ----------
+    kind : RiskKind
+        What may break.
+    key : str
+        Dotted path of the item concerned.
+    detail : str
+        The figures behind it.
+    """
+
+    kind: RiskKind
+    key: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.kind.value}: {self.key}: {self.detail}"
+
+
+@attrs.frozen
+class _Drained:
+    """Names of what the drains of a declaration empty."""
+
+    regions: frozenset[str]
+    availability_zones: frozenset[str]
+    hosts: frozenset[str]
+    backend_servers: frozenset[str]
+
+    def covers(self, server: BackendServer) -> bool:
+        return (
+            server.region in self.regions
+            or server.availability_zone in self.availability_zones
+            or server.name in self.backend_servers
+        )
+
+
+def find_risks(
+    old: Declaration, new: Declaration, servers: Sequence[BackendServer] = ()
+) -> list[Risk]:
+    """Return what a change may break.
+
+    Parameters
+    ----------
+    old, new : Declaration
+        What is in force, and what is to replace it; ``new`` is valid.
+    servers : sequence of BackendServer, optional
+        Backend servers that are announced now.
+
+    Returns
+    -------
+    list of Risk
+        Empty if the change needs no force. Drains count together and from the
+        moment they are declared, whenever they start.
+    """
+    risks = list(_find_removals(old, new, servers))
+    if _drain_targets(old) != _drain_targets(new) or old.services != new.services:
+        risks += _find_slot_shortages(old, new, servers)
+    if (_drain_targets(old), old.shifts) != (_drain_targets(new), new.shifts):
+        risks += _find_shifts_into_drains(new)
+    if (_drain_targets(old), old.hosts) != (_drain_targets(new), new.hosts):
+        risks += _find_host_losses(old, new)
+    return risks
+
+
+def _find_removals(
+    old: Declaration, new: Declaration, servers: Sequence[BackendServer]
+) -> Iterator[Risk]:
+    regions = {region.name for region in new.regions}
+    zones_of_old = {zone.region for zone in old.availability_zones}
+    for region in old.regions:
+        in_use = sum(server.region == region.name for server in servers)
+        if region.name not in regions and (in_use or region.name in zones_of_old):
+            detail = f"in use by {in_use} announced backend servers or by its zones"
+            yield Risk(RiskKind.REGION_REMOVED, f"regions.{region.name}", detail)
+    services = {service.name for service in new.services}
+    for service in old.services:
+        if service.name not in services:
+            count = sum(server.service == service.name for server in servers)
+            detail = f"{count} announced backend servers offer it"
+            yield Risk(RiskKind.SERVICE_REMOVED, f"services.{service.name}", detail)
+    links = {(link.from_region, link.to_region) for link in new.links}
+    for link in old.links:
+        ends = (link.from_region, link.to_region)
+        if ends not in links and regions.issuperset(ends):
+            key = f"links.{link.from_region}->{link.to_region}"
+            detail = "both regions stay, and their traffic has no limit here"
+            yield Risk(RiskKind.LINK_REMOVED, key, detail)
+    capacities = {(c.service, c.region) for c in new.region_capacities}
+    for capacity in old.region_capacities:
+        owner = (capacity.service, capacity.region)
+        stays = capacity.service in services and capacity.region in regions
+        if owner not in capacities and stays:
+            key = f"region_capacities.{capacity.service}@{capacity.region}"
+            detail = f"the limit of {capacity.requests_per_s} requests/s goes"
+            yield Risk(RiskKind.CAPACITY_REMOVED, key, detail)
+
+
+def _find_slot_shortages(
+    old: Declaration, new: Declaration, servers: Sequence[BackendServer]
+) -> Iterator[Risk]:
+    drained = _drained(new)
+    all_drained = bool(new.regions) and all(
+        region.name in drained.regions for region in new.regions
+    )
+    for service in new.services:
+        offering = [server for server in servers if server.service == service.name]
+        covered = [server for server in offering if drained.covers(server)]
+        if all_drained and service.needed_slots > 0:
+            yield _slot_risk(service, 0)
+        elif covered:
+            left = sum(
+                server.slots
+                for server in offering
+                if not drained.covers(server) and not server.draining
+            )
+            if left < service.needed_slots:
+                yield _slot_risk(service, left)
+
+
+def _slot_risk(service: Service, left: int) -> Risk:
+    detail = f"the drains leave {left} slots; needed_slots is {service.needed_slots}"
+    return Risk(RiskKind.SLOTS_UNDER_NEED, f"services.{service.name}", detail)
+
+
+def _find_shifts_into_drains(new: Declaration) -> Iterator[Risk]:
+    drained = _drained(new)
+    for shift in new.shifts:
+        if shift.to_region in drained.regions:
+            detail = f"its target region {shift.to_region} is drained"
+            yield Risk(RiskKind.SHIFT_INTO_DRAIN, f"shifts.{shift.name}", detail)
+
+
+def _find_host_losses(old: Declaration, new: Declaration) -> Iterator[Risk]:
+    entry_hosts = _remaining_hosts(old, HostRole.ENTRY)
+    if entry_hosts and not _remaining_hosts(new, HostRole.ENTRY):
+        detail = f"{len(entry_hosts)} entry hosts took callers; none would"
+        yield Risk(RiskKind.NO_ENTRY_HOST, "hosts", detail)
+    control_hosts = [host for host in new.hosts if host.role is HostRole.CONTROL]
+    remaining = _remaining_hosts(new, HostRole.CONTROL)
+    quorum = len(control_hosts) // 2 + 1
+    if control_hosts and len(remaining) < quorum:
+        detail = (
+            f"{len(remaining)} of {len(control_hosts)} control hosts stay; "
+            f"a quorum is {quorum}"
+        )
+        yield Risk(RiskKind.NO_CONTROL_QUORUM, "hosts", detail)
+
+
+def _remaining_hosts(declaration: Declaration, role: HostRole) -> set[str]:
+    drained = _drained(declaration)
+    regions = {zone.name: zone.region for zone in declaration.availability_zones}
+    return {
+        host.name
+        for host in declaration.hosts
+        if host.role is role
+        and host.name not in drained.hosts
+        and host.availability_zone not in drained.availability_zones
+        and regions.get(host.availability_zone) not in drained.regions
+    }
+
+
+def _drain_targets(declaration: Declaration) -> set[tuple[DrainTarget, str]]:
+    return {(drain.target, drain.target_name) for drain in declaration.drains}
+
+
+def _drained(declaration: Declaration) -> _Drained:
+    targets = _drain_targets(declaration)
+
+    def names(kind: DrainTarget) -> frozenset[str]:
+        return frozenset(name for target, name in targets if target is kind)
+
+    regions = names(DrainTarget.REGION)
+    zones = names(DrainTarget.AVAILABILITY_ZONE)
+    by_region: dict[str, set[str]] = {}
+    for zone in declaration.availability_zones:
+        by_region.setdefault(zone.region, set()).add(zone.name)
+    # Draining every availability zone of a region drains the region.
+    whole = {region for region, members in by_region.items() if members <= zones}
+    return _Drained(
+        regions=regions | whole,
+        availability_zones=zones,
+        hosts=names(DrainTarget.HOST),
+        backend_servers=names(DrainTarget.BACKEND_SERVER),
+    )
--- /dev/null
+++ b/bulrushlead/operators/_client.py
@@ -0,0 +1,348 @@
+"""Calling side of operators' calls."""
+
+import uuid
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import Any
+
+import grpc
+
+from bulrushlead.clock import Clock
+from bulrushlead.declaration import Declaration, validate
+from bulrushlead.operators import operators_pb2 as pb
+from bulrushlead.operators._convert import (
+    declaration_from_proto,
+    difference_from_proto,
+    entry_from_proto,
+    risk_from_proto,
+    status_from_proto,
+    to_proto,
+)
+from bulrushlead.operators._credentials import Credentials
+from bulrushlead.operators._messages import (
+    AcceptedConfiguration,
+    ApplyReply,
+    ClusterStatus,
+    HistoryEntry,
+    ProposedChange,
+)
+from bulrushlead.operators._refusals import RefusedError, refusal_of
+from bulrushlead.operators._search import (
+    RETRY_PAUSE_MS,
+    TRIED_ELSEWHERE,
+    LeaderSearch,
+)
+from bulrushlead.operators.operators_pb2_grpc import OperatorsStub
+from bulrushlead.results import (
+    FaultsError,
+    ResultCode,
+)
+from bulrushlead.wire import MAX_MESSAGE_BYTES
+
+DEFAULT_TIMEOUT_MS = 15_000
+ATTEMPT_TIMEOUT_MS = 3_000
+STATUS_POLL_INTERVAL_MS = 100
+
+# After an attempt with unknown outcome these would not say what became of it:
+# they are decided before the change reaches the log.
+_DECIDED_BEFORE_LOG = frozenset(
+    {ResultCode.NEEDS_FORCE, ResultCode.DECLARATION_INVALID, ResultCode.OVERLOADED}
+)
+
+
+def new_request_id() -> str:
+    """Return a request identifier that no other change has."""
+    return str(uuid.uuid4())
+
+
+class OperatorClient:
+    """Calls whichever control host leads.
+
+    Connections are opened by the first call. A call is sent to one control host
+    after the other until the leader answers; a change is always sent again with
+    the same request identifier, so that it is applied at most once.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        ``IP:port`` of every control host for operators' calls.
+    clock : Clock
+        Source of time.
+    credentials : Credentials, optional
+        Keys, where the control hosts require them.
+    timeout_ms : float
+        Time allowed for one call over all attempts, in milliseconds.
+    attempt_timeout_ms : float
+        Time allowed for one attempt, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        clock: Clock,
+        credentials: Credentials | None = None,
+        timeout_ms: float = DEFAULT_TIMEOUT_MS,
+        attempt_timeout_ms: float = ATTEMPT_TIMEOUT_MS,
+    ):
+        self.addresses = addresses
+        self.clock = clock
+        self.credentials = credentials
+        self.timeout_ms = timeout_ms
+        self.attempt_timeout_ms = attempt_timeout_ms
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._leader = ""
+
+    async def apply(
+        self,
+        declaration: Declaration,
+        expected_revision: int,
+        request_id: str = "",
+        force: bool = False,
+        author: str = "",
+    ) -> ApplyReply:
+        """Put a declaration in force as the next revision.
+
+        Parameters
+        ----------
+        declaration : Declaration
+            What is to be in force.
+        expected_revision : int
+            Accepted revision that the declaration was made from.
+        request_id : str, optional
+            Identifier of the change; give the one of an earlier call to send the
+            same change again.
+        force : bool
+            Accept the risks that ``diff`` names.
+        author : str
+            Who makes the change; ignored where keys are in use.
+
+        Returns
+        -------
+        ApplyReply
+            The revision that the change became.
+
+        Raises
+        ------
+        RefusedError
+            With the code of the refusal; ``CHANGE_OUTCOME_UNKNOWN`` if the change
+            may be accepted, with the request identifier to send it again.
+        FaultsError
+            With ``DECLARATION_INVALID`` and every fault; nothing was sent.
+        """
+        _require_valid(declaration)
+        request_id = request_id or new_request_id()
+        request = pb.ApplyRequest(
+            request_id=request_id,
+            expected_revision=expected_revision,
+            declaration=to_proto(declaration),
+            force=force,
+            author=author,
+        )
+        search = self._new_search()
+        try:
+            reply = await self._call(lambda stub: stub.Apply, request, search)
+        except RefusedError as error:
+            undecided = error.code in TRIED_ELSEWHERE | _DECIDED_BEFORE_LOG
+            if search.may_have_run and undecided:
+                raise RefusedError(
+                    ResultCode.CHANGE_OUTCOME_UNKNOWN,
+                    f"{error.detail}; send the change again with request id "
+                    f"{request_id}",
+                    error.leader_hint,
+                ) from error
+            raise
+        return ApplyReply(reply.revision)
+
+    async def diff(self, declaration: Declaration) -> ProposedChange:
+        """Return what a declaration would change.
+
+        Parameters
+        ----------
+        declaration : Declaration
+            What may be put in force.
+
+        Raises
+        ------
+        BulrushleadError
+            With the code of the refusal.
+        """
+        _require_valid(declaration)
+        request = pb.DiffRequest(declaration=to_proto(declaration))
+        reply = await self._call(lambda stub: stub.Diff, request)
+        return ProposedChange(
+            reply.revision,
+            difference_from_proto(reply.changes),
+            tuple(risk_from_proto(risk) for risk in reply.risks),
+        )
+
+    async def export(self) -> AcceptedConfiguration:
+        """Return the accepted configuration.
+
+        Raises
+        ------
+        BulrushleadError
+            With the code of the refusal.
+        """
+        reply = await self._call(lambda stub: stub.Export, pb.ExportRequest())
+        return AcceptedConfiguration(
+            reply.revision,
+            declaration_from_proto(reply.declaration),
+            reply.request_id,
+            reply.author,
+        )
+
+    async def status(self) -> ClusterStatus:
+        """Return what is in force on each host.
+
+        Raises
+        ------
+        BulrushleadError
+            With the code of the refusal.
+        """
+        reply = await self._call(lambda stub: stub.GetStatus, pb.GetStatusRequest())
+        return status_from_proto(reply)
+
+    async def history(self, limit: int = 0) -> tuple[HistoryEntry, ...]:
+        """Return the latest accepted changes, newest first.
+
+        Parameters
+        ----------
+        limit : int
+            Most entries to return; 0 means all that are kept.
+
+        Raises
+        ------
+        BulrushleadError
+            With the code of the refusal.
+        """
+        request = pb.GetHistoryRequest(limit=limit)
+        reply = await self._call(lambda stub: stub.GetHistory, request)
+        return tuple(entry_from_proto(entry) for entry in reply.entries)
+
+    async def wait_in_force(self, revision: int, timeout_ms: float) -> ClusterStatus:
+        """Return once no host can act by an older revision.
+
+        Parameters
+        ----------
+        revision : int
+            The revision to wait for.
+        timeout_ms : float
+            Time allowed, in milliseconds.
+
+        Returns
+        -------
+        ClusterStatus
+            The last status read; hosts may still be behind if time ran out.
+        """
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        while True:
+            status = await self.status()
+            done = status.revision >= revision and not status.hosts_behind(revision)
+            if done or self.clock.now_ms() >= deadline_ms:
+                return status
+            await self.clock.sleep_ms(STATUS_POLL_INTERVAL_MS)
+
+    async def watch(self, after_revision: int) -> AsyncIterator[HistoryEntry]:
+        """Yield each change once it is accepted, oldest first, without end.
+
+        Parameters
+        ----------
+        after_revision : int
+            Highest revision that the caller knows.
+
+        Yields
+        ------
+        HistoryEntry
+            Every change above ``after_revision`` that is still kept, whichever
+            control host leads.
+
+        Raises
+        ------
+        BulrushleadError
+            ``CONTROL_UNREACHABLE`` once no control host has answered for the time
+            allowed for one call, or the code of another refusal.
+        """
+        search = self._new_search()
+        while True:
+            address = await search.next_address()
+            request = pb.WatchRequest(after_revision=after_revision)
+            try:
+                async for message in self._stub(address).Watch(request):
+                    search.record_answer(address)
+                    entry = entry_from_proto(message)
+                    after_revision = entry.revision
+                    yield entry
+            except grpc.aio.AioRpcError as error:
+                search.record_failure(refusal_of(error, address))
+
+    async def close(self) -> None:
+        """Close every connection."""
+        channels = list(self._channels.values())
+        self._channels.clear()
+        for channel in channels:
+            await channel.close()
+
+    def _new_search(self) -> LeaderSearch:
+        return LeaderSearch(self.addresses, self.clock, self.timeout_ms, self._leader)
+
+    async def _call(
+        self,
+        method: Callable[[OperatorsStub], Callable],
+        request: Any,
+        search: LeaderSearch | None = None,
+    ) -> Any:
+        search = search or self._new_search()
+        while True:
+            address = await search.next_address()
+            try:
+                reply = await self._attempt(address, method, request, search)
+                search.record_answer(address)
+                return reply
+            except RefusedError as error:
+                search.record_failure(error)
+            finally:
+                self._leader = search.leader
+
+    async def _attempt(
+        self, address: str, method: Callable, request: Any, search: LeaderSearch
+    ) -> Any:
+        timeout_ms = min(self.attempt_timeout_ms, search.remaining_ms())
+        try:
+            return await self.clock.wait_for(
+                method(self._stub(address))(request), timeout_ms
+            )
+        except TimeoutError as error:
+            raise RefusedError(
+                ResultCode.PEER_TIMEOUT,
+                f"{address} did not answer within {timeout_ms:.0f} ms",
+            ) from error
+        except grpc.aio.AioRpcError as error:
+            raise refusal_of(error, address) from error
+
+    def _stub(self, address: str) -> OperatorsStub:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = self._open(address)
+        return OperatorsStub(channel)
+
+    def _open(self, address: str) -> grpc.aio.Channel:
+        options = [
+            ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+            ("grpc.enable_retries", 0),
+            ("grpc.enable_http_proxy", 0),
+            # Clients with other keys must not share a connection.
+            ("grpc.use_local_subchannel_pool", 1),
+            ("grpc.initial_reconnect_backoff_ms", RETRY_PAUSE_MS),
+            ("grpc.max_reconnect_backoff_ms", 1_000),
+        ]
+        if self.credentials is None:
+            return grpc.aio.insecure_channel(address, options)
+        if self.credentials.server_name:
+            name = self.credentials.server_name
+            options.append(("grpc.ssl_target_name_override", name))
+        return grpc.aio.secure_channel(address, self.credentials.for_client(), options)
+
+
+def _require_valid(declaration: Declaration) -> None:
+    faults = validate(declaration)
+    if faults:
+        raise FaultsError(ResultCode.DECLARATION_INVALID, "declaration", faults)
