--- a/bulrushlead/lookup/_blocks.py
+++ b/bulrushlead/lookup/_blocks.py
@@ -42,9 +42,24 @@
             np.empty(0, start_dtype), np.empty(0, np.uint8), np.empty(0, np.uint16)
         )
 
+    @classmethod
+    def concatenate(cls, parts: Sequence["FamilyBlocks"]) -> "FamilyBlocks":
+        """Return the blocks of all parts, one after the other."""
+        return cls(
+            np.concatenate([part.starts for part in parts]),
+            np.concatenate([part.lengths for part in parts]),
+            np.concatenate([part.targets for part in parts]),
+        )
+
     def __len__(self) -> int:
         return len(self.starts)
 
+    def take(self, selection: np.ndarray | slice) -> "FamilyBlocks":
+        """Return the blocks at indices, under a mask or in a slice."""
+        return FamilyBlocks(
+            self.starts[selection], self.lengths[selection], self.targets[selection]
+        )
+
 
 @attrs.frozen
 class LongBlock:
--- a/bulrushlead/lookup/_family.py
+++ b/bulrushlead/lookup/_family.py
@@ -1,10 +1,21 @@
 """Prefixes of one address family, divided into segments."""
 
+import itertools
+from collections.abc import Iterator
+
 import attrs
 import numpy as np
 
 from bulrushlead.lookup._blocks import NO_TARGET, FamilyBlocks
-from bulrushlead.lookup._segment import Segment, find_parents, sort_blocks
+from bulrushlead.lookup._segment import (
+    NO_PARENT,
+    Segment,
+    find_parents,
+    merge_blocks,
+    sort_blocks,
+)
+
+BATCH_BLOCKS = 65_536
 
 
 @attrs.frozen(eq=False)
@@ -34,12 +45,11 @@
     @classmethod
     def build(cls, bits: int, segment_bits: int, blocks: FamilyBlocks) -> "FamilyTable":
         """Build from blocks in any order; of equal prefixes the last one stays."""
-        is_wide = blocks.lengths < segment_bits
-        wide = _build_segment(bits, _select(blocks, is_wide))
-        narrow = sort_blocks(_select(blocks, ~is_wide))
-        parents = find_parents(bits, narrow)
-        segments = _split(bits, segment_bits, narrow, parents)
-        return cls(bits, segment_bits, segments, wide)
+        wide, narrow = _divide(segment_bits, blocks)
+        segments = dict(_split(bits, segment_bits, sort_blocks(narrow)))
+        return cls(
+            bits, segment_bits, segments, _build_segment(bits, sort_blocks(wide))
+        )
 
     def __len__(self) -> int:
         return len(self.wide) + sum(len(part) for part in self.segments.values())
@@ -61,90 +71,74 @@
         """Return all blocks, wide ones first, then by address."""
         parts = [self.wide.blocks()]
         parts += [self.segments[key].blocks() for key in sorted(self.segments)]
-        return FamilyBlocks(
-            np.concatenate([part.starts for part in parts]),
-            np.concatenate([part.lengths for part in parts]),
-            np.concatenate([part.targets for part in parts]),
-        )
+        return FamilyBlocks.concatenate(parts)
 
     def apply(self, removals: FamilyBlocks, upserts: FamilyBlocks) -> "FamilyTable":
         """Return a table with changed blocks; untouched segments are shared."""
+        wide_removals, narrow_removals = _divide(self.segment_bits, removals)
+        wide_upserts, narrow_upserts = _divide(self.segment_bits, upserts)
+        changes = FamilyBlocks.concatenate([narrow_removals, narrow_upserts])
+        touched = segment_keys(self.bits, self.segment_bits, changes)
         segments = dict(self.segments)
         empty = FamilyBlocks.empty(self.wide.starts.dtype.type)
-        for key in self._touched(removals, upserts):
-            changed = _merge(
-                segments[key].blocks() if key in segments else empty,
-                _select(removals, self._in_segment(removals, key)),
-                _select(upserts, self._in_segment(upserts, key)),
-            )
-            segments.pop(key, None)
-            if len(changed):
-                segments[key] = _build_segment(self.bits, changed)
-        wide = _merge(
-            self.wide.blocks(),
-            _select(removals, removals.lengths < self.segment_bits),
-            _select(upserts, upserts.lengths < self.segment_bits),
-        )
-        return attrs.evolve(
-            self, segments=segments, wide=_build_segment(self.bits, wide)
-        )
-
-    def _keys(self, blocks: FamilyBlocks) -> np.ndarray:
-        shift = blocks.starts.dtype.type(self.bits - self.segment_bits)
-        return blocks.starts >> shift
-
-    def _in_segment(self, blocks: FamilyBlocks, key: int) -> np.ndarray:
-        is_narrow = blocks.lengths >= self.segment_bits
-        return is_narrow & (self._keys(blocks) == key)
-
-    def _touched(self, *changes: FamilyBlocks) -> list[int]:
-        touched: set[int] = set()
-        for blocks in changes:
-            is_narrow = blocks.lengths >= self.segment_bits
-            touched.update(np.unique(self._keys(blocks)[is_narrow]).tolist())
-        return sorted(touched)
-
-
-def _select(blocks: FamilyBlocks, mask: np.ndarray) -> FamilyBlocks:
-    return FamilyBlocks(blocks.starts[mask], blocks.lengths[mask], blocks.targets[mask])
-
-
-def _build_segment(bits: int, blocks: FamilyBlocks) -> Segment:
-    ordered = sort_blocks(blocks)
+        parts = [empty]
+        for key in np.unique(touched).tolist():
+            if key in segments:
+                parts.append(segments.pop(key).blocks())
+        current = FamilyBlocks.concatenate(parts)
+        narrow = merge_blocks(current, narrow_removals, narrow_upserts)
+        segments.update(_split(self.bits, self.segment_bits, narrow))
+        wide = self.wide
+        if len(wide_removals) or len(wide_upserts):
+            merged = merge_blocks(wide.blocks(), wide_removals, wide_upserts)
+            wide = _build_segment(self.bits, merged)
+        return attrs.evolve(self, segments=segments, wide=wide)
+
+
+def segment_keys(bits: int, segment_bits: int, blocks: FamilyBlocks) -> np.ndarray:
+    """Return the upper bits that name the segment of each block."""
+    return blocks.starts >> blocks.starts.dtype.type(bits - segment_bits)
+
+
+def _divide(
+    segment_bits: int, blocks: FamilyBlocks
+) -> tuple[FamilyBlocks, FamilyBlocks]:
+    """Return the blocks that are wider than a segment, and the others."""
+    is_wide = blocks.lengths < segment_bits
+    n_wide = int(np.count_nonzero(is_wide))
+    if is_wide[:n_wide].all():
+        # Saved blocks are in this order: slices spare a copy of them all.
+        return blocks.take(slice(n_wide)), blocks.take(slice(n_wide, None))
+    return blocks.take(is_wide), blocks.take(~is_wide)
+
+
+def _build_segment(bits: int, ordered: FamilyBlocks) -> Segment:
     return Segment.from_sorted(bits, ordered, find_parents(bits, ordered))
 
 
 def _split(
-    bits: int, segment_bits: int, blocks: FamilyBlocks, parents: np.ndarray
-) -> dict[int, Segment]:
-    if not len(blocks):
-        return {}
-    keys = blocks.starts >> blocks.starts.dtype.type(bits - segment_bits)
-    firsts = np.flatnonzero(np.append(True, keys[1:] != keys[:-1]))
-    ends = np.append(firsts[1:], len(blocks))
-    segments = {}
-    for first, end in zip(firsts.tolist(), ends.tolist(), strict=True):
-        part = slice(first, end)
-        blocks_here = FamilyBlocks(
-            blocks.starts[part], blocks.lengths[part], blocks.targets[part]
-        )
-        # Parents lie in the same segment: wide prefixes are kept apart.
-        local = np.where(parents[part] < 0, parents[part], parents[part] - first)
-        segments[int(keys[first])] = Segment.from_sorted(bits, blocks_here, local)
-    return segments
-
-
-def _merge(
-    current: FamilyBlocks, removals: FamilyBlocks, upserts: FamilyBlocks
-) -> FamilyBlocks:
-    removed = set(zip(removals.starts.tolist(), removals.lengths.tolist(), strict=True))
-    if removed:
-        pairs = zip(current.starts.tolist(), current.lengths.tolist(), strict=True)
-        current = _select(
-            current, np.fromiter((pair not in removed for pair in pairs), bool)
-        )
-    return FamilyBlocks(
-        np.concatenate([current.starts, upserts.starts]),
-        np.concatenate([current.lengths, upserts.lengths]),
-        np.concatenate([current.targets, upserts.targets]),
-    )
+    bits: int, segment_bits: int, ordered: FamilyBlocks
+) -> Iterator[tuple[int, Segment]]:
+    """Yield the segments of sorted blocks.
+
+    Parents are found for many segments at once, because each NumPy call has a
+    fixed cost, but not for all, which bounds the memory for interim results.
+    """
+    keys = segment_keys(bits, segment_bits, ordered)
+    is_first = np.append(True, keys[1:] != keys[:-1]) if len(keys) else keys
+    bounds = np.append(np.flatnonzero(is_first), len(ordered)).tolist()
+    first = 0
+    while first < len(bounds) - 1:
+        last = first + 1
+        while last < len(bounds) - 1 and bounds[last] - bounds[first] < BATCH_BLOCKS:
+            last += 1
+        offset = bounds[first]
+        batch = ordered.take(slice(offset, bounds[last]))
+        parents = find_parents(bits, batch)
+        for start, end in itertools.pairwise(bounds[first : last + 1]):
+            part = slice(start - offset, end - offset)
+            # Parents lie in the same segment: wide prefixes are kept apart.
+            local = parents[part] - np.int32(start - offset)
+            local[parents[part] < 0] = NO_PARENT
+            yield int(keys[start]), Segment.from_sorted(bits, batch.take(part), local)
+        first = last
--- a/bulrushlead/lookup/_segment.py
+++ b/bulrushlead/lookup/_segment.py
@@ -93,16 +93,44 @@
 
 def sort_blocks(blocks: FamilyBlocks) -> FamilyBlocks:
     """Sort by start and length; of equal prefixes the last one given stays."""
-    order = np.lexsort((blocks.lengths, blocks.starts))
-    starts, lengths = blocks.starts[order], blocks.lengths[order]
-    targets = blocks.targets[order]
-    if len(starts) < 2:
-        return FamilyBlocks(starts, lengths, targets)
-    same = (starts[1:] == starts[:-1]) & (lengths[1:] == lengths[:-1])
-    if not same.any():
-        return FamilyBlocks(starts, lengths, targets)
-    keep = np.append(~same, True)
-    return FamilyBlocks(starts[keep], lengths[keep], targets[keep])
+    if _is_sorted(blocks):
+        return blocks
+    ordered = blocks.take(np.lexsort((blocks.lengths, blocks.starts)))
+    return ordered.take(np.append(~_equals_next(ordered), True))
+
+
+def merge_blocks(
+    current: FamilyBlocks, removals: FamilyBlocks, upserts: FamilyBlocks
+) -> FamilyBlocks:
+    """Return sorted blocks after a change, removals being applied first.
+
+    Parameters
+    ----------
+    current, removals, upserts : FamilyBlocks
+        Blocks in any order; of equal upserts the last one stays.
+    """
+    joined = FamilyBlocks.concatenate([current, removals, upserts])
+    is_removal = np.zeros(len(joined), bool)
+    is_removal[len(current) : len(current) + len(removals)] = True
+    if not len(joined):
+        return joined
+    # A stable sort: what was given last decides about equal prefixes.
+    order = np.lexsort((joined.lengths, joined.starts))
+    ordered = joined.take(order)
+    keep = np.append(~_equals_next(ordered), True) & ~is_removal[order]
+    return ordered.take(keep)
+
+
+def _is_sorted(blocks: FamilyBlocks) -> bool:
+    starts, lengths = blocks.starts, blocks.lengths
+    later = starts[1:] > starts[:-1]
+    longer = (starts[1:] == starts[:-1]) & (lengths[1:] > lengths[:-1])
+    return bool((later | longer).all())
+
+
+def _equals_next(ordered: FamilyBlocks) -> np.ndarray:
+    starts, lengths = ordered.starts, ordered.lengths
+    return (starts[1:] == starts[:-1]) & (lengths[1:] == lengths[:-1])
 
 
 def find_parents(bits: int, blocks: FamilyBlocks) -> np.ndarray:
--- a/bulrushlead/lookup/_table.py
+++ b/bulrushlead/lookup/_table.py
@@ -18,7 +18,7 @@
 from bulrushlead.results import BulrushleadError, ResultCode
 
 IPV4_SEGMENT_BITS = 12
-IPV6_SEGMENT_BITS = 24
+IPV6_SEGMENT_BITS = 20
 
 Address = str | int | ipaddress.IPv4Address | ipaddress.IPv6Address
 
