Judge each candidate once in a routing decision

Change: signals know their zone, a warm server is recognised by a flag, and the selector divides candidates into trusted and distrusted ones once.

--- a/bulrushlead/routing/_book.py
+++ b/bulrushlead/routing/_book.py
@@ -45,7 +45,8 @@
         """Return the signals of a server; a restarted one begins as cold."""
         known = self._servers.get(server.name)
         if known is None or known.server.incarnation != server.incarnation:
-            known = ServerSignals(server, self.settings, self.clock.now_ms())
+            zone = self.zone(server.service, server.availability_zone)
+            known = ServerSignals(server, zone, self.settings, self.clock.now_ms())
             self._servers[server.name] = known
         return known
 
@@ -106,8 +107,7 @@
         outcome: AttemptOutcome,
         now_ms: float,
     ) -> None:
-        server = signals.server
-        zone = self.zone(server.service, server.availability_zone)
+        server, zone = signals.server, signals.zone
         if zone.trial is not None:
             if zone.trial.is_result(now_ms - latency_ms, now_ms):
                 good = outcome not in FAILURES
--- a/bulrushlead/routing/_policies.py
+++ b/bulrushlead/routing/_policies.py
@@ -6,20 +6,22 @@
 
 import attrs
 
-from bulrushlead.routing._model import Candidate
+from bulrushlead.backend import BackendServer
 from bulrushlead.routing._signals import ServerSignals
 
 MIN_SUCCESS_RATE = 0.05
 
 
-@attrs.frozen(eq=False)
+@attrs.define(eq=False)
 class Option:
     """A candidate with what is known of it.
 
     Parameters
     ----------
-    candidate : Candidate
+    server : BackendServer
         What may be chosen.
+    free_slots : int
+        Leased slots of it that are not in use.
     signals : ServerSignals
         What the entry host knows of the server.
     baseline_ms : float
@@ -28,7 +30,8 @@
         Round trip to its zone above that to the own zone.
     """
 
-    candidate: Candidate
+    server: BackendServer
+    free_slots: int
     signals: ServerSignals
     baseline_ms: float
     extra_latency_ms: float
--- a/bulrushlead/routing/_router.py
+++ b/bulrushlead/routing/_router.py
@@ -96,12 +96,7 @@
         BulrushleadError
             With ``NO_BACKEND_SERVER``, if no candidate can take the request.
         """
-        options = [
-            self._to_option(candidate, own_availability_zone)
-            for candidate in candidates
-            if not candidate.server.draining
-            and candidate.server.name not in request.excluded
-        ]
+        options = self._to_options(request, candidates, own_availability_zone)
         regions = self._order_regions(request, options, own_region)
         place = Place(own_region, own_availability_zone)
         choice, reason = self._selector.select(request, options, regions, place)
@@ -153,7 +148,6 @@
         rows = []
         for one in self._book:
             server = one.server
-            zone = self._book.zone(server.service, server.availability_zone)
             rows.append(
                 ServerStatus(
                     name=server.name,
@@ -161,7 +155,9 @@
                     region=server.region,
                     availability_zone=server.availability_zone,
                     share=one.chosen_count(now_ms) / max(1e-9, totals[server.service]),
-                    distrust=Distrust.ZONE_FAILING if zone.is_failing else one.distrust,
+                    distrust=Distrust.ZONE_FAILING
+                    if one.zone.is_failing
+                    else one.distrust,
                     in_flight=one.in_flight,
                     latency_ms=one.latency.mean_ms,
                     error_rate=one.error_rate,
@@ -172,15 +168,25 @@
             )
         return tuple(sorted(rows, key=lambda row: row.name))
 
-    def _to_option(self, candidate: Candidate, own_zone: str) -> Option:
-        server = candidate.server
-        is_near = server.availability_zone == own_zone
-        return Option(
-            candidate=candidate,
-            signals=self._book.signals(server),
-            baseline_ms=self._book.baseline_ms(server.service, server.region),
-            extra_latency_ms=0.0 if is_near else self.settings.zone_latency_ms,
-        )
+    def _to_options(
+        self, request: RouteRequest, candidates: Sequence[Candidate], own_zone: str
+    ) -> list[Option]:
+        options = []
+        for candidate in candidates:
+            server = candidate.server
+            if server.draining or server.name in request.excluded:
+                continue
+            is_near = server.availability_zone == own_zone
+            options.append(
+                Option(
+                    server,
+                    candidate.free_slots,
+                    self._book.signals(server),
+                    self._book.baseline_ms(server.service, server.region),
+                    0.0 if is_near else self.settings.zone_latency_ms,
+                )
+            )
+        return options
 
     def _order_regions(
         self, request: RouteRequest, options: Sequence[Option], own_region: str
@@ -193,13 +199,13 @@
                 latency_ms = 0.0
             return region != request.home_region, latency_ms, region
 
-        regions = {option.candidate.server.region for option in options}
+        regions = {option.server.region for option in options}
         return sorted(regions, key=distance)
 
     def _conclude(
         self, request: RouteRequest, choice: Choice, reason: RouteReason
     ) -> RouteDecision:
-        server = choice.option.candidate.server
+        server = choice.option.server
         choice.option.signals.count_choice(next(self._sequence), self.clock.now_ms())
         self._logger.write(
             Event.ROUTE_CHOSEN,
--- a/bulrushlead/routing/_selector.py
+++ b/bulrushlead/routing/_selector.py
@@ -1,7 +1,7 @@
 """Which candidates are allowed for a request, from best to last resort."""
 
 import random
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Sequence
 
 import attrs
 
@@ -11,7 +11,6 @@
 from bulrushlead.routing._model import Distrust, RouteReason, RouteRequest
 from bulrushlead.routing._policies import Choice, Option, Policy, pick
 from bulrushlead.routing._settings import RouterSettings
-from bulrushlead.routing._trial import Trial
 
 
 @attrs.frozen
@@ -95,22 +94,27 @@
         BulrushleadError
             With ``NO_BACKEND_SERVER``, if no option can take the request.
         """
-        free = [option for option in options if option.candidate.free_slots > 0]
+        free = [option for option in options if option.free_slots > 0]
         if not self.settings.distrust:
             return self._select_blindly(request, free, regions, place)
-        trial = self._find_trial(request, free)
+        trusted, distrusted = [], []
+        for option in free:
+            (trusted if option.signals.is_trusted else distrusted).append(option)
+        trial = self._find_trial(request, distrusted)
         if trial is not None:
             return trial
-        for pool in _by_region(free, regions, self._is_ready):
+        ready = [option for option in trusted if option.signals.has_room()]
+        if ready:
+            pool = _nearest(ready, regions)
             pool = self._prefer_own_zone(pool, options, place)
             return self._pick_near(pool, request, place)
-        for pool in _by_region(free, regions, self._can_overflow):
-            return self._pick(pool), RouteReason.OVERFLOW
+        spare = trusted + [option for option in distrusted if _can_overflow(option)]
+        if spare:
+            return self._pick(_nearest(spare, regions)), RouteReason.OVERFLOW
         # Distrusted servers get work only when no trusted one could take it
         # later: refusing everything would be worse than spreading it.
-        if not any(self._is_trusted(option) for option in options):
-            for pool in _by_region(free, regions):
-                return self._pick(pool), RouteReason.SPREAD
+        if free and not any(option.signals.is_trusted for option in options):
+            return self._pick(_nearest(free, regions)), RouteReason.SPREAD
         raise _no_server(request, len(options), len(free))
 
     def _select_blindly(
@@ -120,56 +124,38 @@
         regions: Sequence[str],
         place: Place,
     ) -> tuple[Choice, RouteReason]:
-        for pool in _by_region(free, regions):
-            return self._pick_near(pool, request, place)
-        raise _no_server(request, len(free), len(free))
+        if not free:
+            raise _no_server(request, len(free), len(free))
+        return self._pick_near(_nearest(free, regions), request, place)
 
     def _find_trial(
-        self, request: RouteRequest, free: Sequence[Option]
+        self, request: RouteRequest, distrusted: Sequence[Option]
     ) -> tuple[Choice, RouteReason] | None:
         now_ms = self.clock.now_ms()
-        for option in sorted(free, key=lambda one: one.signals.last_chosen):
-            if option.candidate.server.region != request.home_region:
+        for option in sorted(distrusted, key=lambda one: one.signals.last_chosen):
+            if option.server.region != request.home_region:
                 continue
-            zone_trial = self._zone_trial(option)
-            trial = zone_trial or option.signals.trial
+            trial = option.signals.next_trial
             if trial is None or not trial.is_due(now_ms, request.repeatable):
                 continue
             trial.begin(now_ms)
-            of_zone = zone_trial is not None
+            of_zone = option.signals.zone.is_failing
             reason = RouteReason.ZONE_TRIAL if of_zone else RouteReason.SERVER_TRIAL
             return Choice(option, 0.0), reason
         return None
 
-    def _zone_trial(self, option: Option) -> Trial | None:
-        server = option.candidate.server
-        return self.book.zone(server.service, server.availability_zone).trial
-
-    def _is_trusted(self, option: Option) -> bool:
-        trusted = option.signals.distrust is Distrust.NONE
-        return trusted and self._zone_trial(option) is None
-
-    def _is_ready(self, option: Option) -> bool:
-        signals = option.signals
-        return self._is_trusted(option) and signals.in_flight < signals.ramp_slots()
-
-    def _can_overflow(self, option: Option) -> bool:
-        if self._zone_trial(option) is not None:
-            return False
-        return option.signals.distrust is not Distrust.FAILING
-
     def _prefer_own_zone(
         self, pool: list[Option], options: Sequence[Option], place: Place
     ) -> list[Option]:
         """Return the own zone's part of the pool, unless the zone is nearly full."""
         zone = place.availability_zone
-        near = [one for one in pool if one.candidate.server.availability_zone == zone]
+        near = [one for one in pool if one.server.availability_zone == zone]
         if not near:
             return pool
         # Servers without a free slot count too: they are what fills the zone.
-        own = [one for one in options if one.candidate.server.availability_zone == zone]
+        own = [one for one in options if one.server.availability_zone == zone]
         in_flight = sum(option.signals.in_flight for option in own)
-        free = sum(option.candidate.free_slots for option in own)
+        free = sum(option.free_slots for option in own)
         limit = self.settings.spill_utilisation * (in_flight + free)
         return near if in_flight < limit else pool
 
@@ -180,7 +166,7 @@
         self, pool: list[Option], request: RouteRequest, place: Place
     ) -> tuple[Choice, RouteReason]:
         choice = self._pick(pool)
-        server = choice.option.candidate.server
+        server = choice.option.server
         if server.region != request.home_region:
             return choice, RouteReason.OTHER_REGION
         if server.availability_zone != place.availability_zone:
@@ -188,20 +174,17 @@
         return choice, RouteReason.OWN_ZONE
 
 
-def _by_region(
-    options: Sequence[Option],
-    regions: Sequence[str],
-    accepts: Callable[[Option], bool] = lambda option: True,
-) -> Iterator[list[Option]]:
-    """Yield the accepted options of each region that has any, in order."""
-    for region in regions:
-        pool = [
-            option
-            for option in options
-            if option.candidate.server.region == region and accepts(option)
-        ]
-        if pool:
-            yield pool
+def _can_overflow(option: Option) -> bool:
+    """Return whether a distrusted server answers, if only slowly."""
+    signals = option.signals
+    return signals.distrust is Distrust.SLOW and not signals.zone.is_failing
+
+
+def _nearest(options: Sequence[Option], regions: Sequence[str]) -> list[Option]:
+    """Return the options of the first region that has any."""
+    rank = {region: index for index, region in enumerate(regions)}
+    nearest = min(rank[option.server.region] for option in options)
+    return [option for option in options if rank[option.server.region] == nearest]
 
 
 def _no_server(request: RouteRequest, n_options: int, n_free: int) -> BulrushleadError:
--- a/bulrushlead/routing/_signals.py
+++ b/bulrushlead/routing/_signals.py
@@ -8,6 +8,7 @@
 from bulrushlead.routing._model import AttemptOutcome, Distrust
 from bulrushlead.routing._settings import RouterSettings
 from bulrushlead.routing._trial import Trial
+from bulrushlead.routing._zones import ZoneSignals
 
 FAILURES = frozenset(
     {
@@ -26,14 +27,23 @@
     ----------
     server : BackendServer
         The server.
+    zone : ZoneSignals
+        What is known of its service in its zone.
     settings : RouterSettings
         How observations are weighed.
     now_ms : float
         When the server was first seen.
     """
 
-    def __init__(self, server: BackendServer, settings: RouterSettings, now_ms: float):
+    def __init__(
+        self,
+        server: BackendServer,
+        zone: ZoneSignals,
+        settings: RouterSettings,
+        now_ms: float,
+    ):
         self.server = server
+        self.zone = zone
         self.settings = settings
         self.latency = LatencyEstimate(settings.sample_weight, settings.peak_decay_ms)
         self.error_rate = 0.0
@@ -45,11 +55,22 @@
         self.report_sequence = -1
         self.reported_at_ms = now_ms
         self._started_ms: list[float] = []
+        self._is_warm = False
         self._ramp_answers = 0
         self._ramp_time_ms = 0.0
         self._chosen_count = 0.0
         self._chosen_at_ms = now_ms
 
+    @property
+    def is_trusted(self) -> bool:
+        """Whether neither the server nor its zone lost its share."""
+        return self.distrust is Distrust.NONE and self.zone.trial is None
+
+    @property
+    def next_trial(self) -> Trial | None:
+        """Trial that the server waits for: its zone's before its own."""
+        return self.zone.trial or self.trial
+
     @property
     def in_flight(self) -> int:
         """Requests of this entry host that the server runs."""
@@ -135,13 +156,19 @@
         It grows with good answers, which warm a cache, and with time while
         reports arrive. Without reports time alone does not raise it.
         """
+        if self._is_warm:
+            return 1.0
         by_answers = self._ramp_answers / max(1, self.settings.ramp_requests)
         by_time = self._ramp_time_ms / max(1.0, self.settings.ramp_ms)
+        self._is_warm = max(by_answers, by_time) >= 1.0
         return min(1.0, max(self.settings.min_ramp, by_answers, by_time))
 
-    def ramp_slots(self) -> int:
-        """Return how many requests a new server may run for this entry host."""
-        return max(1, math.floor(self.ramp() * self.server.slots))
+    def has_room(self) -> bool:
+        """Return whether a new server may run one more request of this host."""
+        if self._is_warm:
+            return True
+        limit = max(1, math.floor(self.ramp() * self.server.slots))
+        return len(self._started_ms) < limit
 
     def restart(self, latency_ms: float | None, now_ms: float) -> None:
         """Begin again with little traffic after trust has returned.
@@ -157,6 +184,7 @@
         self.trial = None
         self.error_rate = 0.0
         self.consecutive_failures = 0
+        self._is_warm = False
         self._ramp_answers = 0
         self._ramp_time_ms = 0.0
         if latency_ms is not None:
