Wire the whole path: distribution, entry and control programs, command line

Cause: the slices stood apart; nothing steered a request end to end. A caller whose attempt did not run is now answered before that is recorded. Ruled out: starting grants at once after every election; a first-ever term is told apart by a command in the log, so that only a fresh cluster skips the wait for work of earlier leaders. Conclusion: the path runs; a restart of all hosts together still waits for the longest request duration before new work, which is the price of exact slots.

--- /dev/null
+++ b/bulrushlead/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line ``bulrushlead``."""
+
+from bulrushlead.cli._main import COMMANDS, main
+
+__all__ = ["COMMANDS", "main"]
--- /dev/null
+++ b/bulrushlead/cli/_daemons.py
@@ -0,0 +1,211 @@
+"""Commands that run programs, and the check of their settings."""
+
+from collections.abc import AsyncIterator
+
+from bulrushlead.backend import SampleServer, SampleServerSettings
+from bulrushlead.cli._run import new_rng, refuse_missing_keys, run_async, run_daemon
+from bulrushlead.clock import MonotonicClock
+from bulrushlead.control import ControlHost
+from bulrushlead.declaration import load_declaration
+from bulrushlead.embedded import (
+    Deployment,
+    DeploymentPlan,
+    run_requests,
+    show_tour,
+)
+from bulrushlead.entry import EntryHost
+from bulrushlead.operators import Credentials
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.settings import (
+    ControlSettings,
+    EntrySettings,
+    LogSettings,
+    load_settings,
+)
+from bulrushlead.wire import client_context, server_context
+
+_SETTINGS_TYPES = {"control": ControlSettings, "entry": EntrySettings}
+
+
+def control(settings: str) -> int:
+    """Run a control host until SIGINT or SIGTERM.
+
+    Parameters
+    ----------
+    settings : str
+        TOML file with the settings of the host.
+    """
+    loaded = load_settings(settings, ControlSettings)
+    has_keys = refuse_missing_keys(loaded.tls)
+
+    async def start() -> AsyncIterator[None]:
+        tls = loaded.tls
+        host = ControlHost(
+            loaded,
+            MonotonicClock(),
+            new_rng(),
+            server_context(tls) if has_keys else None,
+            client_context(tls) if has_keys else None,
+            _credentials(tls) if has_keys else None,
+        )
+        await host.start()
+        try:
+            yield
+        finally:
+            await host.close()
+
+    return run_daemon(start, loaded.log)
+
+
+def entry(settings: str) -> int:
+    """Run an entry host until SIGINT or SIGTERM.
+
+    Parameters
+    ----------
+    settings : str
+        TOML file with the settings of the host.
+    """
+    loaded = load_settings(settings, EntrySettings)
+    has_keys = refuse_missing_keys(loaded.tls)
+
+    async def start() -> AsyncIterator[None]:
+        host = EntryHost(
+            loaded,
+            MonotonicClock(),
+            new_rng(),
+            ssl_context=client_context(loaded.tls) if has_keys else None,
+        )
+        await host.start()
+        try:
+            yield
+            await host.drain()
+        finally:
+            await host.close()
+
+    return run_daemon(start, loaded.log)
+
+
+def backend_sample(
+    name: str,
+    *,
+    service: str,
+    region: str,
+    availability_zone: str,
+    entry_hosts: list[str],
+    address: str = "127.0.0.1",
+    port: int = 0,
+    slots: int = 4,
+    service_time_ms: float = 5.0,
+) -> int:
+    """Run a sample backend server, for trying out.
+
+    Parameters
+    ----------
+    name : str
+        Name of the server.
+    service : str
+        Service that it offers.
+    region : str
+        Region where it is.
+    availability_zone : str
+        Availability zone where it is.
+    entry_hosts : list[str]
+        IP:port of the entry hosts to which it announces itself.
+    address : str
+        IP number to listen on.
+    port : int
+        Port to listen on; 0 lets the operating system choose.
+    slots : int
+        Most requests it runs at the same time.
+    service_time_ms : float
+        Time that each request takes, in milliseconds.
+    """
+
+    async def start() -> AsyncIterator[None]:
+        server = SampleServer(
+            SampleServerSettings(
+                name=name,
+                service=service,
+                region=region,
+                availability_zone=availability_zone,
+                address=address,
+                port=port,
+                slots=slots,
+                service_time_ms=service_time_ms,
+                entry_hosts=tuple(entry_hosts),
+            ),
+            MonotonicClock(),
+        )
+        await server.start()
+        print(f"{name} listens on {address}:{server.bound_port}", flush=True)
+        try:
+            yield
+            await server.drain()
+            await server.wait_running(0)
+        finally:
+            await server.close()
+
+    return run_daemon(start, LogSettings())
+
+
+def embedded(
+    *, requests: int = 0, data_folder: str = "", log_level: str = "INFO"
+) -> int:
+    """Run a whole small deployment in one process, on loopback.
+
+    Parameters
+    ----------
+    requests : int
+        Send this many sample requests, check every answer, and end; 0 sends a
+        few and stays up until SIGINT or SIGTERM.
+    data_folder : str
+        Folder of the replicated log; a temporary one by default.
+    log_level : str
+        Lowest level of the log lines that are shown.
+    """
+    log = LogSettings(level=log_level)
+    if requests > 0:
+        return run_async(run_requests(requests, data_folder, log))
+
+    async def start() -> AsyncIterator[None]:
+        deployment = Deployment(DeploymentPlan(), data_folder)
+        try:
+            await deployment.start()
+            await show_tour(deployment)
+            yield
+        finally:
+            await deployment.close()
+
+    return run_daemon(start, log)
+
+
+def check(file: str, *, kind: str = "declaration") -> int:
+    """Check a settings file or a declaration, and do nothing else.
+
+    Parameters
+    ----------
+    file : str
+        TOML file.
+    kind : str
+        What the file holds: control, entry or declaration.
+    """
+    if kind == "declaration":
+        load_declaration(file)
+    elif kind in _SETTINGS_TYPES:
+        loaded = load_settings(file, _SETTINGS_TYPES[kind])
+        refuse_missing_keys(loaded.tls)
+    else:
+        raise BulrushleadError(
+            ResultCode.USAGE,
+            f"kind {kind!r} is unknown; use control, entry or declaration",
+        )
+    print(f"{file}: no faults found")
+    return 0
+
+
+def _credentials(tls) -> Credentials:
+    return Credentials(
+        key_path=tls.key_file,
+        certificate_path=tls.certificate_file,
+        authority_path=tls.authority_file,
+    )
--- /dev/null
+++ b/bulrushlead/cli/_main.py
@@ -0,0 +1,59 @@
+"""Entry point: parses arguments, runs a command, maps errors to exit codes."""
+
+import os
+import sys
+from collections.abc import Sequence
+
+import defopt
+
+from bulrushlead.cli import _daemons, _operate, _query
+from bulrushlead.results import CODES, BulrushleadError, ResultCode
+
+COMMANDS = {
+    "control": _daemons.control,
+    "entry": _daemons.entry,
+    "backend-sample": _daemons.backend_sample,
+    "embedded": _daemons.embedded,
+    "check": _daemons.check,
+    "apply": _operate.apply,
+    "diff": _operate.diff,
+    "export": _operate.export,
+    "status": _operate.status,
+    "history": _operate.history,
+    "watch": _operate.watch,
+    "lookup": _query.lookup,
+    "keys": _query.keys,
+    "resolve-key": _query.resolve_key,
+}
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command line and exit with a code of the result table.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        Words after the program's name; those of the process by default.
+    """
+    try:
+        code = defopt.run(
+            COMMANDS,
+            argv=arguments,
+            short={},
+            cli_options="all",
+            no_negated_flags=True,
+            argparse_kwargs={
+                "prog": "bulrushlead",
+                "description": "Global traffic steering.",
+            },
+        )
+    except BulrushleadError as error:
+        print(f"bulrushlead: {error}", file=sys.stderr)
+        sys.exit(CODES[error.code].exit_code)
+    except KeyboardInterrupt:
+        sys.exit(CODES[ResultCode.INTERNAL].exit_code)
+    except BrokenPipeError:
+        # The reader of the output has gone; what is left cannot be written.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(0)
+    sys.exit(code or 0)
--- /dev/null
+++ b/bulrushlead/cli/_operate.py
@@ -0,0 +1,279 @@
+"""Commands for operators: changes of the declaration, and what is in force."""
+
+import getpass
+import os
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
+
+from bulrushlead.cli._output import print_json, print_table
+from bulrushlead.cli._run import run_async
+from bulrushlead.clock import MonotonicClock
+from bulrushlead.declaration import dump_declaration, load_declaration
+from bulrushlead.operators import (
+    ClusterStatus,
+    Credentials,
+    OperatorClient,
+    new_request_id,
+)
+from bulrushlead.results import CODES, BulrushleadError, ResultCode
+
+CONTROL_VARIABLE = "BULRUSHLEAD_CONTROL"
+KEYS_VARIABLE = "BULRUSHLEAD_KEYS"
+NOT_YET_EVERYWHERE = CODES[ResultCode.PEER_TIMEOUT].exit_code
+
+T = TypeVar("T")
+
+
+def apply(
+    file: str,
+    *,
+    control: Sequence[str] = (),
+    expected_revision: int = -1,
+    request_id: str = "",
+    force: bool = False,
+    wait: bool = False,
+    wait_ms: int = 15_000,
+    json: bool = False,
+) -> int:
+    """Put a declaration in force.
+
+    Parameters
+    ----------
+    file : str
+        TOML file with the whole declaration.
+    control : Sequence[str]
+        IP:port of the control hosts for operators; by default the words of the
+        environment variable BULRUSHLEAD_CONTROL.
+    expected_revision : int
+        Revision that the change was made from; -1 takes the accepted one, which
+        gives up the protection against other operators' changes.
+    request_id : str
+        Identifier of the change; give the same one to send a change again whose
+        answer was lost.
+    force : bool
+        Accept the risks that diff names.
+    wait : bool
+        Return only when the change is in force on every host.
+    wait_ms : int
+        How long to wait for that, in milliseconds.
+    json : bool
+        Print JSON.
+    """
+    declaration = load_declaration(file)
+
+    async def work(client: OperatorClient) -> int:
+        revision = expected_revision
+        if revision < 0:
+            revision = (await client.export()).revision
+        change_id = request_id or new_request_id()
+        reply = await client.apply(
+            declaration, revision, change_id, force, author=_author()
+        )
+        if not json:
+            print(f"revision {reply.revision} accepted (request {change_id})")
+        if not wait:
+            if json:
+                print_json(reply)
+            return 0
+        status = await client.wait_in_force(reply.revision, wait_ms)
+        behind = status.hosts_behind(reply.revision)
+        if json:
+            print_json(status)
+        elif behind:
+            print(f"not yet in force on: {', '.join(behind)}")
+        else:
+            print(f"revision {reply.revision} is in force everywhere")
+        return NOT_YET_EVERYWHERE if behind else 0
+
+    return _with_client(control, work)
+
+
+def diff(file: str, *, control: Sequence[str] = (), json: bool = False) -> int:
+    """Show what a declaration would change, and its risks.
+
+    Parameters
+    ----------
+    file : str
+        TOML file with the whole declaration.
+    control : Sequence[str]
+        IP:port of the control hosts for operators.
+    json : bool
+        Print JSON.
+    """
+    declaration = load_declaration(file)
+
+    async def work(client: OperatorClient) -> int:
+        proposed = await client.diff(declaration)
+        if json:
+            print_json(proposed)
+            return 0
+        print(f"against revision {proposed.revision}:")
+        print(proposed.changes)
+        for risk in proposed.risks:
+            print(f"risk (needs --force): {risk}")
+        return 0
+
+    return _with_client(control, work)
+
+
+def export(*, control: Sequence[str] = ()) -> int:
+    """Print the declaration that is in force, as TOML.
+
+    Parameters
+    ----------
+    control : Sequence[str]
+        IP:port of the control hosts for operators.
+    """
+
+    async def work(client: OperatorClient) -> int:
+        accepted = await client.export()
+        print(f"# revision {accepted.revision}")
+        print(dump_declaration(accepted.declaration), end="")
+        return 0
+
+    return _with_client(control, work)
+
+
+def status(*, control: Sequence[str] = (), json: bool = False) -> int:
+    """Show what is in force on each host.
+
+    Parameters
+    ----------
+    control : Sequence[str]
+        IP:port of the control hosts for operators.
+    json : bool
+        Print JSON.
+    """
+
+    async def work(client: OperatorClient) -> int:
+        cluster = await client.status()
+        if json:
+            print_json(cluster)
+        else:
+            _print_status(cluster)
+        return 0
+
+    return _with_client(control, work)
+
+
+def history(*, limit: int = 20, control: Sequence[str] = (), json: bool = False) -> int:
+    """Show the latest accepted changes, newest first.
+
+    Parameters
+    ----------
+    limit : int
+        Most changes to show.
+    control : Sequence[str]
+        IP:port of the control hosts for operators.
+    json : bool
+        Print JSON.
+    """
+
+    async def work(client: OperatorClient) -> int:
+        entries = await client.history(limit)
+        if json:
+            print_json(entries)
+            return 0
+        for entry in entries:
+            _print_entry(entry)
+        return 0
+
+    return _with_client(control, work)
+
+
+def watch(*, after_revision: int = 0, control: Sequence[str] = ()) -> int:
+    """Print each change once it is accepted, until interrupted.
+
+    Parameters
+    ----------
+    after_revision : int
+        Highest revision that is known already.
+    control : Sequence[str]
+        IP:port of the control hosts for operators.
+    """
+
+    async def work(client: OperatorClient) -> int:
+        async for entry in client.watch(after_revision):
+            _print_entry(entry)
+        return 0
+
+    return _with_client(control, work)
+
+
+def control_addresses(given: Sequence[str]) -> tuple[str, ...]:
+    """Return the control hosts' addresses of a command.
+
+    Raises
+    ------
+    BulrushleadError
+        ``USAGE`` if none are given.
+    """
+    addresses = tuple(given or os.environ.get(CONTROL_VARIABLE, "").split())
+    if not addresses:
+        raise BulrushleadError(
+            ResultCode.USAGE,
+            "no control host is named; give --control IP:port, or set "
+            f"{CONTROL_VARIABLE} to one or more, separated by spaces",
+        )
+    return addresses
+
+
+def _with_client(
+    control: Sequence[str], work: Callable[[OperatorClient], Awaitable[T]]
+) -> T:
+    addresses = control_addresses(control)
+
+    async def run() -> T:
+        client = OperatorClient(addresses, MonotonicClock(), _credentials())
+        try:
+            return await work(client)
+        finally:
+            await client.close()
+
+    return run_async(run())
+
+
+def _credentials() -> Credentials | None:
+    paths = os.environ.get(KEYS_VARIABLE, "").split(":")
+    if paths == [""]:
+        return None
+    if len(paths) != 3:
+        raise BulrushleadError(
+            ResultCode.USAGE,
+            f"{KEYS_VARIABLE} must be KEY:CERTIFICATE:AUTHORITY, three PEM files",
+        )
+    return Credentials(*paths)
+
+
+def _author() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ""
+
+
+def _print_status(cluster: ClusterStatus) -> None:
+    print(f"revision {cluster.revision}, leader {cluster.leader}, term {cluster.term}")
+    print_table(
+        ["host", "role", "in force", "lease left (ms)", "connected"],
+        [
+            (
+                host.name,
+                host.role.value,
+                host.in_force_revision,
+                round(host.lease_remaining_ms),
+                "yes" if host.connected else "no",
+            )
+            for host in cluster.hosts
+        ],
+    )
+    behind = cluster.hosts_behind(cluster.revision)
+    if behind:
+        print(f"not yet in force on: {', '.join(behind)}")
+
+
+def _print_entry(entry) -> None:
+    forced = " (forced)" if entry.force else ""
+    print(f"revision {entry.revision} by {entry.author or 'unknown'}{forced}")
+    for line in entry.summary:
+        print(f"  {line}")
--- /dev/null
+++ b/bulrushlead/control/_program.py
@@ -0,0 +1,316 @@
+"""The control program: puts its slices together."""
+
+import asyncio
+import contextlib
+import datetime
+import random
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+
+from bulrushlead.backend import BackendServer
+from bulrushlead.clock import Clock
+from bulrushlead.control._drains import StartDrain
+from bulrushlead.control._state import ControlState
+from bulrushlead.control._terms import BeginTerm
+from bulrushlead.distribution import Publisher, SyncReply, SyncRequest
+from bulrushlead.keys import (
+    AbandonHost,
+    AbandonKey,
+    ClaimKey,
+    FinishKey,
+    ListUnknownKeys,
+    ReadKey,
+    ResolveKey,
+)
+from bulrushlead.leases import LeaseSettings
+from bulrushlead.logs import Event, EventLogger
+from bulrushlead.metrics import Meters, Metric
+from bulrushlead.operators import (
+    AcceptedConfiguration,
+    ApplyDeclaration,
+    ApplyReply,
+    ClusterStatus,
+    ConfigurationState,
+    Credentials,
+    OperatorServer,
+)
+from bulrushlead.replication import FileStorage, ReplicaSettings, ReplicatedLog
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.settings import ControlSettings
+from bulrushlead.wire import (
+    ByteMeter,
+    ErrorReply,
+    MessageClient,
+    MessageServer,
+    PeerLink,
+    codec,
+)
+
+PROPOSE_TIMEOUT_MS = 1_500
+TICK_INTERVAL_MS = 200
+
+
+class ControlHost:
+    """A control host: one replica of the log and, while it leads, the leader.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the host.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of identities and election times, different in each process.
+    ssl_context_server, ssl_context_client : ssl.SSLContext, optional
+        Keys for connections between processes.
+    credentials : Credentials, optional
+        Keys for operators' calls.
+    link_to : callable, optional
+        Makes the link to the address of another control host.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        clock: Clock,
+        rng: random.Random,
+        ssl_context_server: ssl.SSLContext | None = None,
+        ssl_context_client: ssl.SSLContext | None = None,
+        credentials: Credentials | None = None,
+        link_to: Callable[[str], PeerLink] | None = None,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.ssl_context_client = ssl_context_client
+        self.meters = Meters()
+        self.meter = ByteMeter()
+        self.state = ControlState()
+        self.log = ReplicatedLog(
+            self._replica_settings(),
+            clock,
+            FileStorage(settings.data_folder),
+            link_to or self._link_to,
+            self.state,
+            rng,
+        )
+        self.publisher = Publisher(
+            clock,
+            self.log.is_leader,
+            LeaseSettings(lease_ms=settings.lease_ms),
+            settings.announcement_timeout_ms,
+        )
+        address, _, port = settings.peer_address.rpartition(":")
+        self.messages = MessageServer(
+            address, int(port), self.meter, ssl_context_server
+        )
+        address, _, port = settings.operator_address.rpartition(":")
+        self.operators = OperatorServer(
+            address, int(port), _Backend(self), credentials, clock
+        )
+        self._metrics_runner: web.AppRunner | None = None
+        self._ticker: asyncio.Task | None = None
+        self._beginning: asyncio.Task | None = None
+        self._log = EventLogger("control")
+
+    async def start(self) -> None:
+        """Read the data folder, take part in the cluster, and answer calls."""
+        self.state.configuration.add_listener(self._on_accepted)
+        self.log.watch_leadership(self._on_leadership)
+        self._register_handlers()
+        await self.messages.start()
+        await self.log.start()
+        await self.operators.start()
+        await self._start_metrics()
+        self._ticker = asyncio.create_task(self._tick())
+        self._log.write(
+            Event.PROCESS_STARTED, program="control", name=self.settings.name
+        )
+
+    async def close(self) -> None:
+        """Stop answering and leave the cluster's work to the others."""
+        self._log.write(
+            Event.PROCESS_STOPPING, program="control", name=self.settings.name
+        )
+        for task in (self._ticker, self._beginning):
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+        await self.operators.close()
+        await self.log.close()
+        await self.messages.close()
+        if self._metrics_runner is not None:
+            await self._metrics_runner.cleanup()
+        self._log.write(
+            Event.PROCESS_STOPPED, program="control", name=self.settings.name
+        )
+
+    async def propose(self, command: Any) -> Any:
+        """Append a command to the log and return its reply.
+
+        Parameters
+        ----------
+        command : message
+            A command of the replicated state.
+
+        Raises
+        ------
+        BulrushleadError
+            ``NOT_LEADER``, ``NO_QUORUM``, ``CHANGE_OUTCOME_UNKNOWN`` or the code
+            of the state's refusal.
+        """
+        data = await self.log.propose(codec.encode(command), PROPOSE_TIMEOUT_MS)
+        reply = codec.decode(data)
+        if isinstance(reply, ErrorReply):
+            raise BulrushleadError(ResultCode(reply.code), reply.detail)
+        return reply
+
+    def _replica_settings(self) -> ReplicaSettings:
+        settings = self.settings
+        return ReplicaSettings(
+            address=settings.peer_address,
+            peers=[p for p in settings.peers if p != settings.peer_address],
+            data_folder=settings.data_folder,
+            bootstrap=settings.bootstrap,
+        )
+
+    def _link_to(self, address: str) -> MessageClient:
+        return MessageClient(address, self.clock, self.meter, self.ssl_context_client)
+
+    def _register_handlers(self) -> None:
+        self.log.register(self.messages)
+        self.messages.handle(SyncRequest, self._answer_sync)
+        for command in (ClaimKey, FinishKey, AbandonKey, AbandonHost, ResolveKey):
+            self.messages.handle(command, self.propose)
+        for query in (ReadKey, ListUnknownKeys):
+            self.messages.handle(query, self._answer_key_query)
+
+    async def _answer_sync(self, request: SyncRequest) -> SyncReply:
+        return self.publisher.answer(request)
+
+    async def _answer_key_query(self, query: ReadKey | ListUnknownKeys) -> Any:
+        await self.log.read_barrier(PROPOSE_TIMEOUT_MS)
+        return self.state.keys.read(query)
+
+    def _on_accepted(self, accepted: AcceptedConfiguration) -> None:
+        self._log.write(Event.CONFIGURATION_ACCEPTED, revision=accepted.revision)
+        self.meters.set(Metric.REVISION, accepted.revision)
+        self._publish_configuration()
+
+    def _publish_configuration(self) -> None:
+        current = self.state.configuration.current
+        self.publisher.set_configuration(
+            current.revision,
+            current.declaration,
+            self.state.drains.active(current.declaration),
+        )
+
+    def _on_leadership(self, leads: bool) -> None:
+        if self._beginning is not None:
+            self._beginning.cancel()
+            self._beginning = None
+        self.publisher.stop_term()
+        if leads:
+            self._beginning = asyncio.create_task(self._begin_term(self.log.term))
+
+    async def _begin_term(self, term: int) -> None:
+        while self.log.term == term:
+            try:
+                begun = await self.propose(BeginTerm(term))
+            except BulrushleadError:
+                await self.clock.sleep_ms(TICK_INTERVAL_MS)
+                continue
+            if self.log.term == term and self.log.is_leader():
+                self.publisher.start_term(term, first=begun.first)
+                self._publish_configuration()
+            return
+
+    async def _tick(self) -> None:
+        while True:
+            await self.clock.sleep_ms(TICK_INTERVAL_MS)
+            self.publisher.tick()
+            self._set_gauges()
+            if self.log.is_leader():
+                await self._start_due_drains()
+
+    async def _start_due_drains(self) -> None:
+        declaration = self.state.configuration.current.declaration
+        now = datetime.datetime.now(datetime.UTC)
+        for drain in self.state.drains.due(declaration, now):
+            try:
+                await self.propose(StartDrain(drain.name, drain.start_at))
+            except BulrushleadError as error:
+                # The next tick, or the next leader, tries again.
+                self._log.write(
+                    Event.CONFIGURATION_REFUSED, drain=drain.name, detail=error
+                )
+                continue
+            self._log.write(
+                Event.DRAIN_STARTED,
+                drain=drain.name,
+                target=drain.target.value,
+                target_name=drain.target_name,
+            )
+            self._publish_configuration()
+
+    def _set_gauges(self) -> None:
+        self.meters.set(Metric.IS_LEADER, int(self.log.is_leader()))
+        self.meters.set(Metric.TERM, self.log.term)
+        self.meters.set(Metric.APPLIED_INDEX, self.log.last_applied)
+        self.meters.set(Metric.CONTROL_BYTES, self.meter.sent_bytes, direction="sent")
+        self.meters.set(
+            Metric.CONTROL_BYTES, self.meter.received_bytes, direction="received"
+        )
+
+    async def _start_metrics(self) -> None:
+        address, _, port = self.settings.metrics_address.rpartition(":")
+        app = web.Application()
+        app.router.add_get("/metrics", self.meters.serve)
+        self._metrics_runner = web.AppRunner(app, access_log=None)
+        await self._metrics_runner.setup()
+        await web.TCPSite(self._metrics_runner, address, int(port)).start()
+
+
+class _Backend:
+    """What operators' calls need from a control host."""
+
+    def __init__(self, host: ControlHost):
+        self.host = host
+
+    @property
+    def state(self) -> ConfigurationState:
+        """Accepted configuration on this replica."""
+        return self.host.state.configuration
+
+    async def propose(self, command: ApplyDeclaration) -> ApplyReply:
+        """Append a change to the log."""
+        return await self.host.propose(command)
+
+    async def read_barrier(self) -> None:
+        """Return once every change accepted before the call is applied here."""
+        await self.host.log.read_barrier(PROPOSE_TIMEOUT_MS)
+
+    def status(self) -> ClusterStatus:
+        """Return what is in force on each entry host."""
+        return ClusterStatus(
+            revision=self.state.current.revision,
+            leader=self.host.settings.name,
+            term=self.host.log.term,
+            hosts=self.host.publisher.statuses(),
+        )
+
+    def backend_servers(self) -> tuple[BackendServer, ...]:
+        """Return the backend servers that are announced now."""
+        return self.host.publisher.registry.table.values()
+
+    def is_leader(self) -> bool:
+        """Return whether this replica leads and holds its lease."""
+        return self.host.log.is_leader()
+
+    def leader_hint(self) -> str:
+        """Return an empty text: peers know only each other's peer address."""
+        return ""
--- /dev/null
+++ b/bulrushlead/distribution/_leader_client.py
@@ -0,0 +1,109 @@
+"""Calls to whichever control host is the leader."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from bulrushlead.clock import Clock
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.wire import PeerLink
+
+ATTEMPT_TIMEOUT_MS = 600
+PAUSE_AFTER_CYCLE_MS = 60
+
+_TRY_ANOTHER = frozenset(
+    {ResultCode.NOT_LEADER, ResultCode.NO_QUORUM, ResultCode.PEER_UNREACHABLE}
+)
+
+
+class LeaderClient:
+    """Finds the leader among the control hosts and calls it.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        Peer addresses of all control hosts.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of jitter.
+    link_to : callable
+        Makes the link to an address; the client closes the links it asked for.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        clock: Clock,
+        rng: random.Random,
+        link_to: Callable[[str], PeerLink],
+    ):
+        self.addresses = tuple(addresses)
+        self.clock = clock
+        self.rng = rng
+        self.link_to = link_to
+        self._links: dict[str, PeerLink] = {}
+        self._current = 0
+
+    async def call(self, request: Any, timeout_ms: float) -> Any:
+        """Send a request to the leader and return its reply.
+
+        Parameters
+        ----------
+        request : message
+            Any registered message.
+        timeout_ms : float
+            Time allowed in all, in milliseconds.
+
+        Raises
+        ------
+        BulrushleadError
+            ``PEER_TIMEOUT`` if a control host may have taken the request,
+            ``CONTROL_UNREACHABLE`` if none can have, or the leader's own error.
+        """
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        tried = 0
+        while (remaining_ms := deadline_ms - self.clock.now_ms()) > 0:
+            link = self._link(self.addresses[self._current])
+            try:
+                return await link.call(
+                    request, min(remaining_ms, self._attempt_timeout_ms(timeout_ms))
+                )
+            except BulrushleadError as error:
+                if error.code is ResultCode.PEER_TIMEOUT:
+                    self._advance()
+                    raise
+                if error.code not in _TRY_ANOTHER:
+                    raise
+            self._advance()
+            tried += 1
+            if tried % len(self.addresses) == 0:
+                await self._pause()
+        raise BulrushleadError(
+            ResultCode.CONTROL_UNREACHABLE,
+            f"none of {', '.join(self.addresses)} answered as leader within "
+            f"{timeout_ms:.0f} ms",
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for link in self._links.values():
+            await link.close()
+        self._links.clear()
+
+    def _link(self, address: str) -> PeerLink:
+        if address not in self._links:
+            self._links[address] = self.link_to(address)
+        return self._links[address]
+
+    def _attempt_timeout_ms(self, timeout_ms: float) -> float:
+        # A silent control host must not use up the time meant for the others.
+        if len(self.addresses) == 1:
+            return timeout_ms
+        return max(ATTEMPT_TIMEOUT_MS, timeout_ms / len(self.addresses))
+
+    def _advance(self) -> None:
+        self._current = (self._current + 1) % len(self.addresses)
+
+    async def _pause(self) -> None:
+        await self.clock.sleep_ms(PAUSE_AFTER_CYCLE_MS * (0.5 + self.rng.random()))
--- /dev/null
+++ b/bulrushlead/embedded/__init__.py
@@ -0,0 +1,16 @@
+"""A whole small deployment in one process, for a first look."""
+
+from bulrushlead.embedded._deployment import Deployment, LinkMaker, free_ports
+from bulrushlead.embedded._plan import LOOPBACK, DeploymentPlan, ServicePlan
+from bulrushlead.embedded._tour import run_requests, show_tour
+
+__all__ = [
+    "LOOPBACK",
+    "Deployment",
+    "DeploymentPlan",
+    "LinkMaker",
+    "ServicePlan",
+    "free_ports",
+    "run_requests",
+    "show_tour",
+]
--- /dev/null
+++ b/bulrushlead/entry/__init__.py
@@ -0,0 +1,21 @@
+"""The entry program: look-ups and requests of callers."""
+
+from bulrushlead.entry._limits import LinkUse, TrafficLimits
+from bulrushlead.entry._placement import Placement, PlacementRequest, Placer
+from bulrushlead.entry._program import EntryHost
+from bulrushlead.entry._refusal import build_refusal, ran_of
+from bulrushlead.entry._steering import IncomingRequest, Steering, SteeringParts
+
+__all__ = [
+    "EntryHost",
+    "IncomingRequest",
+    "LinkUse",
+    "Placement",
+    "PlacementRequest",
+    "Placer",
+    "Steering",
+    "SteeringParts",
+    "TrafficLimits",
+    "build_refusal",
+    "ran_of",
+]
--- /dev/null
+++ b/bulrushlead/entry/_refusal.py
@@ -0,0 +1,52 @@
+"""Answers for requests that are refused or have failed."""
+
+import math
+
+from aiohttp import web
+
+from bulrushlead.results import CODES, BulrushleadError, Ran, ResultCode
+
+DEFAULT_RETRY_AFTER_MS = 1_000
+
+
+def ran_of(error: BulrushleadError) -> Ran:
+    """Return whether the failed request can have run."""
+    return getattr(error, "ran", None) or CODES[error.code].ran
+
+
+def build_refusal(error: BulrushleadError) -> web.Response:
+    """Return the HTTP answer for an error.
+
+    Parameters
+    ----------
+    error : BulrushleadError
+        May carry ``ran`` and ``retry_after_ms`` of its own.
+
+    Returns
+    -------
+    aiohttp.web.Response
+        JSON with ``code``, ``name``, ``ran``, ``retry_after_ms``, ``detail``.
+    """
+    info = CODES[error.code]
+    retry_after_ms = getattr(error, "retry_after_ms", None)
+    if retry_after_ms is None:
+        retry_after_ms = DEFAULT_RETRY_AFTER_MS
+    headers = {"Bulrushlead-Code": str(error.code.value)}
+    if info.http_status in (429, 503):
+        headers["Retry-After"] = str(max(1, math.ceil(retry_after_ms / 1000)))
+    return web.json_response(
+        {
+            "code": error.code.value,
+            "name": error.code.name,
+            "ran": ran_of(error).value,
+            "retry_after_ms": round(retry_after_ms),
+            "detail": error.detail,
+        },
+        status=info.http_status,
+        headers=headers,
+    )
+
+
+def build_unexpected(error: Exception) -> web.Response:
+    """Return the HTTP answer for an error that no slice foresaw."""
+    return build_refusal(BulrushleadError(ResultCode.INTERNAL, type(error).__name__))
--- /dev/null
+++ b/bulrushlead/entry/_steering.py
@@ -0,0 +1,379 @@
+"""The way of one request through an entry host."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from multidict import CIMultiDictProxy
+
+from bulrushlead.backend import BackendServer
+from bulrushlead.clock import Clock
+from bulrushlead.declaration import Declaration, Service
+from bulrushlead.distribution import Session
+from bulrushlead.entry._limits import TrafficLimits
+from bulrushlead.entry._placement import (
+    Placement,
+    PlacementRequest,
+    PlacementSource,
+    Placer,
+)
+from bulrushlead.entry._sizes import AnswerSizes
+from bulrushlead.forwarding import (
+    REPEATABLE_METHODS,
+    ForwardAnswer,
+    Forwarder,
+    ForwardError,
+    ForwardRequest,
+    RetryBudget,
+    RetryLoop,
+)
+from bulrushlead.keys import KeyCoordinator, request_digest
+from bulrushlead.leases import LeaseHolder
+from bulrushlead.limits import AdmissionQueue, AdmissionSettings, ShiftGate
+from bulrushlead.metrics import Meters, Metric
+from bulrushlead.results import BulrushleadError, Ran, ResultCode
+from bulrushlead.routing import AttemptOutcome, Router
+
+_OUTCOMES = {
+    ResultCode.DEADLINE_EXPIRED: AttemptOutcome.TIMEOUT,
+    ResultCode.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
+    ResultCode.ANSWER_LOST: AttemptOutcome.LOST,
+    ResultCode.ANSWER_TRUNCATED: AttemptOutcome.LOST,
+    ResultCode.BACKEND_REFUSED: AttemptOutcome.REFUSED,
+}
+SERVER_ERROR_STATUS = 500
+
+
+@attrs.frozen
+class IncomingRequest:
+    """A caller's request as an entry host received it.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    method, path_qs : str
+        Method and target that the backend server receives.
+    headers : CIMultiDictProxy
+        The caller's headers.
+    body : bytes
+        The whole body.
+    caller_address : str
+        IP number of the caller.
+    timeout_ms : float or None
+        The caller's remaining time; None means the service's own.
+    idempotency_key : str or None
+        Key of a request that must run at most once.
+    """
+
+    service: str
+    method: str
+    path_qs: str
+    headers: CIMultiDictProxy[str]
+    body: bytes
+    caller_address: str
+    timeout_ms: float | None
+    idempotency_key: str | None
+
+
+@attrs.frozen
+class SteeringParts:
+    """What steering works with.
+
+    Parameters
+    ----------
+    session, holder, limits, router, placer, forwarder, keys, meters
+        Parts of the entry host.
+    region_of : callable
+        Takes a caller's address, returns its home region or an empty text.
+    """
+
+    session: Session
+    holder: LeaseHolder
+    limits: TrafficLimits
+    router: Router
+    placer: Placer
+    forwarder: Forwarder
+    keys: KeyCoordinator
+    meters: Meters
+    region_of: Callable[[str], str]
+
+
+class Steering:
+    """Takes requests, places them, and returns complete answers.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    region : str
+        Region of this host.
+    parts : SteeringParts
+        What it works with.
+    admission : AdmissionSettings, optional
+        Bounds of the queues.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        region: str,
+        parts: SteeringParts,
+        admission: AdmissionSettings | None = None,
+    ):
+        self.clock = clock
+        self.region = region
+        self.parts = parts
+        self.admission = admission or AdmissionSettings()
+        self._services: dict[str, Service] = {}
+        self._queues: dict[str, AdmissionQueue] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._sizes = AnswerSizes()
+
+    def set_configuration(self, declaration: Declaration) -> None:
+        """Take over the services of a new configuration."""
+        self._services = {service.name: service for service in declaration.services}
+        for name in self._services:
+            if name not in self._queues:
+                self._queues[name] = AdmissionQueue(self.clock, self.admission)
+                self._budgets[name] = RetryBudget()
+        for name in self._queues.keys() - self._services.keys():
+            self._queues.pop(name).close()
+            del self._budgets[name]
+
+    def wake(self) -> None:
+        """Let waiting requests try again; slots or limits may have changed."""
+        for queue in self._queues.values():
+            queue.wake()
+
+    def running(self) -> int:
+        """Return how many requests have a place now."""
+        return sum(queue.running() for queue in self._queues.values())
+
+    def close(self) -> None:
+        """Refuse what waits and what comes."""
+        for queue in self._queues.values():
+            queue.close()
+
+    async def serve(self, incoming: IncomingRequest) -> ForwardAnswer:
+        """Return the complete answer to a caller's request.
+
+        Parameters
+        ----------
+        incoming : IncomingRequest
+            The request.
+
+        Returns
+        -------
+        ForwardAnswer
+            From a backend server, or recorded under the same key.
+
+        Raises
+        ------
+        BulrushleadError
+            The refusal or failure; its ``ran`` says whether it can have run.
+        """
+        service = self._check(incoming)
+        deadline_ms = self._deadline_ms(incoming, service)
+        if incoming.idempotency_key is None:
+            return await self._steer(incoming, service, deadline_ms)
+        return await self.parts.keys.run(
+            incoming.idempotency_key,
+            service.name,
+            request_digest(incoming.method, incoming.path_qs, incoming.body),
+            lambda: self._steer(incoming, service, deadline_ms),
+            deadline_ms,
+        )
+
+    def _check(self, incoming: IncomingRequest) -> Service:
+        if not self.parts.session.is_valid():
+            raise BulrushleadError(
+                ResultCode.NO_LEASE,
+                "this entry host has no valid lease from control; use another one",
+            )
+        service = self._services.get(incoming.service)
+        if service is None:
+            raise BulrushleadError(
+                ResultCode.UNKNOWN_SERVICE,
+                f"service {incoming.service!r:.80} is not declared",
+            )
+        return service
+
+    def _deadline_ms(self, incoming: IncomingRequest, service: Service) -> float:
+        timeout_ms = incoming.timeout_ms
+        if timeout_ms is None:
+            timeout_ms = service.timeout_ms
+        # Control counts on no request outliving the declared duration.
+        return self.clock.now_ms() + min(timeout_ms, service.max_duration_ms)
+
+    async def _steer(
+        self, incoming: IncomingRequest, service: Service, deadline_ms: float
+    ) -> ForwardAnswer:
+        home_region = self.parts.region_of(incoming.caller_address) or self.region
+        gate = self.parts.limits.choose_shift(service.name, home_region)
+        target_region = gate.shift.to_region if gate else home_region
+        if gate is not None:
+            self.parts.meters.count(Metric.SHIFTED_TOTAL, shift=gate.shift.name)
+        if not self.parts.placer.has_servers(service.name):
+            raise BulrushleadError(
+                ResultCode.NO_BACKEND_SERVER,
+                f"no backend server of service {service.name!r} takes new work",
+            )
+        source = self._source(incoming, service, target_region, deadline_ms)
+        queue = self._queues[service.name]
+        ticket = await self._admit(queue, service, target_region, source)
+        started_ms = self.clock.now_ms()
+        answer = None
+        try:
+            answer = await self._forward(incoming, source, ticket.slot, deadline_ms)
+            return answer
+        finally:
+            spent_ms = self.clock.now_ms() - started_ms
+            queue.leave(ticket, spent_ms if answer is not None else None)
+            self._observe_shifts(service, home_region, gate, spent_ms, answer)
+
+    def _source(
+        self,
+        incoming: IncomingRequest,
+        service: Service,
+        target_region: str,
+        deadline_ms: float,
+    ) -> PlacementSource:
+        request = PlacementRequest(
+            service=service,
+            target_region=target_region,
+            request_bytes=self._sizes.request_bytes(incoming.headers, incoming.body),
+            answer_bytes=self._sizes.expected(service),
+            deadline_ms=deadline_ms,
+            arrived_at_ms=self.clock.now_ms(),
+            repeatable=incoming.method in REPEATABLE_METHODS,
+        )
+        return PlacementSource(self.parts.placer, request)
+
+    async def _admit(
+        self,
+        queue: AdmissionQueue,
+        service: Service,
+        region: str,
+        source: PlacementSource,
+    ):
+        admitting = asyncio.ensure_future(
+            queue.admit(
+                service.request_class, source.request.deadline_ms, source, region
+            )
+        )
+        try:
+            await asyncio.sleep(0)
+            if not admitting.done():
+                self._note_demand(queue, service, region)
+            return await admitting
+        except asyncio.CancelledError:
+            admitting.cancel()
+            raise
+        finally:
+            self.parts.holder.note_demand(
+                service.name, region, queue.waiting_in(region)
+            )
+
+    def _note_demand(self, queue: AdmissionQueue, service: Service, region: str):
+        self.parts.holder.note_demand(service.name, region, queue.waiting_in(region))
+        self.parts.session.kick()
+
+    async def _forward(
+        self,
+        incoming: IncomingRequest,
+        source: PlacementSource,
+        placement: Placement,
+        deadline_ms: float,
+    ) -> ForwardAnswer:
+        attempts = _Attempts(self, source, placement)
+        request = ForwardRequest(
+            method=incoming.method,
+            path_qs=incoming.path_qs,
+            headers=incoming.headers,
+            body=incoming.body,
+            deadline_ms=deadline_ms,
+            idempotency_key=incoming.idempotency_key,
+            repeatable=incoming.method in REPEATABLE_METHODS,
+        )
+        service = source.request.service
+        loop = RetryLoop(attempts.send, self._budgets[service.name], self.clock)
+        answer = await loop.run(placement.server, request, attempts.pick)
+        source.sent_bytes = source.request.request_bytes
+        source.received_bytes = self._sizes.note_answer(service, answer)
+        return answer
+
+    def _observe_shifts(
+        self,
+        service: Service,
+        home_region: str,
+        gate: ShiftGate | None,
+        spent_ms: float,
+        answer: ForwardAnswer | None,
+    ) -> None:
+        ok = answer is not None and answer.status < SERVER_ERROR_STATUS
+        if gate is not None:
+            gate.observe(spent_ms, ok, shifted=True)
+            return
+        for other in self.parts.limits.gates_of(service.name, home_region):
+            other.observe(spent_ms, ok, shifted=False)
+
+
+class _Attempts:
+    """Attempts at one request, each in the placement it needs.
+
+    The placement object is the one that the admission ticket holds; a retry
+    moves it to another server, so that the ticket returns what is held last.
+    """
+
+    def __init__(
+        self, steering: Steering, source: PlacementSource, placement: Placement
+    ):
+        self.steering = steering
+        self.source = source
+        self.placement = placement
+
+    async def send(
+        self, server: BackendServer, request: ForwardRequest
+    ) -> ForwardAnswer:
+        """Make one attempt at the server of the present placement."""
+        parts = self.steering.parts
+        if not parts.holder.may_start(self.placement.token):
+            raise ForwardError(
+                ResultCode.NO_LEASE,
+                "the lease ran out before the request was sent; use another host",
+                Ran.NO,
+            )
+        clock = self.steering.clock
+        started_ms = clock.now_ms()
+        outcome = AttemptOutcome.CANCELLED
+        parts.router.begin(server.name)
+        try:
+            answer = await parts.forwarder.forward(server, request)
+            failed = answer.status >= SERVER_ERROR_STATUS
+            outcome = AttemptOutcome.ERROR if failed else AttemptOutcome.SUCCESS
+            return answer
+        except ForwardError as error:
+            outcome = _OUTCOMES.get(error.code, AttemptOutcome.ERROR)
+            if outcome is AttemptOutcome.LOST:
+                self.placement.in_doubt_until_ms = request.deadline_ms
+            raise
+        finally:
+            parts.router.end(server.name, clock.now_ms() - started_ms, outcome)
+
+    def pick(self, tried: frozenset[str]) -> BackendServer | None:
+        """Move the placement to another server, if there is a place."""
+        parts = self.steering.parts
+        other = parts.placer.place(self.source.request, tried)
+        if other is None:
+            return None
+        parts.placer.release(
+            self.placement,
+            self.source.request.request_bytes,
+            self.source.request.answer_bytes,
+        )
+        self.placement.move_to(other)
+        parts.meters.count(
+            Metric.RETRIES_TOTAL, service=self.source.request.service.name
+        )
+        return other.server
--- a/bulrushlead/keys/_coordinator.py
+++ b/bulrushlead/keys/_coordinator.py
@@ -180,7 +180,13 @@
             run.answer = await run.attempt()
         except Exception as error:
             run.error = error
-            await self._calls.record_and_wait(self._failed(run, error))
+            end = self._failed(run, error)
+            if end.outcome is KeyOutcome.NOT_RUN:
+                # The caller must be told before the record lets a resend run,
+                # else it could hear "not run" after the resend has run.
+                self._calls.record(end)
+            else:
+                await self._calls.record_and_wait(end)
             raise
         else:
             await self._calls.record_and_wait(self._answered(run))
--- /dev/null
+++ b/bulrushlead/metrics/_catalogue.py
@@ -0,0 +1,94 @@
+"""The catalogue of metrics."""
+
+from enum import Enum
+
+import attrs
+
+
+class Metric(Enum):
+    """Names of all metrics, with their unit as suffix."""
+
+    REQUESTS_TOTAL = "bulrushlead_requests_total"
+    REQUEST_DURATION_MS = "bulrushlead_request_duration_ms"
+    LOOKUPS_TOTAL = "bulrushlead_lookups_total"
+    ANNOUNCEMENTS_TOTAL = "bulrushlead_announcements_total"
+    RETRIES_TOTAL = "bulrushlead_retries_total"
+    SHIFTED_TOTAL = "bulrushlead_shifted_requests_total"
+    CONTROL_BYTES = "bulrushlead_control_bytes"
+    REVISION = "bulrushlead_configuration_revision"
+    LEASE_REMAINING_MS = "bulrushlead_lease_remaining_ms"
+    SLOTS = "bulrushlead_slots"
+    IS_LEADER = "bulrushlead_is_leader"
+    TERM = "bulrushlead_term"
+    APPLIED_INDEX = "bulrushlead_applied_index"
+
+
+class MetricKind(Enum):
+    """How a metric moves."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@attrs.frozen
+class MetricInfo:
+    """What a metric measures.
+
+    Parameters
+    ----------
+    kind : MetricKind
+        How it moves.
+    summary : str
+        One sentence for the catalogue.
+    labels : tuple of str
+        Names of its labels.
+    """
+
+    kind: MetricKind
+    summary: str
+    labels: tuple[str, ...] = ()
+
+
+_M, _K = Metric, MetricKind
+
+METRICS: dict[Metric, MetricInfo] = {
+    _M.REQUESTS_TOTAL: MetricInfo(
+        _K.COUNTER, "Requests answered, by result code.", ("service", "code")
+    ),
+    _M.REQUEST_DURATION_MS: MetricInfo(
+        _K.HISTOGRAM, "Time from request to answer in milliseconds.", ("service",)
+    ),
+    _M.LOOKUPS_TOTAL: MetricInfo(
+        _K.COUNTER, "Look-ups answered, by result code.", ("code",)
+    ),
+    _M.ANNOUNCEMENTS_TOTAL: MetricInfo(
+        _K.COUNTER, "Reports of backend servers taken.", ("service",)
+    ),
+    _M.RETRIES_TOTAL: MetricInfo(_K.COUNTER, "Further attempts.", ("service",)),
+    _M.SHIFTED_TOTAL: MetricInfo(
+        _K.COUNTER, "Requests that a shift moved.", ("shift",)
+    ),
+    _M.CONTROL_BYTES: MetricInfo(
+        _K.GAUGE, "Bytes of control traffic since the start.", ("direction",)
+    ),
+    _M.REVISION: MetricInfo(_K.GAUGE, "Configuration revision in force here."),
+    _M.LEASE_REMAINING_MS: MetricInfo(_K.GAUGE, "Rest of the lease, milliseconds."),
+    _M.SLOTS: MetricInfo(
+        _K.GAUGE, "Slots of backend servers held.", ("service", "state")
+    ),
+    _M.IS_LEADER: MetricInfo(_K.GAUGE, "1 while this replica is the leader."),
+    _M.TERM: MetricInfo(_K.GAUGE, "Term of the replicated log."),
+    _M.APPLIED_INDEX: MetricInfo(_K.GAUGE, "Last applied index of the log."),
+}
+
+
+def render_metrics() -> str:
+    """Return the Markdown table of all metrics."""
+    rows = ["| metric | kind | labels | meaning |", "| --- | --- | --- | --- |"]
+    rows += [
+        f"| `{metric.value}` | {info.kind.value} | {', '.join(info.labels)} "
+        f"| {info.summary} |"
+        for metric, info in METRICS.items()
+    ]
+    return "\n".join(rows) + "\n"
--- a/bulrushlead/routing/_router.py
+++ b/bulrushlead/routing/_router.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Sequence
 
-from bulrushlead.backend import Announcement
+from bulrushlead.backend import Announcement, BackendServer
 from bulrushlead.clock import Clock
 from bulrushlead.declaration import Link
 from bulrushlead.logs import Event, EventLogger
@@ -138,6 +138,13 @@
         """Drop what is known of a server that has gone."""
         self._book.forget(server_name)
 
+    def is_trusted(self, server: BackendServer) -> bool:
+        """Return whether neither the server nor its zone is distrusted."""
+        if self._book.zone(server.service, server.availability_zone).trial is not None:
+            return False
+        signals = self._book.find(server.name)
+        return signals is None or signals.distrust is Distrust.NONE
+
     def status(self) -> tuple[ServerStatus, ...]:
         """Return what is known of each server, by name."""
         now_ms = self.clock.now_ms()
--- a/bulrushlead/wire/__init__.py
+++ b/bulrushlead/wire/__init__.py
@@ -1,6 +1,6 @@
 """Typed CBOR messages between the system's processes, over websockets."""
 
-from bulrushlead.wire._client import MessageClient
+from bulrushlead.wire._client import MessageClient, PeerLink
 from bulrushlead.wire._codec import (
     MAX_MESSAGE_BYTES,
     MessageCodec,
@@ -10,6 +10,7 @@
 from bulrushlead.wire._messages import ErrorReply
 from bulrushlead.wire._meter import ByteMeter
 from bulrushlead.wire._server import MessageServer
+from bulrushlead.wire._tls import client_context, server_context
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
@@ -18,6 +19,9 @@
     "MessageClient",
     "MessageCodec",
     "MessageServer",
+    "PeerLink",
+    "client_context",
     "codec",
     "message",
+    "server_context",
 ]
--- a/bulrushlead/wire/_client.py
+++ b/bulrushlead/wire/_client.py
@@ -4,7 +4,7 @@
 import contextlib
 import itertools
 import ssl
-from typing import Any
+from typing import Any, Protocol
 
 import websockets.asyncio.client
 from websockets.exceptions import WebSocketException
@@ -19,6 +19,18 @@
 CONNECT_TIMEOUT_MS = 1_000
 
 
+class PeerLink(Protocol):
+    """Way to one other process."""
+
+    async def call(self, request: Any, timeout_ms: float) -> Any:
+        """Send a request and return its reply; see ``MessageClient.call``."""
+        ...
+
+    async def close(self) -> None:
+        """Close the connection."""
+        ...
+
+
 class MessageClient:
     """Sends calls to one process and matches its replies.
 
--- /dev/null
+++ b/bulrushlead/wire/_tls.py
@@ -0,0 +1,57 @@
+"""Contexts for encrypted connections between processes."""
+
+import ssl
+from typing import Protocol
+
+from bulrushlead.results import BulrushleadError, ResultCode
+
+
+class KeyFiles(Protocol):
+    """PEM files of one process."""
+
+    certificate_file: str
+    key_file: str
+    authority_file: str
+
+
+def server_context(files: KeyFiles) -> ssl.SSLContext:
+    """Return a context that accepts only callers with a signed certificate.
+
+    Raises
+    ------
+    BulrushleadError
+        ``SETTINGS_UNREADABLE`` if a file cannot be used.
+    """
+    return _load(ssl.PROTOCOL_TLS_SERVER, files)
+
+
+def client_context(files: KeyFiles) -> ssl.SSLContext:
+    """Return a context that shows this process's certificate.
+
+    The server's certificate must be signed by the authority. Its name is not
+    compared, since processes are reached by IP number and hosts move.
+
+    Raises
+    ------
+    BulrushleadError
+        ``SETTINGS_UNREADABLE`` if a file cannot be used.
+    """
+    context = _load(ssl.PROTOCOL_TLS_CLIENT, files)
+    context.check_hostname = False
+    return context
+
+
+def _load(protocol: int, files: KeyFiles) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    try:
+        context.load_cert_chain(files.certificate_file, files.key_file)
+        context.load_verify_locations(files.authority_file)
+    except (OSError, ssl.SSLError) as error:
+        raise BulrushleadError(
+            ResultCode.SETTINGS_UNREADABLE,
+            f"tls files {files.certificate_file!r}, {files.key_file!r}, "
+            f"{files.authority_file!r}: {error}; name readable PEM files",
+        ) from error
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
