--- a/bulrushlead/limits/tests/test_admission.py
+++ b/bulrushlead/limits/tests/test_admission.py
@@ -163,6 +163,13 @@
     await bench.settle()
     assert not blocked.done()
     assert passing.done()
+    behind = bench.ask(slots=other, lane="fes")
+    await bench.settle()
+    other.free = 1
+    bench.queue.wake()
+    await bench.settle()
+    assert behind.done()
+    assert not blocked.done()
     full.free = 1
     bench.queue.wake()
     await bench.settle()
@@ -185,6 +192,29 @@
     assert bench.queue.running() == 0
 
 
+async def test_a_slot_goes_past_a_caller_who_has_just_left():
+    bench = Bench()
+    ticket = await bench.ask()
+    waiting, behind = bench.ask(), bench.ask()
+    await bench.settle()
+    waiting.cancel()
+    bench.queue.leave(ticket)
+    await bench.settle()
+    assert waiting.cancelled()
+    assert behind.done()
+
+
+async def test_no_request_starts_that_would_end_too_late():
+    bench = Bench(initial_service_ms=50.0, sweep_interval_ms=1_000.0)
+    ticket = await bench.ask()
+    waiting = bench.ask(budget_ms=110.0)
+    await bench.settle()
+    bench.queue.wake()
+    await bench.settle(70)
+    bench.queue.leave(ticket)
+    assert (await refusal(waiting)).code is ResultCode.OVERLOADED
+
+
 async def test_closing_refuses_everything_that_waits_and_comes():
     bench = Bench()
     await bench.ask()
--- a/bulrushlead/limits/tests/test_shift.py
+++ b/bulrushlead/limits/tests/test_shift.py
@@ -69,7 +69,8 @@
 
 
 def test_what_the_rate_held_back_is_not_made_up_for():
-    clock, _, gate = build(cap=50.0, rate=1)
+    clock, _, gate = build(cap=50.0, rate=1_000)
+    gate.set_rate(1)
     assert sum(gate.choose() for _ in range(20)) == 1
     move(clock, 1_000)
     gate.set_rate(1_000)
--- a/bulrushlead/limits/tests/test_window.py
+++ b/bulrushlead/limits/tests/test_window.py
@@ -6,7 +6,7 @@
 from bulrushlead.clock import ManualClock
 from bulrushlead.limits import LinkBudget, RateWindow
 
-STEPS_MS = st.sampled_from((0, 1, 3, 9, 11, 90, 500, 999, 1_000))
+STEPS_MS = st.sampled_from((0, 1, 3, 8, 9, 11, 90, 500, 999, 1_000))
 
 
 def move(clock, duration_ms):
@@ -36,6 +36,8 @@
         move(clock, step_ms)
         if window.try_take(amount):
             taken.append((clock.now_ms(), amount))
+        kept = sum(one for at, one in taken if at > clock.now_ms() - 1_010)
+        assert window.used() <= kept
     assert worst_window(taken) <= limit
 
 
@@ -74,6 +76,15 @@
         assert window.try_take(amount)
 
 
+def test_a_steady_trickle_leaves_the_window():
+    clock = ManualClock()
+    window = RateWindow(clock, 1_000)
+    for _ in range(1_000):
+        move(clock, 5)
+        window.try_take()
+    assert window.used() <= 202
+
+
 def test_memory_of_a_window_is_bounded():
     clock = ManualClock()
     window = RateWindow(clock, 1_000_000)
@@ -113,7 +124,7 @@
     link = LinkBudget(clock, 100)
     reservation = link.reserve(10)
     link.settle(reservation, 150)
-    link.settle(reservation, 150)
+    link.settle(reservation, 200)
     assert link.used_bytes() == 150
     assert link.reserve(1) is None
     move(clock, 1_000)
