Add the policy experiment and the deadline-chance policy

Cause: the policy must be chosen by measurement, and the paper's idea (rank by the expected number of good results above a cut-off, from a distribution fitted by moments) is to be tried as a chance of answering in time.

--- /dev/null
+++ b/benchmarks/policies.py
@@ -0,0 +1,193 @@
+"""Compares routing policies on the same arrivals, service times and faults.
+
+Run ``python -m benchmarks.policies --help`` from the root of the project.
+"""
+
+import json
+from collections.abc import Sequence
+from pathlib import Path
+
+import attrs
+import defopt
+import logbook
+
+from benchmarks.policy_experiment import (
+    COLD_FACTOR,
+    DURATION_MS,
+    FAULT_MS,
+    MAX_WAIT_MS,
+    MEAN_SERVICE_MS,
+    RECOVERY_MS,
+    SERVERS_PER_ZONE,
+    SERVICE_SIGMA,
+    SLOTS,
+    SLOW_FACTOR,
+    ZONES,
+    Experiment,
+    RunResult,
+    Scenario,
+)
+from bulrushlead.routing import (
+    DeadlineChance,
+    LatencyAware,
+    LeastReportedLoad,
+    Policy,
+    PowerOfTwoChoices,
+    RandomChoice,
+    RoundRobin,
+    RouterSettings,
+)
+
+LOADS_PERCENT = (50, 80, 95, 120, 200)
+FAULT_LOAD_PERCENT = 80
+FULL_SCENARIOS = (Scenario.HEALTHY, Scenario.SLOW_TENTH)
+RESULTS = Path("benchmarks/results")
+# The policy alone, without trust, zones or ramps.
+PLAIN = RouterSettings(distrust=False)
+JUDGING = RouterSettings()
+
+
+@attrs.frozen
+class Contender:
+    """A policy and how it is run."""
+
+    label: str
+    policy: Policy
+    settings: RouterSettings
+    knows_slots: bool = True
+
+
+CONTENDERS = (
+    Contender("round robin, queue at servers", RoundRobin(), PLAIN, False),
+    Contender("round robin", RoundRobin(), PLAIN),
+    Contender("random", RandomChoice(), PLAIN),
+    Contender("least reported load", LeastReportedLoad(), PLAIN),
+    Contender("two choices", PowerOfTwoChoices(), PLAIN),
+    Contender("latency aware", LatencyAware(), PLAIN),
+    Contender("two choices, judged", PowerOfTwoChoices(), JUDGING),
+    Contender("latency aware, judged", LatencyAware(), JUDGING),
+    Contender("deadline chance, judged", DeadlineChance(), JUDGING),
+    Contender("2x median chance, judged", DeadlineChance(2, 2.0), JUDGING),
+)
+
+
+def loads_of(scenario: Scenario) -> Sequence[int]:
+    """Return the offered loads at which a scenario is run, in percent."""
+    return LOADS_PERCENT if scenario in FULL_SCENARIOS else (FAULT_LOAD_PERCENT,)
+
+
+def render(results: Sequence[RunResult], command: str) -> str:
+    """Return the Markdown page of results."""
+    lines = [
+        "# Routing policies",
+        "",
+        f"`{command}`. One router, {len(ZONES)} zones with {SERVERS_PER_ZONE} fake "
+        f"servers of {SLOTS} slots, log-normal service times with a mean of "
+        f"{MEAN_SERVICE_MS:g} ms, a queue of at most {MAX_WAIT_MS:g} ms in front. "
+        f"The fault begins at {FAULT_MS / 1e3:g} s of {DURATION_MS / 1e3:g} s; the "
+        "figures are of requests that arrive after that, and a failed one counts as "
+        "its whole deadline. Slow: "
+        f"{SLOW_FACTOR:g} times; cold: {COLD_FACTOR:g} times, until warm; the dead "
+        f"zone returns at {RECOVERY_MS / 1e3:g} s. Sick: share of attempts that went "
+        "to servers with the fault. Several seeds: the median of each figure.",
+        "",
+    ]
+    keys = dict.fromkeys((one.scenario, one.load_percent) for one in results)
+    for scenario, load_percent in keys:
+        lines += [f"## {scenario}, {load_percent} % load", ""]
+        lines.append(
+            "| policy | p50 ms | p99 ms | p99.9 ms | refused % | failed % | sick % |"
+        )
+        lines.append("| --- | ---: | ---: | ---: | ---: | ---: | ---: |")
+        rows = [
+            one
+            for one in results
+            if (one.scenario, one.load_percent) == (scenario, load_percent)
+        ]
+        for label in dict.fromkeys(one.policy for one in rows):
+            lines.append(_row(label, [one for one in rows if one.policy == label]))
+        lines.append("")
+    return "\n".join(lines)
+
+
+def _row(label: str, runs: Sequence[RunResult]) -> str:
+    names = ("p50_ms", "p99_ms", "p999_ms", "refused_percent", "failed_percent")
+    cells = []
+    for name in (*names, "sick_percent"):
+        values = sorted(getattr(run, name) for run in runs)
+        cells.append(f"{values[len(values) // 2]:g}")
+    return f"| {label} | " + " | ".join(cells) + " |"
+
+
+def main(
+    *,
+    seeds: Sequence[int] = (1, 2, 3),
+    scenarios: Sequence[Scenario] = tuple(Scenario),
+    loads: Sequence[int] = (),
+    only: str = "",
+    sigma: float = SERVICE_SIGMA,
+    output: str = "",
+):
+    """Run the comparison and print the results.
+
+    Parameters
+    ----------
+    seeds
+        Seeds of the runs.
+    scenarios
+        What goes wrong.
+    loads
+        Offered loads in percent; the default depends on the scenario.
+    only
+        Run only policies whose label contains this text.
+    sigma
+        Standard deviation of the logarithm of service times.
+    output
+        Name of the result files below benchmarks/results; empty writes none.
+    """
+    results = []
+    for scenario in scenarios:
+        for load_percent in loads or loads_of(scenario):
+            for contender in CONTENDERS:
+                if only in contender.label:
+                    results += _run(contender, scenario, load_percent, seeds, sigma)
+    command = "python -m benchmarks.policies --seeds " + " ".join(map(str, seeds))
+    if len(scenarios) < len(Scenario):
+        command += " --scenarios " + " ".join(one.name for one in scenarios)
+    if sigma != SERVICE_SIGMA:
+        command += f" --sigma {sigma:g}"
+    if loads:
+        command += " --loads " + " ".join(map(str, loads))
+    page = render(results, command)
+    print(page)
+    if output:
+        rows = [attrs.asdict(result) for result in results]
+        text = json.dumps({"command": command, "results": rows}, indent=1)
+        (RESULTS / f"{output}.json").write_text(text + "\n")
+        (RESULTS / f"{output}.md").write_text(page + "\n")
+
+
+def _run(
+    contender: Contender,
+    scenario: Scenario,
+    load_percent: int,
+    seeds: Sequence[int],
+    sigma: float,
+) -> list[RunResult]:
+    with logbook.NullHandler():
+        return [
+            Experiment(
+                contender.policy,
+                contender.settings,
+                scenario,
+                load_percent / 100,
+                seed,
+                sigma,
+                contender.knows_slots,
+            ).run(contender.label)
+            for seed in seeds
+        ]
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/bulrushlead/routing/__init__.py
+++ b/bulrushlead/routing/__init__.py
@@ -10,6 +10,7 @@
     ServerStatus,
 )
 from bulrushlead.routing._policies import (
+    DeadlineChance,
     LatencyAware,
     LeastReportedLoad,
     Policy,
@@ -23,6 +24,7 @@
 __all__ = [
     "AttemptOutcome",
     "Candidate",
+    "DeadlineChance",
     "Distrust",
     "LatencyAware",
     "LeastReportedLoad",
--- /dev/null
+++ b/bulrushlead/routing/_gamma.py
@@ -0,0 +1,71 @@
+"""Gamma distribution fitted by moments."""
+
+import math
+
+MAX_TERMS = 200
+TOLERANCE = 1e-9
+TINY = 1e-300
+
+
+def gamma_cdf_by_moments(x: float, mean: float, variance: float) -> float:
+    """Return the chance that a variate with these moments is at most ``x``.
+
+    Parameters
+    ----------
+    x : float
+        Cut-off, in the unit of the mean.
+    mean : float
+        Mean of the distribution, above 0.
+    variance : float
+        Variance; without any the distribution is a step at the mean.
+
+    Returns
+    -------
+    float
+        Value of the distribution function, 0 to 1.
+    """
+    if x <= 0:
+        return 0.0
+    if variance <= TOLERANCE * mean * mean:
+        return float(x >= mean)
+    shape = mean * mean / variance
+    return _regularised_lower(shape, x * mean / variance)
+
+
+def _regularised_lower(shape: float, x: float) -> float:
+    log_weight = shape * math.log(x) - x - math.lgamma(shape)
+    if x < shape + 1.0:
+        return min(1.0, math.exp(log_weight) * _series(shape, x))
+    return max(0.0, 1.0 - math.exp(log_weight) * _fraction(shape, x))
+
+
+def _series(shape: float, x: float) -> float:
+    term = total = 1.0 / shape
+    for index in range(1, MAX_TERMS):
+        term *= x / (shape + index)
+        total += term
+        if term < total * TOLERANCE:
+            break
+    return total
+
+
+def _fraction(shape: float, x: float) -> float:
+    """Evaluate the continued fraction by the modified Lentz method."""
+    b = x + 1.0 - shape
+    c = 1.0 / TINY
+    d = 1.0 / b
+    value = d
+    for index in range(1, MAX_TERMS):
+        a = -index * (index - shape)
+        b += 2.0
+        d = 1.0 / _away_from_zero(a * d + b)
+        c = _away_from_zero(b + a / c)
+        factor = c * d
+        value *= factor
+        if abs(factor - 1.0) < TOLERANCE:
+            break
+    return value
+
+
+def _away_from_zero(value: float) -> float:
+    return value if abs(value) > TINY else TINY
--- a/bulrushlead/routing/_policies.py
+++ b/bulrushlead/routing/_policies.py
@@ -1,5 +1,6 @@
 """Policies: which of the allowed backend servers gets a request."""
 
+import math
 import random
 from collections.abc import Sequence
 from functools import singledispatch
@@ -7,6 +8,7 @@
 import attrs
 
 from bulrushlead.backend import BackendServer
+from bulrushlead.routing._gamma import gamma_cdf_by_moments
 from bulrushlead.routing._signals import ServerSignals
 
 MIN_SUCCESS_RATE = 0.05
@@ -91,10 +93,46 @@
     n_choices: int = 2
 
 
+@attrs.frozen
+class DeadlineChance(Policy):
+    """Of a few random servers the one most likely to answer in time.
+
+    Latency is taken as gamma distributed with the observed moments.
+
+    Parameters
+    ----------
+    n_choices : int
+        How many random servers are compared.
+    target_factor : float
+        Cut-off as a multiple of the median latency of the region, if that is
+        sooner than the deadline. 0 means the deadline alone.
+    """
+
+    n_choices: int = 2
+    target_factor: float = 0.0
+
+
+@attrs.define(eq=False)
+class PickContext:
+    """What a choice may depend on besides the options.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of random numbers.
+    now_ms : float
+        The current time.
+    remaining_ms : float
+        Time left until the request's deadline.
+    """
+
+    rng: random.Random
+    now_ms: float
+    remaining_ms: float = math.inf
+
+
 @singledispatch
-def pick(
-    policy: Policy, options: Sequence[Option], rng: random.Random, now_ms: float
-) -> Choice:
+def pick(policy: Policy, options: Sequence[Option], context: PickContext) -> Choice:
     """Choose one of the options.
 
     Parameters
@@ -103,10 +141,8 @@
         How to choose.
     options : sequence of Option
         What may be chosen, at least one.
-    rng : random.Random
-        Source of random numbers.
-    now_ms : float
-        The current time.
+    context : PickContext
+        Random numbers, time and deadline.
 
     Returns
     -------
@@ -117,41 +153,66 @@
 
 
 @pick.register
-def _(policy: RoundRobin, options, rng, now_ms):
+def _(policy: RoundRobin, options, context):
     option = min(options, key=lambda one: one.signals.last_chosen)
     return Choice(option, float(option.signals.last_chosen))
 
 
 @pick.register
-def _(policy: RandomChoice, options, rng, now_ms):
-    return Choice(rng.choice(options), 0.0)
+def _(policy: RandomChoice, options, context):
+    return Choice(context.rng.choice(options), 0.0)
 
 
 @pick.register
-def _(policy: LeastReportedLoad, options, rng, now_ms):
+def _(policy: LeastReportedLoad, options, context):
     def load(option: Option) -> float:
         return option.signals.reported_load or 0.0
 
     lowest = min(load(option) for option in options)
     equal = [option for option in options if load(option) == lowest]
-    return Choice(rng.choice(equal), lowest)
+    return Choice(context.rng.choice(equal), lowest)
 
 
 @pick.register
-def _(policy: PowerOfTwoChoices, options, rng, now_ms):
-    sampled = _sample(options, 2, rng)
+def _(policy: PowerOfTwoChoices, options, context):
+    sampled = _sample(options, 2, context.rng)
     option = min(sampled, key=lambda one: one.signals.in_flight)
     return Choice(option, float(option.signals.in_flight))
 
 
 @pick.register
-def _(policy: LatencyAware, options, rng, now_ms):
-    sampled = _sample(options, policy.n_choices, rng)
-    scores = [latency_score(option, now_ms) for option in sampled]
+def _(policy: LatencyAware, options, context):
+    sampled = _sample(options, policy.n_choices, context.rng)
+    scores = [latency_score(option, context.now_ms) for option in sampled]
     best = min(range(len(sampled)), key=scores.__getitem__)
     return Choice(sampled[best], scores[best])
 
 
+@pick.register
+def _(policy: DeadlineChance, options, context):
+    sampled = _sample(options, policy.n_choices, context.rng)
+    scores = [1.0 - _chance(policy, option, context) for option in sampled]
+    best = min(
+        range(len(sampled)),
+        key=lambda index: (scores[index], sampled[index].signals.in_flight),
+    )
+    return Choice(sampled[best], scores[best])
+
+
+def _chance(policy: DeadlineChance, option: Option, context: PickContext) -> float:
+    signals = option.signals
+    cut_ms = context.remaining_ms
+    if policy.target_factor > 0:
+        cut_ms = min(cut_ms, policy.target_factor * option.baseline_ms)
+    mean_ms = signals.latency_ms(context.now_ms, option.baseline_ms)
+    if mean_ms <= 0 or math.isinf(cut_ms):
+        return 1.0 - signals.error_rate
+    in_time = gamma_cdf_by_moments(
+        cut_ms - option.extra_latency_ms, mean_ms, signals.latency.variance_ms2
+    )
+    return in_time * (1.0 - signals.error_rate)
+
+
 def latency_score(option: Option, now_ms: float) -> float:
     """Return latency times load over success rate and ramp, in milliseconds."""
     signals = option.signals
--- a/bulrushlead/routing/_selector.py
+++ b/bulrushlead/routing/_selector.py
@@ -9,7 +9,7 @@
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.routing._book import SignalBook
 from bulrushlead.routing._model import Distrust, RouteReason, RouteRequest
-from bulrushlead.routing._policies import Choice, Option, Policy, pick
+from bulrushlead.routing._policies import Choice, Option, PickContext, Policy, pick
 from bulrushlead.routing._settings import RouterSettings
 
 
@@ -110,11 +110,11 @@
             return self._pick_near(pool, request, place)
         spare = trusted + [option for option in distrusted if _can_overflow(option)]
         if spare:
-            return self._pick(_nearest(spare, regions)), RouteReason.OVERFLOW
+            return self._pick(_nearest(spare, regions), request), RouteReason.OVERFLOW
         # Distrusted servers get work only when no trusted one could take it
         # later: refusing everything would be worse than spreading it.
         if free and not any(option.signals.is_trusted for option in options):
-            return self._pick(_nearest(free, regions)), RouteReason.SPREAD
+            return self._pick(_nearest(free, regions), request), RouteReason.SPREAD
         raise _no_server(request, len(options), len(free))
 
     def _select_blindly(
@@ -159,13 +159,15 @@
         limit = self.settings.spill_utilisation * (in_flight + free)
         return near if in_flight < limit else pool
 
-    def _pick(self, pool: list[Option]) -> Choice:
-        return pick(self.policy, pool, self.rng, self.clock.now_ms())
+    def _pick(self, pool: list[Option], request: RouteRequest) -> Choice:
+        now_ms = self.clock.now_ms()
+        context = PickContext(self.rng, now_ms, request.deadline_ms - now_ms)
+        return pick(self.policy, pool, context)
 
     def _pick_near(
         self, pool: list[Option], request: RouteRequest, place: Place
     ) -> tuple[Choice, RouteReason]:
-        choice = self._pick(pool)
+        choice = self._pick(pool, request)
         server = choice.option.server
         if server.region != request.home_region:
             return choice, RouteReason.OTHER_REGION
--- a/bulrushlead/routing/tests/test_trust.py
+++ b/bulrushlead/routing/tests/test_trust.py
@@ -2,6 +2,7 @@
 
 from bulrushlead.routing import (
     AttemptOutcome,
+    DeadlineChance,
     Distrust,
     LatencyAware,
     LeastReportedLoad,
@@ -176,6 +177,8 @@
         LeastReportedLoad(),
         PowerOfTwoChoices(),
         LatencyAware(),
+        DeadlineChance(),
+        DeadlineChance(target_factor=2.0),
     ],
 )
 async def test_every_policy_serves_all_when_all_is_well(policy):
