--- a/bulrushlead/routing/_selector.py
+++ b/bulrushlead/routing/_selector.py
@@ -8,8 +8,8 @@
 from bulrushlead.clock import Clock
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.routing._book import SignalBook
-from bulrushlead.routing._model import Distrust, RouteReason, RouteRequest
-from bulrushlead.routing._policies import Choice, Option, Policy, pick
+from bulrushlead.routing._model import RouteReason, RouteRequest
+from bulrushlead.routing._policies import Choice, Option, PickContext, Policy, pick
 from bulrushlead.routing._settings import RouterSettings
 
 
@@ -31,8 +31,8 @@
     """Divides candidates into tiers and lets the policy pick from the first.
 
     The tiers are: a trial that is due; trusted servers of the nearest region;
-    servers that are slow, or cold and already busy; and, if no candidate is
-    trusted at all, every server.
+    trusted ones that are cold and already busy; and, if no candidate is trusted
+    at all, every server.
 
     Parameters
     ----------
@@ -108,13 +108,13 @@
             pool = _nearest(ready, regions)
             pool = self._prefer_own_zone(pool, options, place)
             return self._pick_near(pool, request, place)
-        spare = trusted + [option for option in distrusted if _can_overflow(option)]
-        if spare:
-            return self._pick(_nearest(spare, regions)), RouteReason.OVERFLOW
+        if trusted:
+            pool = _nearest(trusted, regions)
+            return self._pick(pool, request), RouteReason.OVERFLOW
         # Distrusted servers get work only when no trusted one could take it
         # later: refusing everything would be worse than spreading it.
         if free and not any(option.signals.is_trusted for option in options):
-            return self._pick(_nearest(free, regions)), RouteReason.SPREAD
+            return self._pick(_nearest(free, regions), request), RouteReason.SPREAD
         raise _no_server(request, len(options), len(free))
 
     def _select_blindly(
@@ -159,13 +159,15 @@
         limit = self.settings.spill_utilisation * (in_flight + free)
         return near if in_flight < limit else pool
 
-    def _pick(self, pool: list[Option]) -> Choice:
-        return pick(self.policy, pool, self.rng, self.clock.now_ms())
+    def _pick(self, pool: list[Option], request: RouteRequest) -> Choice:
+        now_ms = self.clock.now_ms()
+        context = PickContext(self.rng, now_ms, request.deadline_ms - now_ms)
+        return pick(self.policy, pool, context)
 
     def _pick_near(
         self, pool: list[Option], request: RouteRequest, place: Place
     ) -> tuple[Choice, RouteReason]:
-        choice = self._pick(pool)
+        choice = self._pick(pool, request)
         server = choice.option.server
         if server.region != request.home_region:
             return choice, RouteReason.OTHER_REGION
@@ -174,12 +176,6 @@
         return choice, RouteReason.OWN_ZONE
 
 
-def _can_overflow(option: Option) -> bool:
-    """Return whether a distrusted server answers, if only slowly."""
-    signals = option.signals
-    return signals.distrust is Distrust.SLOW and not signals.zone.is_failing
-
-
 def _nearest(options: Sequence[Option], regions: Sequence[str]) -> list[Option]:
     """Return the options of the first region that has any."""
     rank = {region: index for index, region in enumerate(regions)}
