Run random schedules of faults over the replicated log

Cause: single sequences do not show what two faults at once do.

Change: seeded schedules on drifting manual clocks drop, delay, duplicate, reorder and cut messages, lose power between any two steps of a disk, wipe disks and let replicas join again, and check after every step that no two leaders share a term or a time, that logs match, that applied entries agree and that reads and the final state hold every accepted change. BULRUSHLEAD_SCHEDULES and BULRUSHLEAD_FIRST_SEED run more of them.

--- /dev/null
+++ b/bulrushlead/replication/tests/schedule.py
@@ -0,0 +1,201 @@
+"""Seeded random schedules of faults, with safety checked after every step."""
+
+import random
+
+from bulrushlead.replication.tests.cluster import Cluster, DriftingClock
+from bulrushlead.results import BulrushleadError
+
+FAULTS_MS = 3_000
+MAX_DRIFT = 0.05
+SIZES = (3, 3, 3, 5)
+
+
+class Schedule:
+    """One run of a cluster under random faults."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.cluster = Cluster(
+            self.rng.choice(SIZES),
+            seed,
+            snapshot_threshold_entries=self.rng.choice((5, 20, 100)),
+            snapshot_trailing_entries=self.rng.choice((0, 2, 10)),
+            snapshot_chunk_bytes=1024,
+        )
+        self.nodes = list(self.cluster.nodes.values())
+        for node in self.nodes:
+            rate = 1 + self.rng.uniform(-MAX_DRIFT, MAX_DRIFT)
+            offset_ms = self.rng.uniform(0, 10_000)
+            node.clock = DriftingClock(self.cluster.clock, rate, offset_ms)
+            node.storage.before_run = self.wait_for_disk
+            node.storage.before_step = self.maybe_lose_power(node)
+        self.fault_share = self.rng.choice((0.0, 0.002, 0.02))
+        self.power_losses = False
+        self.term_leaders = {}
+        self.entries = {}
+        self.accepted = []
+        self.proposed = 0
+
+    async def run(self):
+        cluster = self.cluster
+        await cluster.start()
+        await cluster.wait_settled()
+        self.power_losses = True
+        self.make_network_bad()
+        end_ms = cluster.clock.now_ms() + FAULTS_MS
+        while cluster.clock.now_ms() < end_ms:
+            await self.act()
+            await self.run_checked(self.rng.uniform(1, 60))
+        self.power_losses = False
+        await self.heal()
+
+    async def run_checked(self, duration_ms):
+        clock = self.cluster.clock
+        end_ms = clock.now_ms() + duration_ms
+        while clock.now_ms() < end_ms:
+            await self.cluster.step()
+            self.check()
+
+    def make_network_bad(self):
+        network = self.cluster.network
+        network.drop_share = self.rng.choice((0.0, 0.02, 0.1))
+        network.duplicate_share = self.rng.choice((0.0, 0.1))
+        network.delay_ms = (1, self.rng.choice((2, 10, 60)))
+
+    async def wait_for_disk(self):
+        if self.rng.random() < 0.3:
+            await self.cluster.clock.sleep_ms(self.rng.uniform(0, 10))
+
+    def maybe_lose_power(self, node):
+        def lose_power(step, name):
+            if self.power_losses and self.rng.random() < self.fault_share:
+                raise OSError(f"power lost before {step} {name}")
+
+        return lose_power
+
+    async def act(self):
+        actions = [
+            (self.propose, 10),
+            (self.read, 4),
+            (self.cut, 2),
+            (self.mend, 4),
+            (self.crash, 1),
+            (self.wipe, 1),
+            (self.restart, 6),
+        ]
+        weights = [weight for _, weight in actions]
+        (action, _) = self.rng.choices(actions, weights)[0]
+        await action()
+
+    async def propose(self):
+        for _ in range(self.rng.choice((1, 1, 5))):
+            node = self.rng.choice(self.cluster.leaders or self.cluster.alive or [None])
+            if node is not None:
+                self.proposed += 1
+                change = b"change %d" % self.proposed
+                self.cluster.spawn(self.propose_to(node.log, change))
+
+    async def propose_to(self, log, change):
+        try:
+            await log.propose(change, 500)
+        except BulrushleadError:
+            return
+        self.accepted.append(change)
+
+    async def read(self):
+        for node in self.cluster.alive:
+            self.cluster.spawn(self.read_from(node.log, node.machine))
+
+    async def read_from(self, log, machine):
+        accepted = list(self.accepted)
+        try:
+            await log.read_barrier(200)
+        except BulrushleadError:
+            return
+        missing = set(accepted) - set(machine.commands)
+        self.require(not missing, f"a read misses {missing}")
+
+    async def cut(self):
+        network = self.cluster.network
+        node = self.rng.choice(self.nodes)
+        if self.rng.random() < 0.4:
+            self.cluster.isolate(node)
+        else:
+            other = self.rng.choice(self.cluster.others(node))
+            network.cut.add((node.address, other.address))
+
+    async def mend(self):
+        self.cluster.network.cut.clear()
+
+    async def crash(self):
+        self.rng.choice(self.nodes).crash(self.rng)
+
+    async def wipe(self):
+        node = self.rng.choice(self.nodes)
+        if self.may_wipe(node):
+            node.wipe()
+
+    def may_wipe(self, node):
+        """Return whether every set of voters keeps a quorum of its disks."""
+        disks = set().union(*(n.disk_ids for n in self.nodes if n is not node))
+        views = [n.members_seen() for n in self.nodes]
+        return all(
+            sum(voter in disks for voter in voters) > len(voters) // 2
+            for voters in views
+            if voters
+        )
+
+    async def restart(self):
+        down = [n for n in self.nodes if not n.alive or n.log.failure]
+        if down:
+            await self.start(self.rng.choice(down))
+
+    async def start(self, node):
+        node.crash(self.rng)
+        try:
+            await self.cluster.result(node.start())
+        except BulrushleadError:
+            node.crash(self.rng)
+
+    async def heal(self):
+        network = self.cluster.network
+        network.cut.clear()
+        network.drop_share = network.duplicate_share = 0.0
+        network.delay_ms = (1, 2)
+        for node in self.nodes:
+            if not node.alive or node.log.failure:
+                await self.start(node)
+        await self.cluster.propose(b"last")
+        await self.cluster.wait_settled()
+        self.check()
+        final = self.nodes[0].machine.commands
+        for node in self.nodes:
+            self.require(node.machine.commands == final, "states differ")
+        final = [change for change in final if change != b"last"]
+        self.require(len(set(final)) == len(final), "a change was applied twice")
+        missing = set(self.accepted) - set(final)
+        self.require(not missing, f"accepted changes are lost: {missing}")
+
+    def check(self):
+        leaders = self.cluster.leaders
+        self.require(len(leaders) <= 1, "two leaders hold a lease at once")
+        for node in self.cluster.alive:
+            replica = node.log._replica
+            if replica.leadership is not None:
+                known = self.term_leaders.setdefault(
+                    replica.leadership.term, replica.replica_id
+                )
+                self.require(known == replica.replica_id, "two leaders in one term")
+            self.check_entries(replica.journal)
+
+    def check_entries(self, journal):
+        """Two logs that agree on an entry agree on the one before it too."""
+        for entry in journal._entries[-4:]:
+            previous_term = journal.term_at(entry.index - 1)
+            found = (entry, previous_term)
+            known = self.entries.setdefault((entry.index, entry.term), found)
+            if known != found:
+                raise AssertionError(f"logs differ: {known} and {found}")
+
+    def require(self, holds, fault):
+        assert holds, fault
--- /dev/null
+++ b/bulrushlead/replication/tests/test_schedules.py
@@ -0,0 +1,35 @@
+"""Random schedules of faults; more of them by an environment variable.
+
+``BULRUSHLEAD_SCHEDULES=5000 BULRUSHLEAD_FIRST_SEED=1000`` runs the seeds from 1000
+to 5999. A failure names its seed.
+"""
+
+import asyncio
+import os
+
+import pytest
+import uvloop
+
+from bulrushlead.replication.tests.schedule import Schedule
+
+GROUPS = 10
+SCHEDULES = int(os.environ.get("BULRUSHLEAD_SCHEDULES", "200"))
+FIRST_SEED = int(os.environ.get("BULRUSHLEAD_FIRST_SEED", "0"))
+
+
+async def run_schedule(seed):
+    schedule = Schedule(seed)
+    try:
+        await schedule.run()
+    except Exception as error:
+        pytest.fail(f"seed {seed}: {error!r}")
+    finally:
+        await schedule.cluster.close()
+
+
+@pytest.mark.timeout(max(120, SCHEDULES))
+@pytest.mark.parametrize("group", range(GROUPS))
+def test_no_schedule_breaks_safety(group):
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        for seed in range(FIRST_SEED + group, FIRST_SEED + SCHEDULES, GROUPS):
+            runner.run(run_schedule(seed))
--- a/bulrushlead/replication/tests/test_sequences.py
+++ b/bulrushlead/replication/tests/test_sequences.py
@@ -191,6 +191,18 @@
     assert_all_hold(cluster, [b"a", b"b"])
 
 
+async def test_lease_counts_from_when_a_message_was_sent(cluster):
+    leader = await cluster.start()
+    delay_ms = 45
+    cluster.network.delay_ms = (delay_ms, delay_ms)
+    await cluster.run_for(1_000)
+    assert leader.log.is_leader()
+    cluster.isolate(leader)
+    # The last acknowledged message was sent two delays before the cut.
+    await cluster.run_for(LEASE_MS - 2 * delay_ms + 1)
+    assert not leader.log.is_leader()
+
+
 async def test_returning_replica_does_not_depose_the_leader(cluster):
     leader = await cluster.start()
     term = leader.log.term
