--- a/bulrushlead/replication/_applier.py
+++ b/bulrushlead/replication/_applier.py
@@ -15,6 +15,7 @@
     from bulrushlead.replication._replica import Replica
 
 ENTRIES_PER_TURN = 256  # then other tasks run
+MAX_KEPT_THRESHOLDS = 8  # of snapshot_threshold_entries, for transfers in progress
 
 
 @attrs.define(eq=False)
@@ -144,9 +145,7 @@
 
     def _compact(self) -> None:
         replica, journal = self.replica, self.replica.journal
-        last = 0 if journal.snapshot is None else journal.snapshot.header.index
-        settings = replica.settings
-        if replica.last_applied - last < settings.snapshot_threshold_entries:
+        if not self._is_compaction_due():
             return
         data = self.state_machine.snapshot()
         header = SnapshotHeader(
@@ -156,7 +155,7 @@
             size_bytes=len(data),
             checksum=checksum_of(data),
         )
-        journal.compact(Snapshot(header, data), settings.snapshot_trailing_entries)
+        journal.compact(Snapshot(header, data), self._trailing_entries())
         replica.log.write(
             Event.SNAPSHOT_WRITTEN,
             replica_id=replica.replica_id,
@@ -164,6 +163,33 @@
             size_bytes=header.size_bytes,
         )
 
+    def _is_compaction_due(self) -> bool:
+        replica, journal = self.replica, self.replica.journal
+        last = 0 if journal.snapshot is None else journal.snapshot.header.index
+        entries = replica.last_applied - last
+        settings = replica.settings
+        if entries >= settings.snapshot_threshold_entries:
+            return True
+        return (
+            entries > 0 and journal.entries_bytes >= settings.snapshot_threshold_bytes
+        )
+
+    def _trailing_entries(self) -> int:
+        """Return how many entries to keep behind a new snapshot.
+
+        Entries that follow a snapshot on its way to a peer are kept, so that the
+        peer need not begin with another one.
+        """
+        replica, settings = self.replica, self.replica.settings
+        if replica.journal.entries_bytes >= settings.snapshot_threshold_bytes:
+            return 0
+        trailing = settings.snapshot_trailing_entries
+        if replica.leadership is not None:
+            needed_index = replica.leadership.oldest_transfer_index()
+            trailing = max(trailing, replica.last_applied - needed_index)
+        most = settings.snapshot_threshold_entries * MAX_KEPT_THRESHOLDS
+        return min(trailing, most)
+
     def _log_members(self, entry: LogEntry) -> None:
         members = self.replica.journal.members_at(entry.index).members
         self.replica.log.write(
--- a/bulrushlead/replication/_follower.py
+++ b/bulrushlead/replication/_follower.py
@@ -70,6 +70,9 @@
             return SnapshotReply(replica.term)
         self._follow(chunk)
         if chunk.header.index <= replica.last_applied:
+            # As a former leader this replica may have applied what other disks
+            # hold and its own does not yet.
+            await replica.journal.sync()
             return SnapshotReply(replica.term, installed=True)
         snapshot = self._collect(chunk)
         if snapshot is None:
--- a/bulrushlead/replication/_journal.py
+++ b/bulrushlead/replication/_journal.py
@@ -53,6 +53,8 @@
     ----------
     durable_index : int
         Last entry known to be on the disk.
+    entries_bytes : int
+        Size of the payloads of the entries that are held.
     failure : BulrushleadError or None
         Why nothing more is written.
     """
@@ -73,6 +75,7 @@
         self.snapshot: Snapshot | None = None
         self.durable_index = 0
         self.failure: BulrushleadError | None = None
+        self.entries_bytes = 0
         self._entries: list[LogEntry] = []
         self._member_history = [_MembersAt(0, Members())]
         self._pending: list[bytes] = []
@@ -105,7 +108,11 @@
         try:
             generation = await self.storage.run(lambda: self._recover(new_replica_id))
         except OSError as error:
+            self.storage.close()
             raise _storage_failed(error) from error
+        except BulrushleadError:
+            self.storage.close()
+            raise
         if generation.torn_bytes:
             self._log.write(
                 Event.TAIL_REPAIRED,
@@ -184,6 +191,7 @@
             if entry.index <= self.last_index:
                 self._truncate(entry.index)
             self._entries.append(entry)
+            self.entries_bytes += len(entry.payload)
             if entry.kind is EntryKind.MEMBERS:
                 members = codec.decode(entry.payload)
                 self._member_history.append(_MembersAt(entry.index, members))
@@ -194,7 +202,7 @@
         self.snapshot = snapshot
         base_index = max(self.base_index, snapshot.header.index - trailing_entries)
         base_term = self.term_at(base_index)
-        del self._entries[: base_index - self.base_index]
+        self._delete(0, base_index - self.base_index)
         self.base_index, self.base_term = base_index, base_term
         self._forget_members_before(snapshot)
         self._request_rewrite()
@@ -203,9 +211,9 @@
         """Take over the snapshot of another replica in place of older entries."""
         header = snapshot.header
         if self.term_at(header.index) == header.term:
-            del self._entries[: header.index - self.base_index]
+            self._delete(0, header.index - self.base_index)
         else:
-            self._entries.clear()
+            self._delete(0, len(self._entries))
             self._member_history.clear()
             self.durable_index = self._in_flight_index = 0
         self.base_index, self.base_term = header.index, header.term
@@ -255,6 +263,7 @@
         self.base_term = generation.base_term
         self.snapshot = generation.snapshot
         self._entries = generation.entries
+        self.entries_bytes = sum(len(entry.payload) for entry in self._entries)
         self.durable_index = self._in_flight_index = self.last_index
         for entry in self._entries:
             if entry.kind is EntryKind.MEMBERS:
@@ -268,12 +277,17 @@
         self._wake.set()
 
     def _truncate(self, index: int) -> None:
-        del self._entries[index - self.base_index - 1 :]
+        self._delete(index - self.base_index - 1, len(self._entries))
         while self._member_history[-1].index >= index:
             self._member_history.pop()
         self.durable_index = min(self.durable_index, index - 1)
         self._in_flight_index = min(self._in_flight_index, index - 1)
 
+    def _delete(self, first: int, end: int) -> None:
+        removed = self._entries[first:end]
+        self.entries_bytes -= sum(len(entry.payload) for entry in removed)
+        del self._entries[first:end]
+
     def _forget_members_before(self, snapshot: Snapshot) -> None:
         header = snapshot.header
         later = [at for at in self._member_history if at.index > header.index]
--- a/bulrushlead/replication/_leadership.py
+++ b/bulrushlead/replication/_leadership.py
@@ -77,6 +77,11 @@
         peer = self._peers.get(replica_id)
         return None if peer is None else peer.replicator.progress
 
+    def oldest_transfer_index(self) -> float:
+        """Return the index of the oldest snapshot on its way to a peer."""
+        indexes = [p.replicator.transfer_index for p in self._peers.values()]
+        return min(indexes, default=math.inf)
+
     def lease_until_ms(self) -> float:
         """Return when the lease runs out, in milliseconds of the own clock.
 
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -32,6 +32,7 @@
 from bulrushlead.wire import MessageServer
 
 MAX_COMMAND_BYTES = 1024 * 1024
+MAX_UNCOMMITTED_ENTRIES = 10_000
 
 
 class ReplicatedLog:
@@ -146,6 +147,13 @@
                 "allowed, split the change",
             )
         leadership = self._membership.require_leadership()
+        replica = self._replica
+        waiting = replica.journal.last_index - replica.commit_index
+        if waiting >= MAX_UNCOMMITTED_ENTRIES:
+            raise BulrushleadError(
+                ResultCode.NO_QUORUM,
+                f"{waiting} changes wait for a quorum already; try again later",
+            )
         entry = leadership.append(EntryKind.COMMAND, command)
         return await self._applier.wait_result(entry, timeout_ms)
 
--- a/bulrushlead/replication/_peer.py
+++ b/bulrushlead/replication/_peer.py
@@ -8,6 +8,7 @@
 import attrs
 
 from bulrushlead.logs import Event
+from bulrushlead.replication._generation import Snapshot
 from bulrushlead.replication._messages import (
     AppendReply,
     AppendRequest,
@@ -69,11 +70,18 @@
         self.leadership = leadership
         self.member = member
         self.progress = progress
+        self._snapshot: Snapshot | None = None
         self._snapshot_offset_bytes = 0
-        self._snapshot_index = 0
         self._stalled = False
         self._wake = asyncio.Event()
 
+    @property
+    def transfer_index(self) -> float:
+        """Index of the snapshot on its way to the peer, infinite without one."""
+        if self._snapshot is None or self._stalled:
+            return math.inf
+        return self._snapshot.header.index
+
     def wake(self) -> None:
         """Send now what there is to send."""
         self._wake.set()
@@ -110,6 +118,7 @@
     def _next_request(self) -> AppendRequest | SnapshotChunk:
         if self.progress.next_index <= self.replica.journal.base_index:
             return self._next_chunk()
+        self._snapshot = None
         return self._next_append()
 
     def _next_append(self) -> AppendRequest:
@@ -132,10 +141,11 @@
         )
 
     def _next_chunk(self) -> SnapshotChunk:
-        snapshot = self.replica.journal.snapshot
-        if snapshot.header.index != self._snapshot_index:
-            self._snapshot_index = snapshot.header.index
+        if self._snapshot is None:
+            # It stays the same until it is installed, even if a newer one exists.
+            self._snapshot = self.replica.journal.snapshot
             self._snapshot_offset_bytes = 0
+        snapshot = self._snapshot
         offset = self._snapshot_offset_bytes
         return SnapshotChunk(
             cluster_id=self.replica.cluster_id,
@@ -173,6 +183,7 @@
     def _take_snapshot_reply(self, request: SnapshotChunk, reply: SnapshotReply):
         self._snapshot_offset_bytes = reply.next_offset_bytes
         if reply.installed:
+            self._snapshot = None
             self._take_match(request.header.index)
 
     def _take_match(self, index: int) -> None:
@@ -183,12 +194,8 @@
     def _is_up_to_date(self) -> bool:
         return self.progress.next_index > self.replica.journal.last_index
 
-    def _position(self) -> tuple[int, int, int]:
-        return (
-            self.progress.next_index,
-            self._snapshot_index,
-            self._snapshot_offset_bytes,
-        )
+    def _position(self) -> tuple[int, int]:
+        return self.progress.next_index, self._snapshot_offset_bytes
 
     def _note_stalled(self, error: BulrushleadError) -> None:
         if not self._stalled:
--- a/bulrushlead/replication/_settings.py
+++ b/bulrushlead/replication/_settings.py
@@ -7,6 +7,7 @@
 MAX_PEERS = 15
 MAX_LEASE_SHARE = 0.9  # of the shortest election time-out; the rest is clock drift
 MIN_HEARTBEATS_PER_LEASE = 3
+MAX_PART_BYTES = 2 * 1024 * 1024  # of a message, whose limit is 4 MiB
 
 
 def _invalid(key: str, value: object, allowed: str) -> BulrushleadError:
@@ -25,6 +26,14 @@
     return check
 
 
+def _between(minimum: int, maximum: int):
+    def check(instance, attribute, value):
+        if not isinstance(value, int) or not minimum <= value <= maximum:
+            raise _invalid(attribute.name, value, f"{minimum} to {maximum}")
+
+    return check
+
+
 def _check_address(instance, attribute, value):
     if not _is_address(value):
         raise _invalid(attribute.name, value, "host:port by IP number")
@@ -77,6 +86,8 @@
         Time allowed for one call to a peer, in milliseconds.
     snapshot_threshold_entries : int, default=2000
         Applied entries after which a snapshot is written.
+    snapshot_threshold_bytes : int, default=8 MiB
+        Bytes of commands in the log after which a snapshot is written.
     snapshot_trailing_entries : int, default=500
         Entries kept behind a snapshot for replicas that are a little late.
     append_bytes : int, default=512 KiB
@@ -102,10 +113,15 @@
     election_max_ms: float = attrs.field(default=1400, validator=_at_least(1))
     call_timeout_ms: float = attrs.field(default=300, validator=_at_least(1))
     snapshot_threshold_entries: int = attrs.field(default=2000, validator=_at_least(1))
+    snapshot_threshold_bytes: int = attrs.field(
+        default=8 * 1024 * 1024, validator=_at_least(1024)
+    )
     snapshot_trailing_entries: int = attrs.field(default=500, validator=_at_least(0))
-    append_bytes: int = attrs.field(default=512 * 1024, validator=_at_least(1024))
+    append_bytes: int = attrs.field(
+        default=512 * 1024, validator=_between(1024, MAX_PART_BYTES)
+    )
     snapshot_chunk_bytes: int = attrs.field(
-        default=256 * 1024, validator=_at_least(1024)
+        default=256 * 1024, validator=_between(1024, MAX_PART_BYTES)
     )
 
     def __attrs_post_init__(self):
--- a/bulrushlead/replication/tests/test_sequences.py
+++ b/bulrushlead/replication/tests/test_sequences.py
@@ -196,6 +196,10 @@
     delay_ms = 45
     cluster.network.delay_ms = (delay_ms, delay_ms)
     await cluster.run_for(1_000)
+    delivered = []
+    cluster.network.on_message = lambda *message: delivered.append(message)
+    await cluster.run_until(lambda: delivered)
+    await cluster.run_for(delay_ms)
     assert leader.log.is_leader()
     cluster.isolate(leader)
     # The last acknowledged message was sent two delays before the cut.
@@ -280,3 +284,65 @@
         await cluster.run_for(400)
         await cluster.result(log.remove_member(new_id, 1000))
     await cluster.close()
+
+
+async def test_new_leader_does_not_read_before_it_knows_what_is_committed(cluster):
+    leader = await cluster.start()
+    await cluster.propose(b"a")
+    leader.crash()
+
+    def elected():
+        return [n for n in cluster.alive if n.log._replica.leadership is not None]
+
+    await cluster.run_until(elected)
+    node = elected()[0]
+    with pytest.raises(BulrushleadError) as caught:
+        await node.log.read_barrier(100)
+    assert caught.value.code is ResultCode.NO_QUORUM
+    await cluster.wait_leader()
+    await cluster.result(node.log.read_barrier(100))
+    assert node.machine.commands == [b"a"]
+
+
+async def test_entry_of_an_earlier_term_is_committed_only_with_one_of_its_own():
+    cluster = Cluster(append_bytes=1024)
+    leader = await cluster.start()
+    keeper, other = cluster.others(leader)
+    cluster.network.cut |= {(leader.address, other.address)}
+    cluster.network.cut |= {(keeper.address, leader.address)}
+    large = b"x" * 2000  # so that the next entry travels in another message
+    cluster.spawn(leader.log.propose(large, 5_000)).add_done_callback(
+        lambda task: task.exception()
+    )
+    await cluster.run_until(lambda: keeper.log._replica.journal.entries_bytes > 2000)
+    leader.crash()
+    cluster.network.cut.clear()
+    await cluster.run_until(lambda: keeper.log._replica.leadership is not None)
+    replica = keeper.log._replica
+    own_index, seen = replica.leadership.first_index, set()
+    while replica.commit_index < own_index:
+        seen.add(replica.commit_index)
+        await cluster.step()
+    assert own_index - 1 not in seen
+    await cluster.close()
+
+
+async def test_learners_do_not_count():
+    cluster = Cluster(size=5)
+    newcomers = [cluster.nodes.popitem()[1] for _ in range(2)]
+    leader = await cluster.start()
+    voters = cluster.others(leader)
+    for newcomer in newcomers:
+        cluster.nodes[newcomer.address] = newcomer
+        await newcomer.start(bootstrap=False)
+        await cluster.result(leader.log.add_learner(newcomer.address, 1000))
+    await cluster.run_for(500)
+    for voter in voters:
+        cluster.network.cut_off(voter.address, [leader.address])
+        cluster.network.cut_off(voter.address, [n.address for n in newcomers])
+    with pytest.raises(BulrushleadError) as caught:
+        await cluster.result(leader.log.propose(b"one voter, two learners", 400))
+    assert caught.value.code is ResultCode.CHANGE_OUTCOME_UNKNOWN
+    assert not leader.log.is_leader()
+    assert await cluster.propose(b"two voters") in voters
+    await cluster.close()
--- a/bulrushlead/replication/tests/test_storage.py
+++ b/bulrushlead/replication/tests/test_storage.py
@@ -276,6 +276,36 @@
     assert vote.result().granted
 
 
+async def test_snapshot_is_used_only_once_it_is_on_the_disk(cluster):
+    leader = await cluster.start()
+    late = cluster.others(leader)[0]
+    late.crash()
+    changes = [b"change %d" % number for number in range(30)]
+    for change in changes:
+        await cluster.propose(change)
+    await late.start()
+    gate = Gate(cluster, late)
+    await cluster.run_for(1_000)
+    assert late.machine.commands == []
+    gate.is_open = True
+    await cluster.wait_settled()
+    assert late.machine.commands == changes
+
+
+async def test_membership_waits_for_the_change_before(cluster):
+    leader = await cluster.start()
+    first, second = cluster.others(leader)
+    gate = Gate(cluster, first, second)
+    remove = leader.log.remove_member
+    with pytest.raises(BulrushleadError) as caught:
+        await cluster.result(remove(first.log.replica_id, 20))
+    assert caught.value.code is ResultCode.CHANGE_OUTCOME_UNKNOWN
+    with pytest.raises(BulrushleadError, match="not committed yet") as caught:
+        await cluster.result(remove(second.log.replica_id, 20))
+    assert caught.value.code is ResultCode.MEMBERSHIP_REFUSED
+    gate.is_open = True
+
+
 def test_unused_storage_needs_no_folder(tmp_path):
     settings = ReplicaSettings("127.0.0.1:1", data_folder=str(tmp_path / "absent"))
     ReplicatedLog(settings, Cluster().clock, MemoryStorage(), None, None, None)
