Test that a stalled leader notices the end of its lease

Change: a test that moves the clock without waking any task, as when a process was suspended, and asks the leader to answer.

Conclusion: the check on each answer is needed beside the watching task.

--- a/bulrushlead/replication/tests/test_sequences.py
+++ b/bulrushlead/replication/tests/test_sequences.py
@@ -191,6 +191,17 @@
     assert_all_hold(cluster, [b"a", b"b"])
 
 
+async def test_stalled_leader_knows_that_its_lease_is_over(cluster):
+    """A process that was suspended checks the clock before its tasks run again."""
+    leader = await cluster.start()
+    cluster.clock._now_ms += LEASE_MS
+    assert not leader.log.is_leader()
+    for call in (leader.log.propose(b"x", 100), leader.log.read_barrier(100)):
+        with pytest.raises(BulrushleadError) as caught:
+            await call
+        assert caught.value.code is ResultCode.NO_QUORUM
+
+
 async def test_lease_counts_from_when_a_message_was_sent(cluster):
     leader = await cluster.start()
     delay_ms = 45
