--- a/bulrushlead/forwarding/tests/conftest.py
+++ b/bulrushlead/forwarding/tests/conftest.py
@@ -6,7 +6,7 @@
 from multidict import CIMultiDict
 
 from bulrushlead.backend import BackendServer, SampleServer, SampleServerSettings
-from bulrushlead.clock import MonotonicClock
+from bulrushlead.clock import ManualClock, MonotonicClock
 from bulrushlead.forwarding import Forwarder, ForwarderSettings, ForwardRequest
 
 CLOCK = MonotonicClock()
@@ -90,6 +90,15 @@
     await forwarder.close()
 
 
+@pytest.fixture
+async def timed_forwarder():
+    """Forwarder whose deadlines pass only when the test moves the clock."""
+    forwarder = Forwarder(ManualClock())
+    await forwarder.start()
+    yield forwarder
+    await forwarder.close()
+
+
 @pytest.fixture
 async def raw_server():
     started = []
--- a/bulrushlead/forwarding/tests/test_forwarder.py
+++ b/bulrushlead/forwarding/tests/test_forwarder.py
@@ -162,6 +162,22 @@
     assert sample.execution_log == []
 
 
+async def test_a_refusal_leaves_its_connection_in_the_pool(forwarder, raw_server):
+    async def script(server, reader, writer):
+        while True:
+            await server.read_request(reader)
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nBulrushlead-Ran: no\r\n"
+                b"Content-Length: 2\r\n\r\nno"
+            )
+
+    server = await raw_server(script)
+    for _ in range(3):
+        seen = await fail(forwarder, server.description, build_request("GET"))
+        assert seen == (ResultCode.BACKEND_REFUSED, Ran.NO)
+    assert server.connections == 1
+
+
 async def test_a_status_503_alone_does_not_say_not_run(forwarder, sample):
     sample.faults.status = 503
     answer = await forwarder.forward(sample.describe_server(), build_request("POST"))
@@ -191,15 +207,17 @@
     await forwarder.close()
 
 
-async def test_the_deadline_cancels_the_work_of_the_server(forwarder, sample):
+async def test_the_deadline_cancels_the_work_of_the_server(timed_forwarder, sample):
     sample.faults.gate = asyncio.Event()
-    request = build_request("POST", deadline_ms=CLOCK.now_ms() + 100)
-    seen = await fail(forwarder, sample.describe_server(), request)
-    assert seen[1] is not Ran.YES
+    request = build_request("POST", deadline_ms=100)
+    caller = asyncio.create_task(
+        fail(timed_forwarder, sample.describe_server(), request)
+    )
+    await sample.wait_running(1)
+    await timed_forwarder.clock.advance_ms(100)
+    assert await caller == (ResultCode.DEADLINE_EXPIRED, Ran.UNKNOWN)
     await sample.wait_running(0)
-    for execution in sample.execution_log:
-        assert seen == (ResultCode.DEADLINE_EXPIRED, Ran.UNKNOWN)
-        assert execution.end is ExecutionEnd.CANCELLED
+    assert sample.execution_log[0].end is ExecutionEnd.CANCELLED
 
 
 async def test_a_deadline_that_has_passed_sends_nothing(forwarder, sample):
@@ -210,28 +228,28 @@
 
 
 @pytest.mark.parametrize("end", ["deadline", "cancelled"])
-async def test_the_rest_of_an_abandoned_body_is_not_sent(forwarder, raw_server, end):
-    over, received = asyncio.Event(), bytearray()
+async def test_the_rest_of_an_abandoned_body_is_not_sent(
+    timed_forwarder, raw_server, end
+):
+    begun, over, received = asyncio.Event(), asyncio.Event(), bytearray()
 
     async def script(server, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
+        begun.set()
         await over.wait()
         while chunk := await reader.read(1_000_000):
             received.extend(chunk)
 
     server = await raw_server(script)
     body = bytes(32_000_000)
-    timeout_ms = 100 if end == "deadline" else 60_000
-    request = build_request("POST", body=body, deadline_ms=CLOCK.now_ms() + timeout_ms)
-    caller = asyncio.create_task(forwarder.forward(server.description, request))
+    request = build_request("POST", body=body, deadline_ms=100)
+    caller = asyncio.create_task(timed_forwarder.forward(server.description, request))
+    await begun.wait()
     if end == "deadline":
-        with pytest.raises(ForwardError):
-            await caller
+        await timed_forwarder.clock.advance_ms(100)
     else:
-        while server.connections == 0:
-            await asyncio.sleep(0)
         caller.cancel()
-        await asyncio.wait({caller})
+    await asyncio.wait({caller})
     over.set()
     await server.closed.wait()
     assert len(received) < len(body)
@@ -248,23 +266,30 @@
     assert sample.execution_log[0].end is ExecutionEnd.CANCELLED
 
 
-async def test_an_answer_that_comes_late_meets_no_other_request(forwarder, raw_server):
-    release = asyncio.Event()
+async def test_an_answer_that_comes_late_meets_no_other_request(
+    timed_forwarder, raw_server
+):
+    begun, release = asyncio.Event(), asyncio.Event()
 
     async def script(server, reader, writer):
+        number = server.connections
         await server.read_request(reader)
-        if server.connections == 1:
+        begun.set()
+        if number == 1:
             await release.wait()
-        body = f"answer {server.connections}".encode()
+        body = f"answer {number}".encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n" + body)
         await writer.drain()
         await reader.read()
 
     server = await raw_server(script)
-    late = build_request("GET", deadline_ms=CLOCK.now_ms() + 50)
-    await fail(forwarder, server.description, late)
+    late = build_request("GET", deadline_ms=50)
+    caller = asyncio.create_task(fail(timed_forwarder, server.description, late))
+    await begun.wait()
+    await timed_forwarder.clock.advance_ms(50)
+    assert await caller == (ResultCode.DEADLINE_EXPIRED, Ran.UNKNOWN)
     release.set()
-    answer = await forwarder.forward(server.description, build_request("GET"))
+    answer = await timed_forwarder.forward(server.description, build_request("GET"))
     assert answer.body == b"answer 2"
 
 
--- a/bulrushlead/keys/tests/test_at_most_once.py
+++ b/bulrushlead/keys/tests/test_at_most_once.py
@@ -130,10 +130,11 @@
     """Two entry hosts and a real backend server on loopback."""
 
     async def start(self):
-        self.clock = MonotonicClock()
+        # Entry hosts' deadlines pass only when a test says so.
+        self.clock = ManualClock()
         self.server = SampleServer(
             SampleServerSettings("stock-1", "stock", "fes", "fes-a", slots=8),
-            self.clock,
+            MonotonicClock(),
         )
         await self.server.start()
         self.forwarder = Forwarder(self.clock)
@@ -147,13 +148,13 @@
     def host(self, name):
         return KeyCoordinator(self.clock, self.control, KeySettings(name, "i1"))
 
-    async def order(self, host, key, body=b"12 bales", timeout_ms=5_000):
+    async def order(self, host, key, body=b"12 bales"):
         request = ForwardRequest(
             method="POST",
             path_qs="/orders",
             headers=CIMultiDict(),
             body=body,
-            deadline_ms=self.clock.now_ms() + timeout_ms,
+            deadline_ms=self.clock.now_ms() + 5_000,
             idempotency_key=key,
         )
         digest = request_digest("POST", "/orders", body)
@@ -210,12 +211,71 @@
     assert len(site.server.executions_of("k1")) == runs
 
 
+async def while_time_passes(site, *orders):
+    """Return the answers, moving the clock so that waiting hosts ask again."""
+    together = asyncio.gather(*orders)
+    while not together.done():
+        await site.clock.advance_ms(1)
+    return await together
+
+
 async def test_many_sends_of_many_keys_each_run_once(site):
     hosts = [site.host(f"h{number}") for number in range(4)]
     keys = [f"k{number}" for number in range(8)]
     sends = [(host, key) for key in keys for host in hosts]
-    answers = await asyncio.gather(*(site.order(*send) for send in sends))
+    answers = await while_time_passes(site, *(site.order(*send) for send in sends))
     for (_, key), answer in zip(sends, answers, strict=True):
         [execution] = site.server.executions_of(key)
         told = json.loads(answer.body)
         assert (told["key"], told["execution"]) == (key, execution.sequence)
+
+
+async def refused(order):
+    with pytest.raises(ForwardError) as caught:
+        await order
+    return caught.value.ran
+
+
+async def test_a_deadline_in_the_middle_of_a_run_is_never_run_again(site):
+    site.server.faults.gate = asyncio.Event()
+    order = asyncio.create_task(site.order(site.host("h1"), "k1"))
+    await site.server.wait_running(1)
+    await site.clock.advance_ms(5_000)
+    assert await refused(order) is Ran.UNKNOWN
+    await site.server.wait_running(0)
+    site.server.faults.gate.set()
+    assert await refused(site.order(site.host("h2"), "k1")) is Ran.UNKNOWN
+    assert len(site.server.executions_of("k1")) == 1
+
+
+async def test_an_entry_host_that_dies_in_the_middle_of_a_run(site):
+    site.server.faults.gate = asyncio.Event()
+    host = site.host("h1")
+    order = asyncio.create_task(site.order(host, "k1"))
+    await site.server.wait_running(1)
+    await host.abort()
+    await asyncio.wait({order})
+    await site.server.wait_running(0)
+    site.control.fail_over()
+    site.server.faults.gate.set()
+    waiting = asyncio.create_task(site.order(site.host("h2"), "k1"))
+    site.control.apply(AbandonHost("h1", live_incarnation="i2"))
+    [ran] = await while_time_passes(site, refused(waiting))
+    assert ran is Ran.UNKNOWN
+    assert [key.key for key in site.control.state.list_unknown()] == ["k1"]
+    assert len(site.server.executions_of("k1")) == 1
+
+
+async def test_a_leader_change_in_the_middle_of_a_run(site):
+    site.server.faults.gate = asyncio.Event()
+    orders = [asyncio.create_task(site.order(site.host("h1"), "k1"))]
+    await site.server.wait_running(1)
+    site.control.fail_over()
+    orders += [
+        asyncio.create_task(site.order(site.host(f"h{n}"), "k1")) for n in (2, 3)
+    ]
+    site.control.plan.extend([Fault.REPLY_LOST, Fault.TWICE, Fault.CALL_LOST])
+    site.server.faults.gate.set()
+    answers = await while_time_passes(site, *orders)
+    assert answers[0] == answers[1] == answers[2]
+    assert len(site.server.executions_of("k1")) == 1
