Look at the deadline again just before the first byte

Cause: a process that stood still between its check of the deadline and a new connection sent the request long after; with an operator's "did not run" in between, a resend and the late request could both run. Change: the connector refuses to hand over a connection after the deadline; the attempt ends as DEADLINE_TOO_SHORT, not run. Tests for a claim granted too late (caller left, deadline) and for a process that stood still while connecting. Conclusion: what is left is a pause between two statements without an await.

--- a/bulrushlead/forwarding/_checks.py
+++ b/bulrushlead/forwarding/_checks.py
@@ -72,10 +72,15 @@
 
 
 def not_answered(
-    server: BackendServer, trace: AttemptTrace, error: Exception
+    server: BackendServer,
+    request: ForwardRequest,
+    trace: AttemptTrace,
+    error: Exception,
 ) -> ForwardError:
     """Return the error of an attempt that brought no answer at all."""
     reason = f"{type(error).__name__}: {error}"[:300]
+    if not trace.may_have_sent and trace.is_late():
+        return too_late(server, request, trace)
     if not trace.may_have_sent:
         return ForwardError(
             ResultCode.CONNECT_FAILED,
--- a/bulrushlead/forwarding/_connector.py
+++ b/bulrushlead/forwarding/_connector.py
@@ -6,6 +6,8 @@
 import aiohttp
 import attrs
 
+from bulrushlead.clock import Clock
+
 MAX_STALE_CONNECTIONS = 16
 
 
@@ -15,15 +17,25 @@
 
     Parameters
     ----------
+    clock : Clock
+        Source of time.
+    deadline_ms : float
+        After this nothing may be sent, on ``clock``.
     may_have_sent : bool
         Whether a byte of the request can have left this process.
     transport : asyncio.Transport or None
         The connection, while it belongs to this attempt.
     """
 
+    clock: Clock
+    deadline_ms: float
     may_have_sent: bool = False
     transport: asyncio.Transport | None = None
 
+    def is_late(self) -> bool:
+        """Return whether the deadline has passed."""
+        return self.clock.now_ms() >= self.deadline_ms
+
     def abort(self) -> None:
         """Close the connection without sending what is still buffered.
 
@@ -58,11 +70,17 @@
         ------
         aiohttp.ClientConnectionError
             If the server keeps sending before it is asked.
+        TimeoutError
+            If the deadline has passed.
         """
         for _ in range(MAX_STALE_CONNECTIONS):
             connection = await super().connect(req, traces, timeout)
+            trace = current_attempt.get()
+            # A process that stood still must not send what others gave up.
+            if trace.is_late():
+                connection.close()
+                raise TimeoutError("the deadline passed while connecting")
             if not connection.protocol.should_close:
-                trace = current_attempt.get()
                 trace.transport = connection.transport
                 trace.may_have_sent = True
                 return connection
--- a/bulrushlead/forwarding/_forwarder.py
+++ b/bulrushlead/forwarding/_forwarder.py
@@ -131,7 +131,7 @@
         ForwardError
             With ``ran`` telling whether the request can have run.
         """
-        trace = AttemptTrace()
+        trace = AttemptTrace(self.clock, request.deadline_ms)
         try:
             return await self._attempt(server, request, trace)
         except BaseException as error:
@@ -210,7 +210,7 @@
         except ForwardError:
             raise
         except Exception as error:
-            raise not_answered(server, trace, error) from error
+            raise not_answered(server, request, trace, error) from error
         return await self._read(server, request, response, attempt_id, trace)
 
     async def _read(
--- a/bulrushlead/forwarding/tests/test_forwarder.py
+++ b/bulrushlead/forwarding/tests/test_forwarder.py
@@ -227,6 +227,16 @@
     assert sample.open_connections == 0
 
 
+async def test_a_process_that_stood_still_sends_nothing_late(timed_forwarder, sample):
+    request = build_request("POST", deadline_ms=100)
+    server = sample.describe_server()
+    caller = asyncio.create_task(fail(timed_forwarder, server, request))
+    await asyncio.sleep(0)
+    timed_forwarder.clock._now_ms = 100  # No timer has fired yet.
+    assert await caller == (ResultCode.DEADLINE_TOO_SHORT, Ran.NO)
+    assert sample.execution_log == []
+
+
 @pytest.mark.parametrize("end", ["deadline", "cancelled"])
 async def test_the_rest_of_an_abandoned_body_is_not_sent(
     timed_forwarder, raw_server, end
--- a/bulrushlead/keys/tests/control.py
+++ b/bulrushlead/keys/tests/control.py
@@ -25,6 +25,7 @@
         self.index = 0
         self.plan = deque()
         self.down = False
+        self.delay = None
         self.calls = []
         self.called = asyncio.Event()
 
@@ -40,6 +41,8 @@
         reply = self.apply(command)
         if fault is Fault.TWICE:
             reply = self.apply(command)
+        if self.delay is not None:
+            await self.delay.wait()
         if fault is Fault.HANG:
             await asyncio.Event().wait()
         if fault is Fault.REPLY_LOST:
--- a/bulrushlead/keys/tests/test_coordinator.py
+++ b/bulrushlead/keys/tests/test_coordinator.py
@@ -159,6 +159,23 @@
     assert (await world.run(world.host("h2"))).body == b"order 1"
 
 
+@pytest.mark.parametrize("end", ["caller left", "deadline"])
+async def test_a_claim_that_is_granted_too_late_starts_nothing(world, end):
+    world.control.delay = asyncio.Event()
+    caller = world.start(world.host(call_timeout_ms=DEADLINE_MS), deadline_ms=1_000)
+    await world.control.called.wait()
+    if end == "caller left":
+        caller.cancel()
+    else:
+        # The host itself stood still, so that no timer fired before the reply.
+        world.clock._now_ms = 1_000
+    world.control.delay.set()
+    await world.clock.advance_ms(10)
+    assert caller.done()
+    assert world.runs == 0
+    assert (await world.run(world.host("h2"), deadline_ms=9_000)).body == b"order 1"
+
+
 async def test_a_caller_who_leaves_does_not_lose_the_answer(world):
     world.gate.clear()
     caller = world.start(world.host("h1"))
