--- a/bulrushlead/cli/_main.py
+++ b/bulrushlead/cli/_main.py
@@ -40,7 +40,6 @@
             COMMANDS,
             argv=arguments,
             short={},
-            cli_options="all",
             no_negated_flags=True,
             argparse_kwargs={
                 "prog": "bulrushlead",
--- a/bulrushlead/cli/_operate.py
+++ b/bulrushlead/cli/_operate.py
@@ -108,7 +108,7 @@
             print_json(proposed)
             return 0
         print(f"against revision {proposed.revision}:")
-        print(proposed.changes)
+        print(proposed.difference)
         for risk in proposed.risks:
             print(f"risk (needs --force): {risk}")
         return 0
--- a/bulrushlead/clock/_clock.py
+++ b/bulrushlead/clock/_clock.py
@@ -58,7 +58,10 @@
         TimeoutError
             If ``awaitable`` has not finished within ``timeout_ms``.
         """
-        return await asyncio.wait_for(awaitable, max(0.0, timeout_ms) / 1000.0)
+        # asyncio.wait_for loses a cancellation that arrives together with the
+        # result, and the cancelled task then goes on for ever.
+        async with asyncio.timeout(max(0.0, timeout_ms) / 1000.0):
+            return await awaitable
 
 
 class ManualClock:
--- a/bulrushlead/clock/tests/test_clock.py
+++ b/bulrushlead/clock/tests/test_clock.py
@@ -38,3 +38,26 @@
     first_ms = clock.now_ms()
     await clock.sleep_ms(1)
     assert clock.now_ms() > first_ms
+
+
+@pytest.mark.parametrize("clock", [MonotonicClock(), ManualClock()])
+async def test_a_cancellation_that_meets_the_result_is_not_lost(clock):
+    event = asyncio.Event()
+    rounds = []
+
+    async def run():
+        while True:
+            rounds.append(1)
+            await clock.wait_for(event.wait(), 60_000)
+            event.clear()
+
+    task = asyncio.create_task(run())
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    event.set()
+    # One pass of the loop, so that the waiter has its result but not its turn.
+    await asyncio.sleep(0)
+    task.cancel()
+    for _ in range(10):
+        await asyncio.sleep(0)
+    assert task.cancelled()
