Bind a lowered limit once every holder was granted or lapsed

A holder back from a lapse was granted out of its own lingering bound while another holder already had the whole lowered limit. Shares that targets moved back and forth could also outlive a lowering, since each holder only kept what it had. Slots had the same way in for a lowered number of slots. Change: a pool counts what was granted since its capacity was last lowered, and every grant fits beside that; slots are raised only within what is free. Conclusion: a tightened limit holds after one lease, whatever demand does.

--- a/bulrushlead/leases/_pool.py
+++ b/bulrushlead/leases/_pool.py
@@ -47,10 +47,17 @@
         Share that the holder has or may be about to apply.
     lingering : list of Lingering
         Earlier, larger shares that may still have an effect.
+    committed : int
+        Most that was granted since the capacity was last lowered and may be in
+        use.
+    generation : int
+        Lowering of the capacity that ``committed`` refers to.
     """
 
     amount: int = 0
     lingering: list[Lingering] = attrs.field(factory=list)
+    committed: int = 0
+    generation: int = -1
 
     def bound(self) -> int:
         """Return the most that the holder may be using."""
@@ -86,7 +93,9 @@
     -----
     The sum of the bounds of all holders plus the unknown amount exceeds the
     capacity only after the capacity was lowered; ``free`` is then negative and
-    nothing is granted until holders have confirmed lower shares.
+    no share is raised until holders have confirmed lower ones. Shares that are
+    granted after the lowering fit the new capacity by themselves, so it binds
+    once every holder has been granted a share or has lost its lease.
 
     During a take-over from another leader, what no holder has reported yet
     counts as held by holders that are unknown.
@@ -98,6 +107,8 @@
         self._holdings: dict[HolderId, Holding] = {}
         self._total = 0
         self._due: list[tuple[float, HolderId]] = []
+        self._generation = 0
+        self._committed = 0
         self._adopted = 0
         self._take_over_end_ms = float("-inf")
 
@@ -111,6 +122,9 @@
         full : int, optional
             Units that an earlier leader may have granted, if more.
         """
+        if capacity < self.capacity:
+            self._generation += 1
+            self._committed = 0
         self.capacity = capacity
         self._full = capacity if full is None else full
 
@@ -162,18 +176,34 @@
         self._replace(holder, Holding(max(kept, in_use)))
         return kept
 
+    def grantable(self, holder: HolderId, now_ms: float) -> int:
+        """Return the largest share that a holder may be granted."""
+        free = max(0, self.free(now_ms))
+        others = self._committed - self._committed_by(holder)
+        return max(0, min(self.bound(holder) + free, self.capacity - others))
+
     def raise_to(self, holder: HolderId, amount: int) -> None:
         """Count a share that the holder is about to apply."""
         holding = self._holdings.get(holder, Holding())
-        if amount > holding.amount:
-            self._replace(holder, Holding(amount, holding.lingering))
+        changed = attrs.evolve(
+            holding,
+            amount=max(holding.amount, amount),
+            committed=max(self._committed_by(holder), amount),
+            generation=self._generation,
+        )
+        self._replace(holder, changed)
 
     def lower_to(self, holder: HolderId, amount: int, until_ms: float) -> None:
         """Lower a share whose old amount has an effect until ``until_ms``."""
         holding = self._holdings.get(holder)
-        if holding is None or holding.bound() <= amount:
+        if holding is None:
             return
-        changed = Holding(amount, list(holding.lingering))
+        changed = attrs.evolve(
+            holding,
+            amount=min(holding.amount, amount),
+            lingering=list(holding.lingering),
+            committed=min(holding.committed, amount),
+        )
         if holding.amount > amount:
             changed.add_lingering(holding.amount, until_ms)
             heapq.heappush(self._due, (until_ms, holder))
@@ -196,7 +226,7 @@
             _, holder = heapq.heappop(self._due)
             holding = self._holdings.get(holder)
             if holding is not None:
-                changed = Holding(holding.amount, list(holding.lingering))
+                changed = attrs.evolve(holding, lingering=list(holding.lingering))
                 changed.purge(now_ms)
                 self._replace(holder, changed)
 
@@ -208,9 +238,17 @@
         """Return everybody who may be using a unit."""
         return tuple(self._holdings)
 
+    def _committed_by(self, holder: HolderId) -> int:
+        holding = self._holdings.get(holder)
+        if holding is None or holding.generation != self._generation:
+            return 0
+        return holding.committed
+
     def _replace(self, holder: HolderId, holding: Holding) -> None:
         self._total += holding.bound() - self.bound(holder)
+        self._committed -= self._committed_by(holder)
         if holding.bound() > 0:
             self._holdings[holder] = holding
+            self._committed += self._committed_by(holder)
         else:
             self._holdings.pop(holder, None)
--- a/bulrushlead/leases/_rates.py
+++ b/bulrushlead/leases/_rates.py
@@ -104,9 +104,8 @@
         shares = []
         for key in self._limits:
             pool = self._pools[key]
-            free = max(0, pool.free(now_ms))
             target = self._targets.get(key, {}).get(record.holder, 0)
-            amount = min(target, pool.bound(record.holder) + free)
+            amount = min(target, pool.grantable(record.holder, now_ms))
             pool.raise_to(record.holder, amount)
             if amount > 0:
                 shares.append(RateShare(key, amount))
--- a/bulrushlead/leases/_slots.py
+++ b/bulrushlead/leases/_slots.py
@@ -212,7 +212,7 @@
         for entry in entries:
             name = entry.server.name
             unused = entry.pool.bound(record.holder) - counts.get(name, 0)
-            spare = max(0, entry.pool.free(now_ms)) + unused
+            spare = entry.pool.free(now_ms) + unused
             if spare > 0:
                 free[name] = spare
         for _ in range(amount):
--- a/bulrushlead/leases/tests/test_guards.py
+++ b/bulrushlead/leases/tests/test_guards.py
@@ -99,3 +99,37 @@
         world.receive(-1)
         world.advance(100)
         assert deaf.holder.rate(KEY) + other.holder.rate(KEY) <= 20
+
+
+def test_a_lowered_limit_is_not_granted_twice_over_lapses():
+    world = World(known=False)
+    world.advance(3_100)
+    renew_all(world)
+    world.change_limit(1)
+    world.advance(1_100)
+    renew_all(world)
+    check(world)
+    for _ in range(10):
+        world.advance(150)
+        renew_all(world)
+        check(world)
+
+
+def test_a_lowered_limit_binds_although_demand_keeps_moving():
+    world = World(host_count=2, known=True)
+    world.change_limit(20)
+    for _ in range(8):
+        world.advance(150)
+        renew_all(world)
+    world.change_limit(4)
+    for turn in range(10):
+        for index, host in enumerate(world.hosts):
+            host.holder.note_demand("short", "casa", 5 * ((turn + index) % 2))
+        world.advance(210)
+        world.renew(world.hosts[turn % 2])
+        check(world)
+
+
+def renew_all(world):
+    for host in world.hosts:
+        world.renew(host)
