Measure overload; lengthen the expected wait on arrival

Cause: under overload many requests were let into the queue by an estimate that then worsened, and were refused after a wait. Change: the wait counts half as long again on arrival, and bulk requests expect the turns that bulk requests have lately seen instead of a fixed number.

--- a/bulrushlead/limits/_admission.py
+++ b/bulrushlead/limits/_admission.py
@@ -95,6 +95,7 @@
         self._running: dict[str, int] = {}
         self._numbers = itertools.count(1)
         self._turns_since_bulk = 0
+        self._starts_per_bulk = MovingEstimate(1.0)
         self._swept_at_ms = float("-inf")
         self._timer: asyncio.Task | None = None
         self._spread = 0.0
@@ -252,16 +253,19 @@
     def _enqueue(self, waiter: Waiter) -> None:
         lanes = self._waiting[waiter.request_class]
         position = lanes.length(waiter.lane)
-        if len(lanes) >= self.settings.max_waiting or self._late_ms(waiter, position):
+        slack_ms = self.settings.arrival_slack * self._wait_ms(waiter, position)
+        is_late = self._late_ms(waiter, position, slack_ms) > 0
+        if len(lanes) >= self.settings.max_waiting or is_late:
             raise self._overloaded(waiter, position)
         lanes.add(waiter)
         if self._timer is None or self._timer.done():
             self._timer = asyncio.get_running_loop().create_task(self._watch())
 
-    def _late_ms(self, waiter: Waiter, position: int) -> float:
+    def _late_ms(self, waiter: Waiter, position: int, slack_ms: float = 0.0) -> float:
         """Return by how much a waiter at ``position`` would miss its deadline."""
         finish_ms = (
             self.clock.now_ms()
+            + slack_ms
             + self._wait_ms(waiter, position)
             + self.expected_service_ms()
         )
@@ -273,10 +277,9 @@
 
     def _dilution(self, waiter: Waiter) -> float:
         """Return how many requests start for each one of the waiter's class."""
-        turns = self.settings.interactive_turns
         if waiter.request_class is RequestClass.BULK:
-            other = self._waiting[RequestClass.INTERACTIVE]
-            return turns + 1.0 if other.length(waiter.lane) else 1.0
+            return self._starts_per_bulk.mean()
+        turns = self.settings.interactive_turns
         other = self._waiting[RequestClass.BULK]
         return (turns + 1.0) / turns if other.length(waiter.lane) else 1.0
 
@@ -291,6 +294,7 @@
 
     def _count_turn(self, waiter: Waiter) -> None:
         if waiter.request_class is RequestClass.BULK:
+            self._starts_per_bulk.observe(self._turns_since_bulk + 1)
             self._turns_since_bulk = 0
         elif self._waiting[RequestClass.BULK]:
             self._turns_since_bulk += 1
--- a/bulrushlead/limits/tests/test_admission.py
+++ b/bulrushlead/limits/tests/test_admission.py
@@ -36,6 +36,7 @@
     def __init__(self, slots=1, **settings):
         self.clock = ManualClock()
         self.slots = Slots(slots)
+        settings = {"arrival_slack": 0.0, **settings}
         self.queue = AdmissionQueue(self.clock, AdmissionSettings(**settings))
 
     def ask(self, request_class=INTERACTIVE, budget_ms=10_000.0, slots=None, lane=""):
@@ -78,6 +79,29 @@
     assert 0 < refused.retry_after_ms <= 5_000
 
 
+async def test_the_slack_refuses_on_arrival_rather_than_later():
+    bench = Bench(initial_service_ms=50.0, arrival_slack=0.5)
+    tasks = [bench.ask(budget_ms=220.0) for _ in range(6)]
+    await bench.settle()
+    assert [task.done() for task in tasks] == [True] + [False] * 2 + [True] * 3
+
+
+async def test_bulk_expects_the_turns_that_bulk_has_seen():
+    bench = Bench(initial_service_ms=10.0, interactive_turns=3)
+    ticket = await bench.ask()
+    tasks = [bench.ask(BULK)] + [bench.ask() for _ in range(3)]
+    await bench.settle()
+    for _ in range(4):
+        bench.queue.leave(ticket, 10.0)
+        await bench.settle()
+        done = next(task for task in tasks if task.done())
+        tasks.remove(done)
+        ticket = done.result()
+    assert not bench.ask(BULK, budget_ms=55.0).done()
+    refused = await refusal(bench.ask(BULK, budget_ms=45.0))
+    assert refused.code is ResultCode.OVERLOADED
+
+
 async def test_callers_that_are_refused_together_come_back_apart():
     bench = Bench(max_waiting=0)
     bench.ask()
