--- a/bulrushlead/leases/_slots.py
+++ b/bulrushlead/leases/_slots.py
@@ -8,6 +8,13 @@
 from bulrushlead.leases._messages import HeldSlots, SlotShare
 from bulrushlead.leases._pool import HolderId, SharePool
 from bulrushlead.leases._record import HolderRecord, UsableSlots
+from bulrushlead.leases._servers import (
+    ServerEntry,
+    SlotGroup,
+    slot_capacity,
+    slot_share,
+    unknown_server,
+)
 from bulrushlead.leases._settings import LeaseSettings
 from bulrushlead.leases._targets import Claimant, SlotTargets
 
@@ -15,33 +22,6 @@
 """Longest request duration assumed for a service that declares none."""
 
 
-@attrs.define
-class ServerEntry:
-    """A backend server and the accounting of its slots.
-
-    Parameters
-    ----------
-    server : BackendServer
-        The server as last announced.
-    pool : SharePool
-        Who may be using its slots.
-    announced : bool
-        Whether this leader has heard of it, or only a holder reported it.
-    """
-
-    server: BackendServer
-    pool: SharePool
-    announced: bool = True
-
-
-@attrs.frozen
-class SlotGroup:
-    """Identifies the backend servers of one service in one region."""
-
-    service: str
-    region: str
-
-
 class SlotDivision:
     """Shares of the slots of every backend server.
 
@@ -100,7 +80,7 @@
             else:
                 entry.server = server
                 entry.announced = True
-                entry.pool.set_capacity(_capacity(server), server.slots)
+                entry.pool.set_capacity(slot_capacity(server), server.slots)
         self._forget_unused(named)
         self._group_servers()
 
@@ -148,9 +128,13 @@
     def rebalance(self, live: Sequence[HolderRecord], now_ms: float) -> None:
         """Compute the target shares of all live holders."""
         self._targets = {}
-        self._wanted = {}
+        held = self._held_by_group(live)
         for service in sorted({group.service for group in self._groups}):
-            self._rebalance_service(service, live, now_ms)
+            self._set_targets(service, live)
+        self._wanted = {
+            group: self._count_wanted(group, held.get(group, {}), now_ms)
+            for group in self._groups
+        }
 
     def grant(self, record: HolderRecord, now_ms: float) -> tuple[SlotShare, ...]:
         """Return the shares of one holder, and count them."""
@@ -164,7 +148,7 @@
         for name, count in counts.items():
             self._entries[name].pool.raise_to(record.holder, count)
         return tuple(
-            _share(self._entries[name].server, count)
+            slot_share(self._entries[name].server, count)
             for name, count in counts.items()
             if count > 0
         )
@@ -224,32 +208,41 @@
             if free[name] == 0:
                 del free[name]
 
-    def _rebalance_service(
-        self, service: str, live: Sequence[HolderRecord], now_ms: float
-    ) -> None:
+    def _set_targets(self, service: str, live: Sequence[HolderRecord]) -> None:
         groups = {g.region: g for g in self._groups if g.service == service}
         capacities = {
-            region: sum(_capacity(entry.server) for entry in self._groups[group])
+            region: sum(slot_capacity(entry.server) for entry in self._groups[group])
             for region, group in groups.items()
         }
         claimants = [self._claimant(service, record) for record in live]
         targets = SlotTargets(capacities, claimants).compute()
         for region, group in groups.items():
             self._targets[group] = targets[region]
-            self._wanted[group] = self._count_wanted(group, live, now_ms)
 
     def _count_wanted(
-        self, group: SlotGroup, live: Sequence[HolderRecord], now_ms: float
+        self, group: SlotGroup, held: Mapping[HolderId, int], now_ms: float
     ) -> int:
         """Return the slots that must be called back to reach the targets."""
-        targets = self._targets[group]
         missing = sum(
-            max(0, targets.get(record.holder, 0) - self._held(group, record))
-            for record in live
+            max(0, target - held.get(holder, 0))
+            for holder, target in self._targets[group].items()
         )
         free = sum(max(0, entry.pool.free(now_ms)) for entry in self._groups[group])
         return max(0, missing - free)
 
+    def _held_by_group(
+        self, live: Sequence[HolderRecord]
+    ) -> dict[SlotGroup, dict[HolderId, int]]:
+        held: dict[SlotGroup, dict[HolderId, int]] = {}
+        for record in live:
+            for name, usable in record.slots.items():
+                entry = self._entries.get(name)
+                if entry is not None and usable.count:
+                    group = SlotGroup(entry.server.service, entry.server.region)
+                    counts = held.setdefault(group, {})
+                    counts[record.holder] = counts.get(record.holder, 0) + usable.count
+        return held
+
     def _claimant(self, service: str, record: HolderRecord) -> Claimant:
         needs: dict[str, int] = {}
         for name, usable in record.slots.items():
@@ -262,25 +255,18 @@
                 needs[demand.region] = needs.get(demand.region, 0) + demand.waiting
         return Claimant(record.holder, record.region, needs)
 
-    def _held(self, group: SlotGroup, record: HolderRecord) -> int:
-        return sum(
-            record.slots[entry.server.name].count
-            for entry in self._groups[group]
-            if entry.server.name in record.slots
-        )
-
     def _max_duration_ms(self, service: str) -> float:
         return self._durations.get(service, DEFAULT_MAX_DURATION_MS)
 
     def _entry(self, name: str, now_ms: float) -> ServerEntry:
         entry = self._entries.get(name)
-        return entry or self._open_entry(_unknown_server(name), now_ms, False)
+        return entry or self._open_entry(unknown_server(name), now_ms, False)
 
     def _open_entry(
         self, server: BackendServer, now_ms: float, announced: bool = True
     ) -> ServerEntry:
         pool = SharePool()
-        pool.set_capacity(_capacity(server), server.slots)
+        pool.set_capacity(slot_capacity(server), server.slots)
         entry = self._entries[server.name] = ServerEntry(server, pool, announced)
         end_ms = self._take_over_end_ms(server)
         if now_ms < end_ms:
@@ -325,27 +311,3 @@
 def _idle(record: HolderRecord, name: str, count: int) -> int:
     usable = record.slots.get(name)
     return count - (usable.in_use if usable is not None else 0)
-
-
-def _capacity(server: BackendServer) -> int:
-    return 0 if server.draining else max(0, server.slots)
-
-
-def _share(server: BackendServer, count: int) -> SlotShare:
-    per_slot = server.connections // max(1, server.slots)
-    return SlotShare(server.name, server.incarnation, count, per_slot * count)
-
-
-def _unknown_server(name: str) -> BackendServer:
-    """Return a stand-in for a server that a holder knows and the leader not."""
-    return BackendServer(
-        name=name,
-        service="",
-        region="",
-        availability_zone="",
-        address="",
-        incarnation="",
-        slots=0,
-        connections=0,
-        draining=True,
-    )
--- a/bulrushlead/leases/_table.py
+++ b/bulrushlead/leases/_table.py
@@ -1,5 +1,6 @@
 """Granting side of the lease protocol, on the control leader."""
 
+import math
 from collections.abc import Sequence
 
 import attrs
@@ -21,6 +22,12 @@
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.results import BulrushleadError, ResultCode
 
+COALESCE_ABOVE = 100
+"""Number of hosts above which several joins wait for one rebalance."""
+
+REBALANCE_GAP_MS = 0.2
+"""Least time between two rebalances, for each host above that number."""
+
 
 @attrs.frozen
 class HolderView:
@@ -71,6 +78,8 @@
         self._records: dict[HolderId, HolderRecord] = {}
         self._regions: dict[str, str] = {}
         self._rebalance_due_ms = 0.0
+        self._rebalanced_at_ms = -math.inf
+        self._expire_due_ms = math.inf
         self._forget_before_ms = 0.0
         self._log = EventLogger("leases")
 
@@ -181,11 +190,16 @@
     def expire(self) -> None:
         """End the leases of silent hosts, and forget what has surely ended."""
         now_ms = self.clock.now_ms()
+        if now_ms < self._expire_due_ms:
+            return
         for holder, record in list(self._records.items()):
             if record.live and now_ms >= record.lease_end_ms:
                 self._end_lease(record)
             if not record.live and now_ms >= self._forgettable_at_ms(record):
                 del self._records[holder]
+        self._expire_due_ms = min(
+            map(self._next_change_ms, self._records.values()), default=math.inf
+        )
 
     def forget_host(self, host: str) -> None:
         """Grant nothing more to a host; what it has stays counted to its end."""
@@ -257,6 +271,7 @@
         record.leaving = request.leaving
         record.live = True
         record.lease_end_ms = now_ms + self.settings.with_margin(self.settings.lease_ms)
+        self._expire_due_ms = min(self._expire_due_ms, record.lease_end_ms)
         return record
 
     def _grant(self, record: HolderRecord) -> LeaseGrant:
@@ -276,9 +291,14 @@
         return record.grant
 
     def _rebalance_if_due(self, now_ms: float) -> None:
-        if now_ms < self._rebalance_due_ms:
+        least_gap_ms = REBALANCE_GAP_MS * max(0, len(self._records) - COALESCE_ABOVE)
+        if now_ms < max(self._rebalance_due_ms, self._rebalanced_at_ms + least_gap_ms):
             return
-        self._rebalance_due_ms = now_ms + self.settings.rebalance_interval_ms
+        self._rebalanced_at_ms = now_ms
+        self._rebalance_due_ms = now_ms + max(
+            self.settings.rebalance_interval_ms,
+            min(self.settings.renew_interval_ms, len(self._records)),
+        )
         live = [
             record
             for record in self._records.values()
@@ -301,6 +321,9 @@
             sequence=record.sequence,
         )
 
+    def _next_change_ms(self, record: HolderRecord) -> float:
+        return record.lease_end_ms if record.live else self._forgettable_at_ms(record)
+
     def _forgettable_at_ms(self, record: HolderRecord) -> float:
         work_end_ms = record.lease_end_ms + self.settings.with_margin(
             self._slots.longest_duration_ms()
--- a/bulrushlead/leases/_targets.py
+++ b/bulrushlead/leases/_targets.py
@@ -84,9 +84,7 @@
 
     def compute(self) -> dict[str, dict[HolderId, int]]:
         """Return the target of each host in each region."""
-        ordered = sorted(
-            self.claimants, key=lambda c: (not any(c.needs.values()), c.holder)
-        )
+        ordered = sorted(self.claimants, key=_precedence)
         self._give_floors(ordered)
         for region in self.capacities:
             self._give_needs(region, ordered)
@@ -114,7 +112,7 @@
 
     def _give_rest(self, region: str, ordered: Sequence[Claimant]) -> None:
         local = [claimant.holder for claimant in ordered if claimant.region == region]
-        holders = sorted(local or self._targets[region])
+        holders = sorted(local or self._targets[region], key=_name)
         if holders:
             for holder, amount in zip(
                 holders, divide_evenly(self._left[region], len(holders)), strict=True
@@ -126,3 +124,11 @@
             targets = self._targets[region]
             targets[holder] = targets.get(holder, 0) + amount
             self._left[region] -= amount
+
+
+def _precedence(claimant: Claimant) -> tuple[bool, str, str]:
+    return (not any(claimant.needs.values()), *_name(claimant.holder))
+
+
+def _name(holder: HolderId) -> tuple[str, str]:
+    return (holder.host, holder.incarnation)
--- a/bulrushlead/limits/__init__.py
+++ b/bulrushlead/limits/__init__.py
@@ -1,12 +1,13 @@
 """Limits that an entry host keeps by itself: windows, shift caps, admission."""
 
-from bulrushlead.limits._admission import AdmissionQueue, SlotSource, Ticket
+from bulrushlead.limits._admission import AdmissionQueue
 from bulrushlead.limits._estimate import MovingEstimate
 from bulrushlead.limits._link import LinkBudget, Reservation
 from bulrushlead.limits._ramp import Observation, Ramp, RampSettings
 from bulrushlead.limits._refusal import AdmissionRefusedError
 from bulrushlead.limits._settings import AdmissionSettings
 from bulrushlead.limits._shift import ShiftGate
+from bulrushlead.limits._ticket import SlotSource, Ticket
 from bulrushlead.limits._window import RateWindow
 
 __all__ = [
--- a/bulrushlead/limits/_admission.py
+++ b/bulrushlead/limits/_admission.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import itertools
-from typing import Generic, Protocol, TypeVar
-
-import attrs
+from typing import TypeVar
 
 from bulrushlead.clock import Clock
 from bulrushlead.declaration import RequestClass
@@ -12,6 +10,7 @@
 from bulrushlead.limits._lanes import Waiter, WaitingLanes
 from bulrushlead.limits._refusal import AdmissionRefusedError
 from bulrushlead.limits._settings import AdmissionSettings
+from bulrushlead.limits._ticket import SlotSource, Ticket
 from bulrushlead.results import ResultCode
 
 T = TypeVar("T")
@@ -22,44 +21,6 @@
 GOLDEN_RATIO = 0.6180339887498949
 
 
-class SlotSource(Protocol[T]):
-    """Where an admitted request gets its slot."""
-
-    def try_acquire(self) -> T | None:
-        """Take a slot for the request, or return None if there is none now."""
-        ...
-
-    def release(self, slot: T) -> None:
-        """Return a slot."""
-        ...
-
-
-@attrs.define(eq=False)
-class Ticket(Generic[T]):
-    """The right of one request to run.
-
-    Parameters
-    ----------
-    slot : object
-        What the request's ``SlotSource`` returned.
-    source : SlotSource
-        Takes the slot back.
-    lane : str
-        Lane of the request.
-    started_at_ms, waited_ms : float
-        When the request was admitted, and after what wait.
-    is_open : bool
-        Whether the request still runs.
-    """
-
-    slot: T
-    source: SlotSource[T]
-    lane: str
-    started_at_ms: float
-    waited_ms: float
-    is_open: bool = True
-
-
 class AdmissionQueue:
     """Starts each request while it can still finish, and refuses the others.
 
