Let a request be told that it waits; stop a slot leak on cancel

Cause: the entry host ran admission in a task of its own to learn whether the request waits. A caller who left in the loop pass after the slot was given left a finished task behind whose ticket nobody returned: one slot lost for good. Change: AdmissionQueue.admit calls on_wait once the request waits, so steering awaits it directly and admission itself returns the slot on cancellation. Conclusion: a caller gone frees the slot whenever he goes.

--- a/bulrushlead/entry/_steering.py
+++ b/bulrushlead/entry/_steering.py
@@ -1,6 +1,5 @@
 """The way of one request through an entry host."""
 
-import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -257,19 +256,14 @@
         region: str,
         source: PlacementSource,
     ):
-        admitting = asyncio.ensure_future(
-            queue.admit(
-                service.request_class, source.request.deadline_ms, source, region
-            )
-        )
         try:
-            await asyncio.sleep(0)
-            if not admitting.done():
-                self._note_demand(queue, service, region)
-            return await admitting
-        except asyncio.CancelledError:
-            admitting.cancel()
-            raise
+            return await queue.admit(
+                service.request_class,
+                source.request.deadline_ms,
+                source,
+                region,
+                on_wait=lambda: self._note_demand(queue, service, region),
+            )
         finally:
             self.parts.holder.note_demand(
                 service.name, region, queue.waiting_in(region)
--- a/bulrushlead/limits/_admission.py
+++ b/bulrushlead/limits/_admission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from typing import TypeVar
 
 from bulrushlead.clock import Clock
@@ -68,6 +69,7 @@
         deadline_ms: float,
         source: SlotSource[T],
         lane: str = "",
+        on_wait: Callable[[], None] | None = None,
     ) -> Ticket[T]:
         """Wait for a slot.
 
@@ -82,6 +84,9 @@
         lane : str, default=""
             Requests of one lane want the same backend servers, for example
             those of one region; lanes do not block one another.
+        on_wait : callable, optional
+            Called once if the request has to wait, for example to ask for more
+            slots.
 
         Returns
         -------
@@ -107,6 +112,8 @@
         arrived_at_ms = self.clock.now_ms()
         if not self._start_at_once(waiter):
             self._enqueue(waiter)
+            if on_wait is not None:
+                on_wait()
         try:
             ticket = await waiter.future
         except asyncio.CancelledError:
--- a/bulrushlead/limits/tests/test_admission.py
+++ b/bulrushlead/limits/tests/test_admission.py
@@ -69,6 +69,19 @@
     assert bench.slots.free == 0
 
 
+async def test_only_a_request_that_waits_is_told_so():
+    bench = Bench()
+    calls = []
+    for _ in range(2):
+        task = bench.queue.admit(
+            INTERACTIVE, 9_000.0, bench.slots, on_wait=lambda: calls.append(1)
+        )
+        asyncio.ensure_future(task)
+        await bench.settle()
+    assert len(calls) == 1
+    assert bench.queue.waiting() == 1
+
+
 async def test_a_request_that_cannot_finish_in_time_is_refused_on_arrival():
     bench = Bench(initial_service_ms=50.0)
     tasks = [bench.ask(budget_ms=220.0) for _ in range(6)]
