--- a/bulrushlead/limits/_admission.py
+++ b/bulrushlead/limits/_admission.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import itertools
-from typing import Generic, Protocol, TypeVar
-
-import attrs
+from collections.abc import Callable
+from typing import TypeVar
 
 from bulrushlead.clock import Clock
 from bulrushlead.declaration import RequestClass
@@ -12,6 +11,7 @@
 from bulrushlead.limits._lanes import Waiter, WaitingLanes
 from bulrushlead.limits._refusal import AdmissionRefusedError
 from bulrushlead.limits._settings import AdmissionSettings
+from bulrushlead.limits._ticket import SlotSource, Ticket
 from bulrushlead.results import ResultCode
 
 T = TypeVar("T")
@@ -22,44 +22,6 @@
 GOLDEN_RATIO = 0.6180339887498949
 
 
-class SlotSource(Protocol[T]):
-    """Where an admitted request gets its slot."""
-
-    def try_acquire(self) -> T | None:
-        """Take a slot for the request, or return None if there is none now."""
-        ...
-
-    def release(self, slot: T) -> None:
-        """Return a slot."""
-        ...
-
-
-@attrs.define(eq=False)
-class Ticket(Generic[T]):
-    """The right of one request to run.
-
-    Parameters
-    ----------
-    slot : object
-        What the request's ``SlotSource`` returned.
-    source : SlotSource
-        Takes the slot back.
-    lane : str
-        Lane of the request.
-    started_at_ms, waited_ms : float
-        When the request was admitted, and after what wait.
-    is_open : bool
-        Whether the request still runs.
-    """
-
-    slot: T
-    source: SlotSource[T]
-    lane: str
-    started_at_ms: float
-    waited_ms: float
-    is_open: bool = True
-
-
 class AdmissionQueue:
     """Starts each request while it can still finish, and refuses the others.
 
@@ -95,6 +57,7 @@
         self._running: dict[str, int] = {}
         self._numbers = itertools.count(1)
         self._turns_since_bulk = 0
+        self._starts_per_bulk = MovingEstimate(1.0)
         self._swept_at_ms = float("-inf")
         self._timer: asyncio.Task | None = None
         self._spread = 0.0
@@ -106,6 +69,7 @@
         deadline_ms: float,
         source: SlotSource[T],
         lane: str = "",
+        on_wait: Callable[[], None] | None = None,
     ) -> Ticket[T]:
         """Wait for a slot.
 
@@ -120,6 +84,9 @@
         lane : str, default=""
             Requests of one lane want the same backend servers, for example
             those of one region; lanes do not block one another.
+        on_wait : callable, optional
+            Called once if the request has to wait, for example to ask for more
+            slots.
 
         Returns
         -------
@@ -145,6 +112,8 @@
         arrived_at_ms = self.clock.now_ms()
         if not self._start_at_once(waiter):
             self._enqueue(waiter)
+            if on_wait is not None:
+                on_wait()
         try:
             ticket = await waiter.future
         except asyncio.CancelledError:
@@ -252,16 +221,19 @@
     def _enqueue(self, waiter: Waiter) -> None:
         lanes = self._waiting[waiter.request_class]
         position = lanes.length(waiter.lane)
-        if len(lanes) >= self.settings.max_waiting or self._late_ms(waiter, position):
+        slack_ms = self.settings.arrival_slack * self._wait_ms(waiter, position)
+        is_late = self._late_ms(waiter, position, slack_ms) > 0
+        if len(lanes) >= self.settings.max_waiting or is_late:
             raise self._overloaded(waiter, position)
         lanes.add(waiter)
         if self._timer is None or self._timer.done():
             self._timer = asyncio.get_running_loop().create_task(self._watch())
 
-    def _late_ms(self, waiter: Waiter, position: int) -> float:
+    def _late_ms(self, waiter: Waiter, position: int, slack_ms: float = 0.0) -> float:
         """Return by how much a waiter at ``position`` would miss its deadline."""
         finish_ms = (
             self.clock.now_ms()
+            + slack_ms
             + self._wait_ms(waiter, position)
             + self.expected_service_ms()
         )
@@ -273,10 +245,9 @@
 
     def _dilution(self, waiter: Waiter) -> float:
         """Return how many requests start for each one of the waiter's class."""
-        turns = self.settings.interactive_turns
         if waiter.request_class is RequestClass.BULK:
-            other = self._waiting[RequestClass.INTERACTIVE]
-            return turns + 1.0 if other.length(waiter.lane) else 1.0
+            return self._starts_per_bulk.mean()
+        turns = self.settings.interactive_turns
         other = self._waiting[RequestClass.BULK]
         return (turns + 1.0) / turns if other.length(waiter.lane) else 1.0
 
@@ -291,6 +262,7 @@
 
     def _count_turn(self, waiter: Waiter) -> None:
         if waiter.request_class is RequestClass.BULK:
+            self._starts_per_bulk.observe(self._turns_since_bulk + 1)
             self._turns_since_bulk = 0
         elif self._waiting[RequestClass.BULK]:
             self._turns_since_bulk += 1
