--- a/bulrushlead/routing/_book.py
+++ b/bulrushlead/routing/_book.py
@@ -141,18 +141,31 @@
             or signals.error_rate >= settings.max_error_rate
         ):
             self._distrust(signals, Distrust.FAILING, now_ms)
-        elif signals.latency.n_samples >= settings.min_samples and self._is_slow(
-            signals, signals.latency.mean_ms
-        ):
+        elif signals.latency.n_samples >= settings.min_samples:
+            self._judge_latency(signals, now_ms)
+
+    def _judge_latency(self, signals: ServerSignals, now_ms: float) -> None:
+        # A cold cache makes a new server slow, which its ramp and the policy
+        # deal with: it is judged once it has been quick, or after a long time.
+        mean_ms = signals.latency.mean_ms
+        is_quick = not self._exceeds(signals, mean_ms, self.settings.settled_factor)
+        age_ms = now_ms - signals.first_seen_ms
+        if age_ms >= self.settings.cold_limit_ms or (is_quick and signals.is_warm):
+            signals.is_settled = True
+        if signals.is_settled and self._is_slow(signals, mean_ms):
             self._distrust(signals, Distrust.SLOW, now_ms)
 
     def _is_slow(self, signals: ServerSignals, latency_ms: float) -> bool:
-        server, settings = signals.server, self.settings
-        baseline_ms = self.baseline_ms(server.service, server.region)
+        return self._exceeds(signals, latency_ms, self.settings.slow_factor)
+
+    def _exceeds(
+        self, signals: ServerSignals, latency_ms: float, factor: float
+    ) -> bool:
+        baseline_ms = self.baseline_ms(signals.server.service, signals.server.region)
         # Without a median there is nothing to be slower than.
         if baseline_ms <= 0:
             return False
-        return latency_ms > baseline_ms * settings.slow_factor + settings.slow_margin_ms
+        return latency_ms > baseline_ms * factor + self.settings.slow_margin_ms
 
     def _distrust(
         self, signals: ServerSignals, distrust: Distrust, now_ms: float
--- a/bulrushlead/routing/_settings.py
+++ b/bulrushlead/routing/_settings.py
@@ -54,6 +54,11 @@
         Good answers after which a new server gets its full share.
     ramp_ms : float
         Time, under fresh reports, after which it gets its full share anyway.
+    settled_factor : float
+        How many times the median latency a new server may take to count as
+        quick, from when on it can be judged as slow.
+    cold_limit_ms : float
+        Time after which a new server that has never been quick counts as slow.
     min_ramp : float
         Share that a new server starts with, 0 to 1.
     zone_latency_ms : float
@@ -83,6 +88,8 @@
     unknown_load: float = 0.5
     ramp_requests: int = 30
     ramp_ms: float = 10_000.0
+    settled_factor: float = 1.5
+    cold_limit_ms: float = 30_000.0
     min_ramp: float = 0.1
     zone_latency_ms: float = 2.0
     share_half_life_ms: float = 10_000.0
--- a/bulrushlead/routing/_signals.py
+++ b/bulrushlead/routing/_signals.py
@@ -51,11 +51,13 @@
         self.distrust = Distrust.NONE
         self.trial: Trial | None = None
         self.last_chosen = 0
+        self.first_seen_ms = now_ms
+        self.is_settled = False
         self.reported_load: float | None = None
         self.report_sequence = -1
         self.reported_at_ms = now_ms
         self._started_ms: list[float] = []
-        self._is_warm = False
+        self.is_warm = False
         self._ramp_answers = 0
         self._ramp_time_ms = 0.0
         self._chosen_count = 0.0
@@ -156,16 +158,16 @@
         It grows with good answers, which warm a cache, and with time while
         reports arrive. Without reports time alone does not raise it.
         """
-        if self._is_warm:
+        if self.is_warm:
             return 1.0
         by_answers = self._ramp_answers / max(1, self.settings.ramp_requests)
         by_time = self._ramp_time_ms / max(1.0, self.settings.ramp_ms)
-        self._is_warm = max(by_answers, by_time) >= 1.0
+        self.is_warm = max(by_answers, by_time) >= 1.0
         return min(1.0, max(self.settings.min_ramp, by_answers, by_time))
 
     def has_room(self) -> bool:
         """Return whether a new server may run one more request of this host."""
-        if self._is_warm:
+        if self.is_warm:
             return True
         limit = max(1, math.floor(self.ramp() * self.server.slots))
         return len(self._started_ms) < limit
@@ -184,7 +186,7 @@
         self.trial = None
         self.error_rate = 0.0
         self.consecutive_failures = 0
-        self._is_warm = False
+        self.is_warm = False
         self._ramp_answers = 0
         self._ramp_time_ms = 0.0
         if latency_ms is not None:
--- a/bulrushlead/routing/tests/test_router.py
+++ b/bulrushlead/routing/tests/test_router.py
@@ -6,7 +6,13 @@
 from bulrushlead.declaration import Link
 from bulrushlead.logs import Event
 from bulrushlead.results import BulrushleadError, ResultCode
-from bulrushlead.routing import AttemptOutcome, Candidate, RouteReason, RouteRequest
+from bulrushlead.routing import (
+    AttemptOutcome,
+    Candidate,
+    Distrust,
+    RouteReason,
+    RouteRequest,
+)
 from bulrushlead.routing.tests.fakes import (
     SERVICE_TIME_MS,
     ZONES,
@@ -94,6 +100,25 @@
     assert share_of(last, {"new"}) >= 0.8 / len(rig.fakes)
 
 
+async def test_new_server_is_not_taken_for_a_slow_one_while_its_cache_is_cold():
+    rig = Rig(make_fakes(per_zone=4, zones=ZONES[:1]))
+    await rig.run(5_000.0)
+    new = FakeServer(make_server("new"), latency_ms=5 * SERVICE_TIME_MS)
+    rig.fakes["new"] = new
+    # More than the four warm servers can serve, so that the new one is needed.
+    interval_ms = SERVICE_TIME_MS / 13
+    await rig.run(2_000.0, interval_ms)
+    assert new.n_requests >= 30
+    assert rig.status("new").distrust is Distrust.NONE
+    new.latency_ms = SERVICE_TIME_MS
+    await rig.run(5_000.0, interval_ms)
+    assert rig.status("new").distrust is Distrust.NONE
+    # Once it has been quick, the same latency is a fault.
+    new.latency_ms = 5 * SERVICE_TIME_MS
+    await rig.run(2_000.0, interval_ms)
+    assert rig.status("new").distrust is Distrust.SLOW
+
+
 async def test_restarted_server_is_cold_again():
     rig = Rig(make_fakes(per_zone=4, zones=ZONES[:1]))
     await rig.run(10_000.0)
