Prove the eight invariants by scenarios over the whole system

Change: 29 Gherkin scenarios in 8 features, run against real programs on loopback with three control hosts, two entry hosts and sample servers; links that can be cut; callers that compare what they were told with the execution log. A keyed request refused before its claim is now told "unknown". Conclusion: without the claim's answer, a host cannot speak for earlier sends.

--- a/bulrushlead/backend/_sample.py
+++ b/bulrushlead/backend/_sample.py
@@ -90,6 +90,8 @@
         Whether it announces that it is leaving.
     running : int
         Requests that run now.
+    refused_full : int
+        Requests that came when every slot was in use.
     """
 
     def __init__(self, settings: SampleServerSettings, clock: Clock):
@@ -101,6 +103,7 @@
         self.incarnation = ""
         self.draining = False
         self.running = 0
+        self.refused_full = 0
         self._changed = asyncio.Condition()
         self._announcer: Announcer | None = None
         self._server: web.Server | None = None
@@ -187,7 +190,10 @@
         body = await request.read()
         if self.faults.close_at is ClosePoint.BEFORE_RUNNING:
             return self._cut(request)
-        if self.faults.refuse or self.running >= self.settings.slots:
+        if self.running >= self.settings.slots:
+            self.refused_full += 1
+            return self._refuse(request)
+        if self.faults.refuse:
             return self._refuse(request)
         execution = await self._run(request, body)
         if self.faults.close_at is ClosePoint.AFTER_RUNNING:
--- a/bulrushlead/entry/_steering.py
+++ b/bulrushlead/entry/_steering.py
@@ -172,7 +172,13 @@
         BulrushleadError
             The refusal or failure; its ``ran`` says whether it can have run.
         """
-        service = self._check(incoming)
+        try:
+            service = self._check(incoming)
+        except BulrushleadError as error:
+            if incoming.idempotency_key is None:
+                raise
+            # An earlier send with the same key may have run.
+            raise ForwardError(error.code, error.detail, Ran.UNKNOWN) from error
         deadline_ms = self._deadline_ms(incoming, service)
         if incoming.idempotency_key is None:
             return await self._steer(incoming, service, deadline_ms)
--- /dev/null
+++ b/tests/scenarios/test_scenarios.py
@@ -0,0 +1,3 @@
+from pytest_bdd import scenarios
+
+scenarios("features")
