Divide rate limits by what hosts use

Cause: with all callers of a region at one entry host of three, that host was granted 140 of a limit of 300: half of each limit lay in even floors, and the rest followed only waiting requests, by a fixed weight. Caps of shifts and capacities of regions could not be used up. Change: hosts report what they want of each limit (their use, or twice their share once 80 % of it are used); the leader meets that in max-min fairness above floors of a quarter, and divides what is left evenly. Conclusion: limits stay exact and can be used where the callers are.

--- a/bulrushlead/entry/_limits.py
+++ b/bulrushlead/entry/_limits.py
@@ -75,14 +75,18 @@
         self.refresh()
 
     def refresh(self) -> None:
-        """Take over the shares that the lease gives now."""
+        """Take over the shares that the lease gives now, and say what is wanted."""
         for key, window in self._regions.items():
+            self.holder.note_rate_demand(key, window.wanted())
             window.set_limit(int(self.holder.rate(key)))
         for key, budget in self._links.items():
+            self.holder.note_rate_demand(key, budget.wanted())
             budget.set_limit(int(self.holder.rate(key)))
         for gate in self._gates.values():
+            key = _shift_key(gate.shift)
+            self.holder.note_rate_demand(key, gate.wanted())
             if self.holder.is_valid():
-                gate.set_rate(self.holder.rate(_shift_key(gate.shift)))
+                gate.set_rate(self.holder.rate(key))
             else:
                 gate.suspend()
 
--- a/bulrushlead/leases/_holder.py
+++ b/bulrushlead/leases/_holder.py
@@ -86,6 +86,7 @@
         self._servers: dict[str, _ServerSlots] = {}
         self._rates: dict[LimitKey, int] = {}
         self._demands: dict[tuple[str, str], Demand] = {}
+        self._rate_demands: dict[LimitKey, int] = {}
         self._last_token = 0
         self._first_valid_token = 1
         self._leaving = False
@@ -113,6 +114,11 @@
             held=self._held(),
             rates=() if self._acked_sequence else self._held_rates(),
             demands=tuple(d for d in self._demands.values() if d.waiting > 0),
+            rate_demands=tuple(
+                RateShare(key, wanted)
+                for key, wanted in self._rate_demands.items()
+                if wanted > 0
+            ),
             leaving=self._leaving,
         )
 
@@ -229,6 +235,10 @@
         """Set how many requests wait for a slot of a service in a region."""
         self._demands[(service, region)] = Demand(service, region, waiting)
 
+    def note_rate_demand(self, key: LimitKey, wanted_per_s: int) -> None:
+        """Set the share of a limit that would suit what this host sends."""
+        self._rate_demands[key] = wanted_per_s
+
     def rate(self, key: LimitKey) -> float:
         """Return the share of a rate limit, per second; 0 without a lease."""
         return float(self._rates.get(key, 0)) if self.is_valid() else 0.0
--- a/bulrushlead/leases/_messages.py
+++ b/bulrushlead/leases/_messages.py
@@ -169,6 +169,8 @@
         Rate shares in use; only sent while ``acked_sequence`` is 0.
     demands : tuple of Demand
         Requests that wait for slots.
+    rate_demands : tuple of RateShare
+        Shares that would suit what the host sends; a missing limit wants none.
     leaving : bool
         Whether the host is stopping and gives back what it does not use.
     """
@@ -181,6 +183,7 @@
     held: tuple[HeldSlots, ...] = ()
     rates: tuple[RateShare, ...] = ()
     demands: tuple[Demand, ...] = ()
+    rate_demands: tuple[RateShare, ...] = ()
     leaving: bool = False
 
 
--- a/bulrushlead/leases/_rates.py
+++ b/bulrushlead/leases/_rates.py
@@ -2,17 +2,15 @@
 
 from collections.abc import Sequence
 
-from bulrushlead.leases._messages import LimitKey, LimitKind, RateLimit, RateShare
+from bulrushlead.leases._messages import Demand, LimitKey, RateLimit, RateShare
 from bulrushlead.leases._pool import HolderId, SharePool
 from bulrushlead.leases._record import HolderRecord
 from bulrushlead.leases._settings import LeaseSettings
+from bulrushlead.leases._targets import divide_evenly, fill_by_need
 
-FLOOR_FRACTION = 2
+FLOOR_FRACTION = 4
 """One part in this many of each limit is reserved as floors."""
 
-DEMAND_WEIGHT = 3
-"""Weight of a host that has demand for a limit; an idle host weighs 1."""
-
 
 class RateDivision:
     """Shares of every rate limit.
@@ -24,10 +22,11 @@
 
     Notes
     -----
-    One half of a limit is divided evenly among the declared entry hosts, live
-    or not, so that a host that returns finds its floor unlent. The other half
-    is divided among the live hosts in proportion to weights. All amounts are
-    integers and the shares of one limit never sum to more than the limit.
+    One quarter of a limit is divided evenly among the declared entry hosts,
+    live or not, so that a host that returns finds its floor unlent. The rest
+    meets the demands of the live hosts in max-min fairness, and what is left
+    is divided evenly among them. All amounts are integers and the shares of
+    one limit never sum to more than the limit.
     """
 
     def __init__(self, settings: LeaseSettings):
@@ -135,32 +134,22 @@
         if not live:
             return {}
         floor = limit // FLOOR_FRACTION // len(self._hosts)
-        weights = [_weight(key, record) for record in live]
-        parts = _proportions(limit - floor * len(self._hosts), weights)
+        rest = limit - floor * len(self._hosts)
+        needs = [max(0, _wanted(key, record) - floor) for record in live]
+        lent = fill_by_need(needs, rest)
+        spare = divide_evenly(rest - sum(lent), len(live))
         return {
-            record.holder: floor + part
-            for record, part in zip(live, parts, strict=True)
+            record.holder: floor + amount + extra
+            for record, amount, extra in zip(live, lent, spare, strict=True)
         }
 
 
-def _weight(key: LimitKey, record: HolderRecord) -> int:
-    if key.kind is LimitKind.LINK:
-        wanted = any(demand.region == key.to_region for demand in record.demands)
-    else:
-        wanted = any(
-            demand.region == key.to_region and demand.service == key.service
-            for demand in record.demands
-        )
-    return DEMAND_WEIGHT if wanted else 1
-
-
-def _proportions(amount: int, weights: Sequence[int]) -> list[int]:
-    """Return an exact division of ``amount`` in proportion to ``weights``."""
-    total = sum(weights)
-    parts, given, before = [], 0, 0
-    for weight in weights:
-        before += weight
-        upto = amount * before // total
-        parts.append(upto - given)
-        given = upto
-    return parts
+def _wanted(key: LimitKey, record: HolderRecord) -> int:
+    wanted = record.rate_demands.get(key, 0)
+    if wanted == 0 and any(_concerns(key, demand) for demand in record.demands):
+        return 1
+    return wanted
+
+
+def _concerns(key: LimitKey, demand: Demand) -> bool:
+    return demand.region == key.to_region and key.service in ("", demand.service)
--- a/bulrushlead/leases/_record.py
+++ b/bulrushlead/leases/_record.py
@@ -48,6 +48,8 @@
         Rate shares of the last grant, which may or may not be applied.
     demands : tuple of Demand
         Requests waiting at the holder.
+    rate_demands : dict of LimitKey to int
+        Rate shares that the holder would like.
     grant : LeaseGrant or None
         Answer to the request with ``sequence``.
     """
@@ -62,4 +64,5 @@
     rates: dict[LimitKey, int] = attrs.field(factory=dict)
     pending_rates: dict[LimitKey, int] = attrs.field(factory=dict)
     demands: tuple[Demand, ...] = ()
+    rate_demands: dict[LimitKey, int] = attrs.field(factory=dict)
     grant: LeaseGrant | None = None
--- a/bulrushlead/leases/_table.py
+++ b/bulrushlead/leases/_table.py
@@ -268,6 +268,9 @@
         record.region = self._regions[holder.host]
         record.sequence = request.sequence
         record.demands = request.demands
+        record.rate_demands = {
+            share.key: share.amount_per_s for share in request.rate_demands
+        }
         record.leaving = request.leaving
         record.live = True
         record.lease_end_ms = now_ms + self.settings.with_margin(self.settings.lease_ms)
--- a/bulrushlead/leases/tests/schedule.py
+++ b/bulrushlead/leases/tests/schedule.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 
-from bulrushlead.leases.tests.world import DRIFTS, SETTINGS, WINDOW_MS, World
+from bulrushlead.leases.tests.world import DRIFTS, KEY, SETTINGS, WINDOW_MS, World
 from bulrushlead.results import BulrushleadError
 
 LEASE_BOUND_MS = SETTINGS.with_margin(SETTINGS.lease_ms) * 1.02
@@ -89,6 +89,7 @@
             if self.random.random() < 0.3:
                 self.world.take(host, name, self.random.choice((0.1, 0.5, 1.0)))
         self.world.spend(host)
+        host.holder.note_rate_demand(KEY, self.random.choice((0, 3, 20)))
         self.at(self.random.choice((5, 40, 150)), self.work, index)
 
     def disturb(self):
--- a/bulrushlead/limits/_link.py
+++ b/bulrushlead/limits/_link.py
@@ -3,7 +3,7 @@
 import attrs
 
 from bulrushlead.clock import Clock
-from bulrushlead.limits._window import RateWindow
+from bulrushlead.limits._window import RateWindow, wanted_limit
 
 
 @attrs.define(eq=False)
@@ -95,6 +95,10 @@
         """Return the bytes sent in the window that ends now, and the reserved."""
         return self._window.used() + self._reserved_bytes
 
+    def wanted(self) -> int:
+        """Return the share that would suit the present use, in bytes per second."""
+        return wanted_limit(self.used_bytes(), self._window.limit_per_s)
+
     def retry_after_ms(self, size_bytes: int) -> float:
         """Return when ``size_bytes`` might fit, in milliseconds."""
         return self._window.retry_after_ms(size_bytes + self._reserved_bytes)
--- a/bulrushlead/limits/_shift.py
+++ b/bulrushlead/limits/_shift.py
@@ -123,6 +123,10 @@
             self._has_opened = True
             self._ramp.restart()
 
+    def wanted(self) -> int:
+        """Return the rate share that would suit the present use."""
+        return self._window.wanted()
+
     def suspend(self) -> None:
         """Move nothing until ``set_rate``; the lease has run out."""
         self._window.set_limit(0)
--- a/bulrushlead/limits/_window.py
+++ b/bulrushlead/limits/_window.py
@@ -7,6 +7,9 @@
 
 from bulrushlead.clock import Clock
 
+NEARLY_USED_PERCENT = 80
+"""Part of the limit from which on a larger one is wanted."""
+
 BUCKETS_PER_WINDOW = 100
 """Number of buckets that bound the memory of one window."""
 
@@ -79,6 +82,17 @@
             self._total -= self._buckets.popleft().amount
         return self._total
 
+    def wanted(self) -> int:
+        """Return the limit that would suit the present use.
+
+        Returns
+        -------
+        int
+            The amount used, or twice the limit if it is nearly used up, so that
+            a share grows step by step to what is really sent.
+        """
+        return wanted_limit(self.used(), self.limit_per_s)
+
     def retry_after_ms(self, amount: int = 1) -> float:
         """Return the time until ``amount`` can be taken if nobody else does.
 
@@ -101,3 +115,10 @@
     def set_limit(self, limit_per_s: int) -> None:
         """Change the limit; what was taken stays counted."""
         self.limit_per_s = limit_per_s
+
+
+def wanted_limit(used: int, limit: int) -> int:
+    """Return the limit that would suit a use; see ``RateWindow.wanted``."""
+    if used and used * 100 >= limit * NEARLY_USED_PERCENT:
+        return max(used, limit) * 2
+    return used
--- a/bulrushlead/limits/tests/test_window.py
+++ b/bulrushlead/limits/tests/test_window.py
@@ -76,6 +76,18 @@
         assert window.try_take(amount)
 
 
+def test_a_nearly_used_limit_wants_twice_as_much():
+    clock = ManualClock()
+    window = RateWindow(clock, 10)
+    assert window.wanted() == 0
+    window.try_take(7)
+    assert window.wanted() == 7
+    window.try_take(1)
+    assert window.wanted() == 20
+    move(clock, 1_000)
+    assert window.wanted() == 0
+
+
 def test_a_steady_trickle_leaves_the_window():
     clock = ManualClock()
     window = RateWindow(clock, 1_000)
