--- a/bulrushlead/routing/_book.py
+++ b/bulrushlead/routing/_book.py
@@ -171,7 +171,8 @@
         self, signals: ServerSignals, distrust: Distrust, now_ms: float
     ) -> None:
         signals.distrust = distrust
-        signals.trial = Trial(self.settings, now_ms)
+        longest_ms = self.settings.max_trial_interval_ms
+        signals.trial = Trial(self.settings, now_ms, longest_ms)
         self._log_server(Event.BACKEND_DISTRUSTED, signals, distrust)
 
     def _judge_trial(
--- a/bulrushlead/routing/_selector.py
+++ b/bulrushlead/routing/_selector.py
@@ -61,6 +61,7 @@
         self.settings = settings
         self.policy = policy
         self.book = book
+        self._n_since_trial = 0
 
     def select(
         self,
@@ -132,13 +133,18 @@
         self, request: RouteRequest, distrusted: Sequence[Option]
     ) -> tuple[Choice, RouteReason] | None:
         now_ms = self.clock.now_ms()
+        self._n_since_trial += 1
+        in_budget = self._n_since_trial >= self.settings.requests_per_trial
         for option in sorted(distrusted, key=lambda one: one.signals.last_chosen):
             if option.server.region != request.home_region:
                 continue
             trial = option.signals.next_trial
-            if trial is None or not trial.is_due(now_ms, request.repeatable):
+            if trial is None:
+                continue
+            if not trial.is_due(now_ms, request.repeatable, in_budget):
                 continue
             trial.begin(now_ms)
+            self._n_since_trial = 0
             of_zone = option.signals.zone.is_failing
             reason = RouteReason.ZONE_TRIAL if of_zone else RouteReason.SERVER_TRIAL
             return Choice(option, 0.0), reason
--- a/bulrushlead/routing/_settings.py
+++ b/bulrushlead/routing/_settings.py
@@ -33,7 +33,12 @@
     trial_interval_ms : float
         Shortest time between two trial requests to a distrusted server or zone.
     max_trial_interval_ms : float
-        Longest such time; it doubles with each failed trial.
+        Longest such time for a server; it doubles with each failed trial.
+    max_zone_trial_interval_ms : float
+        Longest such time for a zone.
+    requests_per_trial : int
+        Decisions between two trials of any server, unless a trial is overdue
+        by ``max_trial_interval_ms``.
     trial_successes : int
         Good trials in a row after which trust returns.
     unsafe_trial_delay_factor : float
@@ -79,6 +84,8 @@
     baseline_interval_ms: float = 200.0
     trial_interval_ms: float = 500.0
     max_trial_interval_ms: float = 8_000.0
+    max_zone_trial_interval_ms: float = 1_000.0
+    requests_per_trial: int = 200
     trial_successes: int = 3
     unsafe_trial_delay_factor: float = 4.0
     min_zone_failures: int = 4
--- a/bulrushlead/routing/_trial.py
+++ b/bulrushlead/routing/_trial.py
@@ -14,10 +14,13 @@
         Intervals and the number of good trials needed.
     now_ms : float
         When trust was lost.
+    longest_ms : float
+        Longest time between two trials.
     """
 
-    def __init__(self, settings: RouterSettings, now_ms: float):
+    def __init__(self, settings: RouterSettings, now_ms: float, longest_ms: float):
         self.settings = settings
+        self.longest_ms = longest_ms
         self.interval_ms = settings.trial_interval_ms
         self.next_ms = now_ms + self.interval_ms
         self.started_ms = 0.0
@@ -25,7 +28,7 @@
         self.n_successes = 0
         self.total_latency_ms = 0.0
 
-    def is_due(self, now_ms: float, repeatable: bool) -> bool:
+    def is_due(self, now_ms: float, repeatable: bool, in_budget: bool) -> bool:
         """Return whether a request may serve as a trial now.
 
         Parameters
@@ -34,12 +37,14 @@
             The current time.
         repeatable : bool
             Whether the request may be repeated if the trial fails.
+        in_budget : bool
+            Whether trials are a small enough share of all requests.
         """
         if now_ms < self.running_until_ms:
             return False
-        delay_ms = 0.0
+        delay_ms = 0.0 if in_budget else self.settings.max_trial_interval_ms
         if not repeatable:
-            delay_ms = self.interval_ms * self.settings.unsafe_trial_delay_factor
+            delay_ms += self.interval_ms * self.settings.unsafe_trial_delay_factor
         return now_ms >= self.next_ms + delay_ms
 
     def begin(self, now_ms: float) -> None:
@@ -71,8 +76,7 @@
         if not good:
             self.n_successes = 0
             self.total_latency_ms = 0.0
-            longest_ms = self.settings.max_trial_interval_ms
-            self.interval_ms = min(2.0 * self.interval_ms, longest_ms)
+            self.interval_ms = min(2.0 * self.interval_ms, self.longest_ms)
             self.next_ms = now_ms + self.interval_ms
             return False
         self.n_successes += 1
--- a/bulrushlead/routing/_zones.py
+++ b/bulrushlead/routing/_zones.py
@@ -53,7 +53,8 @@
             return False
         if self._n_failures < self.settings.min_zone_failures:
             return False
-        self.trial = Trial(self.settings, now_ms)
+        longest_ms = self.settings.max_zone_trial_interval_ms
+        self.trial = Trial(self.settings, now_ms, longest_ms)
         return True
 
     def clear(self) -> None:
