--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -66,6 +66,7 @@
     Contender("latency aware", LatencyAware(), PLAIN),
     Contender("two choices, judged", PowerOfTwoChoices(), JUDGING),
     Contender("latency aware, judged", LatencyAware(), JUDGING),
+    Contender("latency aware of 4, judged", LatencyAware(4), JUDGING),
     Contender("deadline chance, judged", DeadlineChance(), JUDGING),
     Contender("2x median chance, judged", DeadlineChance(2, 2.0), JUDGING),
 )
--- a/bulrushlead/routing/_policies.py
+++ b/bulrushlead/routing/_policies.py
@@ -214,12 +214,12 @@
 
 
 def latency_score(option: Option, now_ms: float) -> float:
-    """Return latency times load over success rate and ramp, in milliseconds."""
+    """Return latency times load over success rate, in milliseconds."""
     signals = option.signals
     latency_ms = signals.latency_ms(now_ms, option.baseline_ms)
     latency_ms += option.extra_latency_ms
     success_rate = max(MIN_SUCCESS_RATE, 1.0 - signals.error_rate)
-    return latency_ms * (signals.load(now_ms) + 1.0) / (success_rate * signals.ramp())
+    return latency_ms * (signals.load(now_ms) + 1.0) / success_rate
 
 
 def _sample(
--- a/bulrushlead/routing/_selector.py
+++ b/bulrushlead/routing/_selector.py
@@ -11,6 +11,7 @@
 from bulrushlead.routing._model import RouteReason, RouteRequest
 from bulrushlead.routing._policies import Choice, Option, PickContext, Policy, pick
 from bulrushlead.routing._settings import RouterSettings
+from bulrushlead.routing._signals import ServerSignals
 
 
 @attrs.frozen
@@ -108,6 +109,7 @@
         if ready:
             pool = _nearest(ready, regions)
             pool = self._prefer_own_zone(pool, options, place)
+            pool = self._thin_out_cold(pool)
             return self._pick_near(pool, request, place)
         if trusted:
             pool = _nearest(trusted, regions)
@@ -150,6 +152,14 @@
             return Choice(option, 0.0), reason
         return None
 
+    def _thin_out_cold(self, pool: list[Option]) -> list[Option]:
+        """Leave cold servers out, except for the share that they may take."""
+        kept = [option for option in pool if self._admits(option.signals)]
+        return kept or pool
+
+    def _admits(self, signals: ServerSignals) -> bool:
+        return signals.is_warm or self.rng.random() < signals.ramp()
+
     def _prefer_own_zone(
         self, pool: list[Option], options: Sequence[Option], place: Place
     ) -> list[Option]:
--- a/bulrushlead/routing/_settings.py
+++ b/bulrushlead/routing/_settings.py
@@ -14,8 +14,9 @@
         alone decides.
     sample_weight : float
         Weight of the newest latency in the running moments, 0 to 1.
-    peak_decay_ms : float
-        Time in which a latency peak falls to 1/e of its excess.
+    latency_fade_ms : float
+        Time without answers in which a server's mean latency comes within 1/e
+        of its distance to the median of the region.
     error_weight : float
         Weight of the newest outcome in the error rate, 0 to 1.
     max_error_rate : float
@@ -74,7 +75,7 @@
 
     distrust: bool = True
     sample_weight: float = 0.1
-    peak_decay_ms: float = 1_000.0
+    latency_fade_ms: float = 5_000.0
     error_weight: float = 0.2
     max_error_rate: float = 0.5
     max_consecutive_failures: int = 3
--- a/bulrushlead/routing/_signals.py
+++ b/bulrushlead/routing/_signals.py
@@ -45,7 +45,7 @@
         self.server = server
         self.zone = zone
         self.settings = settings
-        self.latency = LatencyEstimate(settings.sample_weight, settings.peak_decay_ms)
+        self.latency = LatencyEstimate(settings.sample_weight, settings.latency_fade_ms)
         self.error_rate = 0.0
         self.consecutive_failures = 0
         self.distrust = Distrust.NONE
@@ -145,7 +145,7 @@
         baseline_ms : float
             What to expect of a server that has not answered yet.
         """
-        estimate_ms = self.latency.mean_ms if self.latency.n_samples else baseline_ms
+        estimate_ms = self.latency.faded_mean_ms(now_ms, baseline_ms)
         return max(estimate_ms, self.oldest_age_ms(now_ms))
 
     def oldest_age_ms(self, now_ms: float) -> float:
@@ -191,7 +191,7 @@
         self._ramp_time_ms = 0.0
         if latency_ms is not None:
             self.latency = LatencyEstimate(
-                self.settings.sample_weight, self.settings.peak_decay_ms
+                self.settings.sample_weight, self.settings.latency_fade_ms
             )
             self.latency.add(latency_ms, now_ms)
 
--- a/bulrushlead/routing/tests/test_router.py
+++ b/bulrushlead/routing/tests/test_router.py
@@ -119,6 +119,20 @@
     assert rig.status("new").distrust is Distrust.SLOW
 
 
+async def test_server_that_lost_to_quicker_ones_is_measured_again():
+    rig = Rig(make_fakes(per_zone=4, zones=ZONES[:1]))
+    await rig.run(5_000.0)
+    # Not slow enough to be distrusted, but it loses each comparison.
+    rig.fakes["casa-a-0"].latency_ms = 3 * SERVICE_TIME_MS
+    await rig.run(5_000.0)
+    assert rig.status("casa-a-0").distrust is Distrust.NONE
+    rig.fakes["casa-a-0"].latency_ms = SERVICE_TIME_MS
+    await rig.run(30_000.0, interval_ms=4.0)
+    last = await rig.run(10_000.0, interval_ms=4.0)
+    # Half an equal share: equal scores differ by rounding in favour of others.
+    assert share_of(last, {"casa-a-0"}) >= 0.5 / len(rig.fakes)
+
+
 async def test_restarted_server_is_cold_again():
     rig = Rig(make_fakes(per_zone=4, zones=ZONES[:1]))
     await rig.run(10_000.0)
