--- a/bulrushlead/routing/_selector.py
+++ b/bulrushlead/routing/_selector.py
@@ -105,21 +105,30 @@
         trial = self._find_trial(request, distrusted)
         if trial is not None:
             return trial
-        ready = [option for option in trusted if option.signals.has_room()]
-        if ready:
-            pool = _nearest(ready, regions)
-            pool = self._prefer_own_zone(pool, options, place)
-            pool = self._thin_out_cold(pool)
-            return self._pick_near(pool, request, place)
         if trusted:
-            pool = _nearest(trusted, regions)
-            return self._pick(pool, request), RouteReason.OVERFLOW
+            return self._select_trusted(
+                request, _nearest(trusted, regions), options, place
+            )
         # Distrusted servers get work only when no trusted one could take it
         # later: refusing everything would be worse than spreading it.
         if free and not any(option.signals.is_trusted for option in options):
             return self._pick(_nearest(free, regions), request), RouteReason.SPREAD
         raise _no_server(request, len(options), len(free))
 
+    def _select_trusted(
+        self,
+        request: RouteRequest,
+        pool: list[Option],
+        options: Sequence[Option],
+        place: Place,
+    ) -> tuple[Choice, RouteReason]:
+        ready = [option for option in pool if option.signals.has_room()]
+        if not ready:
+            # Cold servers of a near region rather than the link to a far one.
+            return self._pick(pool, request), RouteReason.OVERFLOW
+        ready = self._prefer_own_zone(ready, options, place)
+        return self._pick_near(self._thin_out_cold(ready), request, place)
+
     def _select_blindly(
         self,
         request: RouteRequest,
--- a/bulrushlead/routing/tests/fakes.py
+++ b/bulrushlead/routing/tests/fakes.py
@@ -110,6 +110,9 @@
     def status(self, name):
         return next(row for row in self.router.status() if row.name == name)
 
+    def distrust_of(self, name):
+        return {row.name: row.distrust for row in self.router.status()}.get(name)
+
     def _finish(self):
         now_ms = self.clock.now_ms()
         ended = [row for row in self._running if row[0] <= now_ms]
--- a/bulrushlead/routing/tests/test_router.py
+++ b/bulrushlead/routing/tests/test_router.py
@@ -23,7 +23,7 @@
     share_of,
 )
 
-LINKS = [Link("casa", "fes", 1, 35.0), Link("casa", "agadir", 1, 20.0)]
+LINKS = [Link("casa", "fes", 1, 20.0), Link("casa", "agadir", 1, 35.0)]
 
 
 def three_regions():
@@ -46,9 +46,23 @@
     assert choose(rig, candidates).region == "casa"
     full = [attrs.evolve(candidates[2], free_slots=0)]
     decision = choose(rig, candidates[:2] + full)
-    assert decision.region == "agadir"
+    assert decision.region == "fes"
     assert decision.reason is RouteReason.OTHER_REGION
-    assert choose(rig, candidates[:1]).region == "fes"
+    assert choose(rig, candidates[1:2]).region == "agadir"
+
+
+def test_cold_home_region_takes_more_before_a_far_one_does():
+    rig = Rig(three_regions())
+    rig.router.set_links(LINKS)
+    candidates = rig.candidates()
+    reasons = []
+    for _ in range(3):
+        decision = choose(rig, candidates)
+        rig.router.begin(decision.server.name)
+        assert decision.region == "casa"
+        reasons.append(decision.reason)
+    # A cold server has room for one request; the rest is overflow.
+    assert reasons == [RouteReason.OWN_ZONE, *[RouteReason.OVERFLOW] * 2]
 
 
 def test_failing_home_region_is_left_for_the_next():
@@ -59,7 +73,7 @@
         choose(rig, candidates)
         rig.router.begin("c")
         rig.router.end("c", 1.0, AttemptOutcome.CONNECT_FAILED)
-    assert choose(rig, candidates).region == "agadir"
+    assert choose(rig, candidates).region == "fes"
 
 
 def test_no_candidate_is_refused_with_the_remedy():
@@ -122,15 +136,14 @@
 async def test_server_that_lost_to_quicker_ones_is_measured_again():
     rig = Rig(make_fakes(per_zone=4, zones=ZONES[:1]))
     await rig.run(5_000.0)
-    # Not slow enough to be distrusted, but it loses each comparison.
-    rig.fakes["casa-a-0"].latency_ms = 3 * SERVICE_TIME_MS
-    await rig.run(5_000.0)
-    assert rig.status("casa-a-0").distrust is Distrust.NONE
-    rig.fakes["casa-a-0"].latency_ms = SERVICE_TIME_MS
-    await rig.run(30_000.0, interval_ms=4.0)
-    last = await rig.run(10_000.0, interval_ms=4.0)
-    # Half an equal share: equal scores differ by rounding in favour of others.
-    assert share_of(last, {"casa-a-0"}) >= 0.5 / len(rig.fakes)
+    # A new server with a cold cache, at a load that the others carry easily.
+    new = FakeServer(make_server("new"), latency_ms=5 * SERVICE_TIME_MS)
+    rig.fakes["new"] = new
+    await rig.run(15_000.0, interval_ms=SERVICE_TIME_MS)
+    new.latency_ms = SERVICE_TIME_MS
+    assert rig.status("new").latency_ms > 4 * SERVICE_TIME_MS
+    await rig.run(30_000.0, interval_ms=SERVICE_TIME_MS)
+    assert rig.status("new").latency_ms < 1.5 * SERVICE_TIME_MS
 
 
 async def test_restarted_server_is_cold_again():
@@ -163,6 +176,20 @@
     assert (status.in_flight, status.error_rate, status.latency_ms) == (0, 0, 0)
 
 
+def test_quick_failures_do_not_make_a_server_look_fast():
+    rig = Rig(three_regions())
+    choose(rig, rig.candidates())
+    for latency_ms, outcome in [
+        (30.0, AttemptOutcome.SUCCESS),
+        (0.1, AttemptOutcome.ERROR),
+        (0.1, AttemptOutcome.REFUSED),
+    ]:
+        rig.router.begin("c")
+        rig.router.end("c", latency_ms, outcome)
+    assert rig.status("c").latency_ms == 30.0
+    assert rig.status("c").error_rate > 0
+
+
 def test_each_decision_writes_one_line():
     rig = Rig(three_regions())
     with logbook.TestHandler() as handler:
--- a/bulrushlead/routing/tests/test_trust.py
+++ b/bulrushlead/routing/tests/test_trust.py
@@ -77,16 +77,14 @@
 async def test_trials_prefer_repeatable_requests():
     rig = Rig(make_fakes())
     rig.fakes[SICK].outcome = AttemptOutcome.ERROR
-    await rig.run(SECONDS_MS)
-    await rig.run(9_000.0, repeatable=False)
+    while rig.distrust_of(SICK) is not Distrust.FAILING:
+        await rig.run(2.0)
     n_before = rig.fakes[SICK].n_requests
-    factor = RouterSettings().unsafe_trial_delay_factor
-    for _ in range(100):
-        rig.offer(repeatable=False)
-        await rig.clock.advance_ms(1.0, settle_rounds=0)
-        rig._finish()
-    assert rig.fakes[SICK].n_requests <= n_before + 1
-    assert factor > 1
+    # The trial is due after one interval, for such requests after five.
+    await rig.run(4 * TRIAL_INTERVAL_MS, repeatable=False)
+    assert rig.fakes[SICK].n_requests == n_before
+    await rig.run(2.0, repeatable=True)
+    assert rig.fakes[SICK].n_requests == n_before + 1
 
 
 async def test_zone_that_fails_is_left_at_once_and_not_server_by_server():
@@ -132,6 +130,16 @@
     assert share_of(decisions, {"casa-a-1", "casa-a-2", "casa-a-3"}) > 0.5
 
 
+async def test_failures_of_one_server_alone_never_make_its_zone_fail():
+    rig = Rig(make_fakes())
+    rig.offer()
+    for _ in range(2 * RouterSettings().min_zone_failures):
+        rig.router.begin(SICK)
+        rig.router.end(SICK, 1.0, AttemptOutcome.CONNECT_FAILED)
+    assert rig.status(SICK).distrust is Distrust.FAILING
+    assert rig.status("casa-a-1").distrust is Distrust.NONE
+
+
 async def test_all_sick_spreads_rather_than_refuses():
     rig = Rig(make_fakes())
     for fake in rig.fakes.values():
