--- a/bulrushlead/routing/_selector.py
+++ b/bulrushlead/routing/_selector.py
@@ -11,6 +11,7 @@
 from bulrushlead.routing._model import RouteReason, RouteRequest
 from bulrushlead.routing._policies import Choice, Option, PickContext, Policy, pick
 from bulrushlead.routing._settings import RouterSettings
+from bulrushlead.routing._signals import ServerSignals
 
 
 @attrs.frozen
@@ -61,6 +62,7 @@
         self.settings = settings
         self.policy = policy
         self.book = book
+        self._n_since_trial = 0
 
     def select(
         self,
@@ -103,20 +105,30 @@
         trial = self._find_trial(request, distrusted)
         if trial is not None:
             return trial
-        ready = [option for option in trusted if option.signals.has_room()]
-        if ready:
-            pool = _nearest(ready, regions)
-            pool = self._prefer_own_zone(pool, options, place)
-            return self._pick_near(pool, request, place)
         if trusted:
-            pool = _nearest(trusted, regions)
-            return self._pick(pool, request), RouteReason.OVERFLOW
+            return self._select_trusted(
+                request, _nearest(trusted, regions), options, place
+            )
         # Distrusted servers get work only when no trusted one could take it
         # later: refusing everything would be worse than spreading it.
         if free and not any(option.signals.is_trusted for option in options):
             return self._pick(_nearest(free, regions), request), RouteReason.SPREAD
         raise _no_server(request, len(options), len(free))
 
+    def _select_trusted(
+        self,
+        request: RouteRequest,
+        pool: list[Option],
+        options: Sequence[Option],
+        place: Place,
+    ) -> tuple[Choice, RouteReason]:
+        ready = [option for option in pool if option.signals.has_room()]
+        if not ready:
+            # Cold servers of a near region rather than the link to a far one.
+            return self._pick(pool, request), RouteReason.OVERFLOW
+        ready = self._prefer_own_zone(ready, options, place)
+        return self._pick_near(self._thin_out_cold(ready), request, place)
+
     def _select_blindly(
         self,
         request: RouteRequest,
@@ -132,18 +144,31 @@
         self, request: RouteRequest, distrusted: Sequence[Option]
     ) -> tuple[Choice, RouteReason] | None:
         now_ms = self.clock.now_ms()
+        self._n_since_trial += 1
+        in_budget = self._n_since_trial >= self.settings.requests_per_trial
         for option in sorted(distrusted, key=lambda one: one.signals.last_chosen):
             if option.server.region != request.home_region:
                 continue
             trial = option.signals.next_trial
-            if trial is None or not trial.is_due(now_ms, request.repeatable):
+            if trial is None:
+                continue
+            if not trial.is_due(now_ms, request.repeatable, in_budget):
                 continue
             trial.begin(now_ms)
+            self._n_since_trial = 0
             of_zone = option.signals.zone.is_failing
             reason = RouteReason.ZONE_TRIAL if of_zone else RouteReason.SERVER_TRIAL
             return Choice(option, 0.0), reason
         return None
 
+    def _thin_out_cold(self, pool: list[Option]) -> list[Option]:
+        """Leave cold servers out, except for the share that they may take."""
+        kept = [option for option in pool if self._admits(option.signals)]
+        return kept or pool
+
+    def _admits(self, signals: ServerSignals) -> bool:
+        return signals.is_warm or self.rng.random() < signals.ramp()
+
     def _prefer_own_zone(
         self, pool: list[Option], options: Sequence[Option], place: Place
     ) -> list[Option]:
--- a/bulrushlead/routing/_settings.py
+++ b/bulrushlead/routing/_settings.py
@@ -14,8 +14,9 @@
         alone decides.
     sample_weight : float
         Weight of the newest latency in the running moments, 0 to 1.
-    peak_decay_ms : float
-        Time in which a latency peak falls to 1/e of its excess.
+    latency_fade_ms : float
+        Time without answers in which a server's mean latency comes within 1/e
+        of its distance to the median of the region.
     error_weight : float
         Weight of the newest outcome in the error rate, 0 to 1.
     max_error_rate : float
@@ -33,7 +34,12 @@
     trial_interval_ms : float
         Shortest time between two trial requests to a distrusted server or zone.
     max_trial_interval_ms : float
-        Longest such time; it doubles with each failed trial.
+        Longest such time for a server; it doubles with each failed trial.
+    max_zone_trial_interval_ms : float
+        Longest such time for a zone.
+    requests_per_trial : int
+        Decisions between two trials of any server, unless a trial is overdue
+        by ``max_trial_interval_ms``.
     trial_successes : int
         Good trials in a row after which trust returns.
     unsafe_trial_delay_factor : float
@@ -69,7 +75,7 @@
 
     distrust: bool = True
     sample_weight: float = 0.1
-    peak_decay_ms: float = 1_000.0
+    latency_fade_ms: float = 5_000.0
     error_weight: float = 0.2
     max_error_rate: float = 0.5
     max_consecutive_failures: int = 3
@@ -79,6 +85,8 @@
     baseline_interval_ms: float = 200.0
     trial_interval_ms: float = 500.0
     max_trial_interval_ms: float = 8_000.0
+    max_zone_trial_interval_ms: float = 1_000.0
+    requests_per_trial: int = 200
     trial_successes: int = 3
     unsafe_trial_delay_factor: float = 4.0
     min_zone_failures: int = 4
