Answer no replica before the data folder is read

Cause: the control program opens its port before the log has started. A replica that was still reading its folder answered "no cluster known", so that a former of the cluster with a lost disk could have formed a second one.

Change: every message is refused with PEER_UNREACHABLE until the folder is read, and while closing. In the random schedules a node that crashed while it started forgot its view of the members, and the run then wiped two of three disks; the view is kept now.

Without the refusal (trial) the new test replica_that_is_still_starting_does_not_deny_its_cluster fails.

Conclusion: the first start stays safe when ports open early. One full run showed keys/test_no_schedule_runs_a_key_twice red once; it passes alone and imports nothing of this slice: reported, not touched.

--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -96,12 +96,14 @@
         # restarted, so it gives no vote for the shortest election time.
         replica.heard_ms = self.clock.now_ms()
         self._applier.load()
+        replica.is_running = True
         parts = (self._applier, self._election, self._joining)
         for part in parts:
             self._tasks.append(asyncio.create_task(self._guard(part.run)))
 
     async def close(self) -> None:
         """Stop taking part; what was acknowledged is on the disk already."""
+        self._replica.is_running = False
         self._replica.step_down("the replica is closing")
         for task in self._tasks:
             task.cancel()
--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -89,8 +89,8 @@
     async def answer_join(self, request: JoinRequest) -> JoinReply:
         """Tell what is known of a cluster; as the leader, let the replica in."""
         replica = self.replica
-        if replica.journal.failure is not None:
-            raise replica.journal.failure
+        # Before the folder is read, this replica could deny a cluster it belongs to.
+        replica.check_running()
         if replica.leadership is not None and not self._lock.locked():
             await self._replace(request)
         known = replica.cluster_id if replica.journal.last_index else ""
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -44,6 +44,8 @@
     heard_ms : float
         When this replica last heard from a leader, gave a vote or started, in
         milliseconds of its own clock.
+    is_running : bool
+        Whether the data folder has been read and the replica is not closing.
     commit_index, last_applied : int
         Last entry known to be committed, and last one applied.
     """
@@ -63,6 +65,7 @@
         self.leadership: Leadership | None = None
         self.leader_address: str | None = None
         self.heard_ms = clock.now_ms()
+        self.is_running = False
         self.commit_index = 0
         self.last_applied = 0
         self.on_commit: Callable[[], None] = lambda: None
@@ -102,6 +105,24 @@
         silence_ms = self.clock.now_ms() - self.heard_ms
         return silence_ms < self.settings.election_min_ms
 
+    def check_running(self) -> None:
+        """Refuse to answer before the data folder is read, or after a failure.
+
+        Raises
+        ------
+        BulrushleadError
+            ``STORAGE_FAILED`` if this replica has stopped acknowledging,
+            ``PEER_UNREACHABLE`` if it is starting or closing.
+        """
+        if self.journal.failure is not None:
+            raise self.journal.failure
+        if not self.is_running:
+            raise BulrushleadError(
+                ResultCode.PEER_UNREACHABLE,
+                f"the replica at {self.settings.address} is starting or closing; "
+                "try again",
+            )
+
     def check_addressee(self, target_id: str, cluster_id: str) -> None:
         """Refuse a message that is meant for another replica or cluster.
 
@@ -111,8 +132,7 @@
             ``STORAGE_FAILED`` if this replica has stopped acknowledging,
             ``MEMBERSHIP_REFUSED`` if the message is not meant for it.
         """
-        if self.journal.failure is not None:
-            raise self.journal.failure
+        self.check_running()
         if target_id != self.replica_id:
             raise BulrushleadError(
                 ResultCode.MEMBERSHIP_REFUSED,
--- a/bulrushlead/replication/tests/cluster.py
+++ b/bulrushlead/replication/tests/cluster.py
@@ -143,7 +143,7 @@
     def handle(self, message_type, handler):
         self.handlers[message_type] = handler
 
-    async def start(self, **changes):
+    async def start(self, listen_first=False, **changes):
         cluster = self.cluster
         peers = [a for a in cluster.nodes if a != self.address]
         values = cluster.settings | {"peers": peers, "bootstrap": True} | changes
@@ -157,17 +157,19 @@
             random.Random(cluster.rng.getrandbits(64)),
         )
         self.handlers = {}
+        self.log.register(self)
+        self.alive = listen_first
         await self.log.start()
         self.disk_ids = {self.log.replica_id}
-        self.log.register(self)
         self.alive = True
 
     def crash(self, rng=None):
         """Lose power: running calls end, unsynced bytes are gone."""
         if self.log is None:
             return
+        if self.alive:
+            self.members = self.log.members
         self.alive = False
-        self.members = self.log.members
         self.storage = self.storage.crash(rng)
         for answer in self.answers:
             answer.cancel()
@@ -301,3 +303,16 @@
             )
 
         await self.run_until(settled)
+
+
+class Gate:
+    """Holds back every write of a node until it is opened."""
+
+    def __init__(self, cluster, *nodes):
+        self.cluster, self.is_open = cluster, False
+        for node in nodes:
+            node.storage.before_run = self.wait
+
+    async def wait(self):
+        while not self.is_open:
+            await self.cluster.clock.sleep_ms(1)
--- a/bulrushlead/replication/tests/test_sequences.py
+++ b/bulrushlead/replication/tests/test_sequences.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bulrushlead.replication._messages import AppendRequest, VoteRequest
-from bulrushlead.replication.tests.cluster import LEASE_MS, Cluster
+from bulrushlead.replication.tests.cluster import LEASE_MS, Cluster, Gate
 from bulrushlead.results import BulrushleadError, ResultCode
 
 
@@ -107,6 +107,26 @@
     assert_all_hold(cluster, [b"a"])
 
 
+async def test_replica_that_is_still_starting_does_not_deny_its_cluster(cluster):
+    """Its port may be open before its folder is read, which may take long."""
+    await cluster.start()
+    await cluster.propose(b"a")
+    former, *others = sorted(cluster.nodes.values(), key=lambda node: node.address)
+    former.wipe()
+    for node in others:
+        node.crash()
+    gate = Gate(cluster, *others)
+    for node in others:
+        cluster.spawn(node.start(listen_first=True))
+    await former.start()
+    await cluster.run_for(2_000)
+    assert former.log.cluster_id == ""
+    gate.is_open = True
+    await cluster.run_until(lambda: all(node.log.cluster_id for node in others))
+    await cluster.wait_settled()
+    assert_all_hold(cluster, [b"a"])
+
+
 async def test_restart_of_all_together(cluster):
     await cluster.start()
     changes = commands(120)
--- a/bulrushlead/replication/tests/test_storage.py
+++ b/bulrushlead/replication/tests/test_storage.py
@@ -10,7 +10,7 @@
 from bulrushlead.replication._journal import Journal
 from bulrushlead.replication._messages import VoteRequest, VoteState
 from bulrushlead.replication._records import pack_records, scan_records
-from bulrushlead.replication.tests.cluster import ELECTION_MIN_MS, Cluster
+from bulrushlead.replication.tests.cluster import ELECTION_MIN_MS, Cluster, Gate
 from bulrushlead.results import BulrushleadError, ResultCode
 
 
@@ -235,19 +235,6 @@
     await cluster.close()
 
 
-class Gate:
-    """Holds back every write of a node until it is opened."""
-
-    def __init__(self, cluster, *nodes):
-        self.cluster, self.is_open = cluster, False
-        for node in nodes:
-            node.storage.before_run = self.wait
-
-    async def wait(self):
-        while not self.is_open:
-            await self.cluster.clock.sleep_ms(1)
-
-
 @pytest.mark.parametrize("on_leader", [True, False])
 async def test_slow_disks_of_a_quorum_hold_back_the_acknowledgement(cluster, on_leader):
     leader = await cluster.start()
