Keep asking to join after a promotion that was taken back

Cause: seed 50970 of the random schedules: a replica that replaces a lost one received the entry that promotes it, stopped asking to join, and then the entry was replaced by another leader. It stayed a learner for ever.

Change: the joining task runs as long as the replica and asks whenever the log does not say that it is a voter. Seeds that once found a fault are run always.

Conclusion: no safety rule was broken, but the repair of a lost disk could stop half way; it now ends.

--- a/bulrushlead/replication/_joining.py
+++ b/bulrushlead/replication/_joining.py
@@ -26,7 +26,7 @@
 
 
 class Joining:
-    """Asks the peers for a cluster until this replica is a voter.
+    """Asks the peers for a cluster while this replica is not a voter.
 
     Parameters
     ----------
@@ -39,18 +39,29 @@
         self._last_obstacle = ""
 
     async def run(self) -> None:
-        """Ask until the log says that this replica is a voter."""
+        """Ask whenever the log does not say that this replica is a voter.
+
+        The task goes on as long as the replica runs: an entry that makes it a
+        voter may be replaced by another leader before it is committed.
+        """
         replica, settings = self.replica, self.replica.settings
-        interval_ms = settings.heartbeat_ms * JOIN_INTERVAL_HEARTBEATS
-        while not replica.is_voter():
-            replies = await self._ask_all()
-            if settings.bootstrap and replica.journal.last_index == 0:
-                obstacle = self._obstacle(replies)
-                if not obstacle:
-                    self._form_cluster(replies)
-                    return
-                self._log_obstacle(obstacle)
-            await replica.clock.sleep_ms(interval_ms)
+        while True:
+            if not replica.is_voter():
+                await self._join()
+            await replica.clock.sleep_ms(
+                settings.heartbeat_ms * JOIN_INTERVAL_HEARTBEATS
+            )
+
+    async def _join(self) -> None:
+        replica = self.replica
+        replies = await self._ask_all()
+        if not replica.settings.bootstrap or replica.journal.last_index > 0:
+            return
+        obstacle = self._obstacle(replies)
+        if obstacle:
+            self._log_obstacle(obstacle)
+        else:
+            self._form_cluster(replies)
 
     def _form_cluster(self, replies: dict[str, JoinReply]) -> None:
         """Write the first entry of a new cluster, with every peer as a voter."""
--- a/bulrushlead/replication/tests/test_schedules.py
+++ b/bulrushlead/replication/tests/test_schedules.py
@@ -14,6 +14,7 @@
 
 GROUPS = 10
 SCHEDULES = int(os.environ.get("BULRUSHLEAD_SCHEDULES", "200"))
+ONCE_FAILED = (12844, 22743, 50970)  # seeds that found a fault
 FIRST_SEED = int(os.environ.get("BULRUSHLEAD_FIRST_SEED", "0"))
 
 
@@ -33,3 +34,9 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         for seed in range(FIRST_SEED + group, FIRST_SEED + SCHEDULES, GROUPS):
             runner.run(run_schedule(seed))
+
+
+@pytest.mark.parametrize("seed", ONCE_FAILED)
+def test_seed_that_once_failed(seed):
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run_schedule(seed))
