Add the experiment tool: open-loop load, faults, policies, plots

Cause: no figure about the whole system could be made with one command. A lost connection no longer leaves an unread error.

--- a/bulrushlead/backend/_sample.py
+++ b/bulrushlead/backend/_sample.py
@@ -139,6 +139,12 @@
             await self._runner.cleanup()
             self._runner = None
 
+    async def stop_reports(self) -> None:
+        """Announce nothing more, and go on running requests."""
+        if self._announcer is not None:
+            await self._announcer.close()
+            self._announcer = None
+
     async def drain(self) -> None:
         """Announce that the server is leaving; it still runs what it receives."""
         self.draining = True
--- /dev/null
+++ b/bulrushlead/cli/_bench.py
@@ -0,0 +1,35 @@
+"""Command of the experiment tool."""
+
+import sys
+
+from bulrushlead.bench import load_experiment, run_experiment, write_report
+from bulrushlead.cli._run import run_async
+from bulrushlead.logs import LogFormat, build_handler
+
+BAR_WIDTH = 30
+
+
+def bench(file: str, *, out: str = "build/experiments") -> int:
+    """Run an experiment on loopback and write its report.
+
+    Parameters
+    ----------
+    file : str
+        TOML file of the experiment.
+    out : str
+        Folder for the result file, the report and the plots.
+    """
+    experiment = load_experiment(file)
+    command = f"bulrushlead bench {file}"
+    with build_handler(LogFormat.HUMAN, sys.stderr, "CRITICAL").applicationbound():
+        result = run_async(run_experiment(experiment, command, _show_progress))
+    print(file=sys.stderr)
+    for name in write_report(result, out):
+        print(f"{out}/{name}")
+    return 0
+
+
+def _show_progress(policy: str, share: float) -> None:
+    filled = round(BAR_WIDTH * share)
+    bar = "#" * filled + "." * (BAR_WIDTH - filled)
+    print(f"\r{policy:<20} [{bar}] {share:4.0%}", end="", file=sys.stderr, flush=True)
--- a/bulrushlead/cli/_main.py
+++ b/bulrushlead/cli/_main.py
@@ -6,7 +6,7 @@
 
 import defopt
 
-from bulrushlead.cli import _daemons, _operate, _query
+from bulrushlead.cli import _bench, _daemons, _operate, _query
 from bulrushlead.results import CODES, BulrushleadError, ResultCode
 
 COMMANDS = {
@@ -24,6 +24,7 @@
     "lookup": _query.lookup,
     "keys": _query.keys,
     "resolve-key": _query.resolve_key,
+    "bench": _bench.bench,
 }
 
 
--- a/bulrushlead/wire/_client.py
+++ b/bulrushlead/wire/_client.py
@@ -174,6 +174,8 @@
         for future in self._waiting.values():
             if not future.done():
                 future.set_exception(ConnectionResetError("connection lost"))
+                # Its caller may have given up meanwhile and never look at it.
+                future.exception()
 
     async def _drop_connection(self) -> None:
         reader, self._reader = self._reader, None
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -91,7 +91,7 @@
 def _reports_stop(world, run):
     async def stop():
         for server in world.servers():
-            await server._announcer.close()
+            await server.stop_reports()
 
     run(stop())
 
