Watch two guards again that other rules had come to cover

Change: a test of the pool for the first; for the second the example settles first, asserts that every host has a share, and runs in both orders. Conclusion: each guard is watched by a test of its own.

--- a/bulrushlead/leases/tests/test_guards.py
+++ b/bulrushlead/leases/tests/test_guards.py
@@ -1,5 +1,7 @@
 """One directed test for each guard that random schedules rarely need."""
 
+import pytest
+
 from bulrushlead.clock import ManualClock
 from bulrushlead.leases import HolderId, LeaseGrant, LeaseHolder, SharePool, SlotShare
 from bulrushlead.leases.tests.schedule import check
@@ -77,6 +79,13 @@
     check(world)
 
 
+def test_nothing_is_usable_by_a_first_report_after_the_take_over():
+    pool, holder = SharePool(3), HolderId("h0", "run-1")
+    pool.begin_take_over(1_000.0)
+    assert pool.adopt(holder, usable=2, in_use=0, now_ms=999.0) == 2
+    assert pool.adopt(HolderId("h1", "run-1"), 1, 0, now_ms=1_000.0) == 0
+
+
 def test_requests_in_flight_count_even_when_nothing_else_is_held():
     pool, holder = SharePool(3), HolderId("h0", "run-1")
     assert pool.report(holder, usable=2, in_use=2) == 0
@@ -101,13 +110,19 @@
         assert deaf.holder.rate(KEY) + other.holder.rate(KEY) <= 20
 
 
-def test_a_lowered_limit_is_not_granted_twice_over_lapses():
+@pytest.mark.parametrize("order", [1, -1])
+def test_a_lowered_limit_is_not_granted_twice_over_lapses(order):
     world = World(known=False)
     world.advance(3_100)
+    for _ in range(8):
+        renew_all(world)
+        world.advance(150)
     renew_all(world)
+    assert min(host.holder.rate(KEY) for host in world.hosts) > 0
     world.change_limit(1)
     world.advance(1_100)
-    renew_all(world)
+    for host in world.hosts[::order]:
+        world.renew(host)
     check(world)
     for _ in range(10):
         world.advance(150)
