Log grants that change; measure renewals with demands for rates

Cause: LEASE_GRANTED was in the catalogue and never written, and the figures for renewals were older than the demands for rates in the messages.

--- a/benchmarks/lease_table.py
+++ b/benchmarks/lease_table.py
@@ -29,6 +29,7 @@
 SERVICES = ("stock", "tracking")
 SLOTS = 4
 CONNECTIONS = 390
+RATE_DEMANDS = 4
 WARM_ROUNDS = 8
 NODE_BYTES_PER_S = 8_000
 NODE_CORE_PERCENT = 3.1
@@ -155,6 +156,9 @@
             self._clock._now_ms += interval_ms / self.hosts
             waiting = self._random.choice((0, 0, 0, 2))
             holder.note_demand(SERVICES[0], REGIONS[0], waiting)
+            for limit in build_limits()[:RATE_DEMANDS]:
+                wanted = self._random.randrange(limit.amount_per_s // self.hosts)
+                holder.note_rate_demand(limit.key, wanted)
             self._renew(holder)
 
     def _renew(self, holder: LeaseHolder) -> None:
--- a/bulrushlead/leases/__init__.py
+++ b/bulrushlead/leases/__init__.py
@@ -13,8 +13,9 @@
     SlotShare,
 )
 from bulrushlead.leases._pool import HolderId, SharePool
+from bulrushlead.leases._record import HolderView
 from bulrushlead.leases._settings import LeaseSettings
-from bulrushlead.leases._table import HolderView, LeaseTable
+from bulrushlead.leases._table import LeaseTable
 
 __all__ = [
     "Demand",
--- a/bulrushlead/leases/_record.py
+++ b/bulrushlead/leases/_record.py
@@ -66,3 +66,26 @@
     demands: tuple[Demand, ...] = ()
     rate_demands: dict[LimitKey, int] = attrs.field(factory=dict)
     grant: LeaseGrant | None = None
+
+
+@attrs.frozen
+class HolderView:
+    """What one run of an entry host holds, for status and tests.
+
+    Parameters
+    ----------
+    host, incarnation : str
+        Which run of which host.
+    live : bool
+        Whether its lease still runs by the leader's clock.
+    remaining_ms : float
+        Time until its lease ends, 0 if it has ended.
+    slots : int
+        Slots that it may be using, over all backend servers.
+    """
+
+    host: str
+    incarnation: str
+    live: bool
+    remaining_ms: float
+    slots: int
--- a/bulrushlead/leases/_table.py
+++ b/bulrushlead/leases/_table.py
@@ -3,8 +3,6 @@
 import math
 from collections.abc import Sequence
 
-import attrs
-
 from bulrushlead.backend import BackendServer
 from bulrushlead.clock import Clock
 from bulrushlead.declaration import AvailabilityZone, Host, HostRole, Service
@@ -16,7 +14,7 @@
 )
 from bulrushlead.leases._pool import HolderId
 from bulrushlead.leases._rates import RateDivision
-from bulrushlead.leases._record import HolderRecord
+from bulrushlead.leases._record import HolderRecord, HolderView
 from bulrushlead.leases._settings import LeaseSettings
 from bulrushlead.leases._slots import SlotDivision
 from bulrushlead.logs import Event, EventLogger
@@ -29,29 +27,6 @@
 """Least time between two rebalances, for each host above that number."""
 
 
-@attrs.frozen
-class HolderView:
-    """What one run of an entry host holds, for status and tests.
-
-    Parameters
-    ----------
-    host, incarnation : str
-        Which run of which host.
-    live : bool
-        Whether its lease still runs by the leader's clock.
-    remaining_ms : float
-        Time until its lease ends, 0 if it has ended.
-    slots : int
-        Slots that it may be using, over all backend servers.
-    """
-
-    host: str
-    incarnation: str
-    live: bool
-    remaining_ms: float
-    slots: int
-
-
 class LeaseTable:
     """Grants shares of slots and rates to entry hosts.
 
@@ -282,6 +257,7 @@
         self._rebalance_if_due(now_ms)
         slots = self._slots.grant(record, now_ms)
         rates = self._rates.grant(record, now_ms)
+        before = record.grant
         record.grant = LeaseGrant(
             host=record.holder.host,
             incarnation=record.holder.incarnation,
@@ -291,8 +267,22 @@
             slots=slots,
             rates=rates,
         )
+        if before is None or (before.slots, before.rates) != (slots, rates):
+            self._log_grant(record.grant)
         return record.grant
 
+    def _log_grant(self, grant: LeaseGrant) -> None:
+        self._log.write(
+            Event.LEASE_GRANTED,
+            host=grant.host,
+            incarnation=grant.incarnation,
+            term=grant.term,
+            sequence=grant.sequence,
+            slots=sum(share.count for share in grant.slots),
+            servers=len(grant.slots),
+            rates=len(grant.rates),
+        )
+
     def _rebalance_if_due(self, now_ms: float) -> None:
         least_gap_ms = REBALANCE_GAP_MS * max(0, len(self._records) - COALESCE_ABOVE)
         if now_ms < max(self._rebalance_due_ms, self._rebalanced_at_ms + least_gap_ms):
--- a/bulrushlead/leases/tests/test_sharing.py
+++ b/bulrushlead/leases/tests/test_sharing.py
@@ -1,8 +1,11 @@
 """Floors, lending, calling back and taking over."""
 
+import io
+
 import pytest
 
 from bulrushlead.leases.tests.world import KEY, SETTINGS, World
+from bulrushlead.logs import LogFormat, build_handler
 from bulrushlead.results import BulrushleadError, ResultCode
 
 
@@ -148,3 +151,16 @@
     with pytest.raises(BulrushleadError) as error:
         world.table.renew(stale)
     assert error.value.code is ResultCode.NOT_LEADER
+
+
+def test_a_grant_is_logged_when_it_changes():
+    stream = io.StringIO()
+    with build_handler(LogFormat.JSON, stream).applicationbound():
+        world = World(host_count=1, known=True)
+        settle(world)
+        logged = stream.getvalue().count("LEASE_GRANTED")
+        settle(world)
+        assert stream.getvalue().count("LEASE_GRANTED") == logged > 0
+        world.change_server("b", draining=True)
+        settle(world, rounds=1)
+    assert stream.getvalue().count("LEASE_GRANTED") == logged + 1
