--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -11,7 +11,8 @@
 import defopt
 import logbook
 
-from benchmarks.policy_experiment import (
+from benchmarks.policy_experiment import Experiment
+from benchmarks.policy_fakes import (
     COLD_FACTOR,
     DURATION_MS,
     FAULT_MS,
@@ -23,7 +24,6 @@
     SLOTS,
     SLOW_FACTOR,
     ZONES,
-    Experiment,
     RunResult,
     Scenario,
 )
--- a/benchmarks/policy_experiment.py
+++ b/benchmarks/policy_experiment.py
@@ -4,11 +4,39 @@
 import heapq
 import itertools
 import random
-from enum import Enum
 
-import attrs
 import numpy as np
 
+from benchmarks.policy_fakes import (
+    COLD_FACTOR,
+    COLD_REQUESTS,
+    CONNECT_TIMEOUT_MS,
+    DEADLINE_MS,
+    DURATION_MS,
+    FAULT_MS,
+    MAX_QUEUE,
+    MAX_WAIT_MS,
+    MEAN_SERVICE_MS,
+    OTHER_ZONE_MS,
+    QUICK_FAILURE_MS,
+    RECOVERY_MS,
+    REGION,
+    REPORT_DELAY_MS,
+    REPORT_INTERVAL_MS,
+    RETRY_BUDGET,
+    SERVERS_PER_ZONE,
+    SERVICE,
+    SERVICE_SIGMA,
+    SLOTS,
+    SLOW_FACTOR,
+    UNEVEN_FACTOR,
+    ZONES,
+    FakeServer,
+    Pending,
+    RunResult,
+    Scenario,
+    StepClock,
+)
 from bulrushlead.backend import Announcement, BackendServer
 from bulrushlead.results import BulrushleadError
 from bulrushlead.routing import (
@@ -20,102 +48,6 @@
     RouterSettings,
 )
 
-SERVICE = "stock"
-REGION = "casa"
-ZONES = ("casa-a", "casa-b")
-SERVERS_PER_ZONE = 10
-SLOTS = 3
-MEAN_SERVICE_MS = 30.0
-# Log-normal service times with a coefficient of variation of about 0.66.
-SERVICE_SIGMA = 0.6
-OTHER_ZONE_MS = 2.0
-DEADLINE_MS = 1_000.0
-MAX_WAIT_MS = 200.0
-MAX_QUEUE = 1_000
-REPORT_INTERVAL_MS = 500.0
-REPORT_DELAY_MS = 200.0
-CONNECT_TIMEOUT_MS = 250.0
-QUICK_FAILURE_MS = 1.0
-SLOW_FACTOR = 10.0
-UNEVEN_FACTOR = 2.0
-COLD_FACTOR = 5.0
-COLD_REQUESTS = 100
-RETRY_BUDGET = 0.1
-FAULT_MS = 3_000.0
-RECOVERY_MS = 8_000.0
-DURATION_MS = 12_000.0
-
-
-class Scenario(Enum):
-    """What goes wrong."""
-
-    HEALTHY = "healthy"
-    SLOW_TENTH = "slow_tenth"
-    SLOW_LIAR = "slow_liar"
-    FAILING_LIAR = "failing_liar"
-    DEAD_ZONE = "dead_zone"
-    REPORTS_STOP = "reports_stop"
-    COLD_START = "cold_start"
-    UNEVEN = "uneven"
-
-
-class StepClock:
-    """Clock that the experiment sets."""
-
-    def __init__(self):
-        self.time_ms = 0.0
-
-    def now_ms(self) -> float:
-        """Return the time of the current event."""
-        return self.time_ms
-
-
-@attrs.define(eq=False)
-class FakeServer:
-    """A fake backend server.
-
-    Parameters
-    ----------
-    server : BackendServer
-        What the router is told of it.
-    running : int
-        Requests that it runs.
-    n_answers : int
-        Requests that it has run.
-    slots_free_ms : list of float
-        When each slot is free again, used where requests queue at the server.
-    """
-
-    server: BackendServer
-    running: int = 0
-    n_answers: int = 0
-    slots_free_ms: list[float] = attrs.field(factory=lambda: [0.0] * SLOTS)
-
-
-@attrs.define(eq=False)
-class Pending:
-    """A request that waits or runs."""
-
-    arrived_ms: float
-    tried: frozenset[str] = frozenset()
-
-
-@attrs.frozen
-class RunResult:
-    """Figures of the requests that arrived after the fault; times in ms."""
-
-    policy: str
-    scenario: str
-    load_percent: int
-    seed: int
-    n_requests: int
-    p50_ms: float
-    p99_ms: float
-    p999_ms: float
-    refused_percent: float
-    failed_percent: float
-    sick_percent: float
-
 
 class Experiment:
     """One run of one policy in one scenario.
