--- a/bulrushlead/replication/_applier.py
+++ b/bulrushlead/replication/_applier.py
@@ -15,7 +15,7 @@
     from bulrushlead.replication._replica import Replica
 
 ENTRIES_PER_TURN = 256  # then other tasks run
-MAX_KEPT_THRESHOLDS = 8  # of snapshot_threshold_entries, for transfers in progress
+MAX_THRESHOLDS = 8  # of snapshot_threshold_entries, kept in the log at most
 
 
 @attrs.define(eq=False)
@@ -164,10 +164,22 @@
         )
 
     def _is_compaction_due(self) -> bool:
+        """Return whether a snapshot is worth its cost.
+
+        A large state is written only after about as many bytes of commands, or
+        after several times the threshold of entries.
+        """
         replica, journal = self.replica, self.replica.journal
-        last = 0 if journal.snapshot is None else journal.snapshot.header.index
-        entries = replica.last_applied - last
         settings = replica.settings
+        last_index, last_bytes = 0, 0
+        if journal.snapshot is not None:
+            last_index = journal.snapshot.header.index
+            last_bytes = journal.snapshot.header.size_bytes
+        entries = replica.last_applied - last_index
+        if entries >= settings.snapshot_threshold_entries * MAX_THRESHOLDS:
+            return True
+        if journal.entries_bytes < last_bytes:
+            return False
         if entries >= settings.snapshot_threshold_entries:
             return True
         return (
@@ -187,7 +199,7 @@
         if replica.leadership is not None:
             needed_index = replica.leadership.oldest_transfer_index()
             trailing = max(trailing, replica.last_applied - needed_index)
-        most = settings.snapshot_threshold_entries * MAX_KEPT_THRESHOLDS
+        most = settings.snapshot_threshold_entries * MAX_THRESHOLDS
         return min(trailing, most)
 
     def _log_members(self, entry: LogEntry) -> None:
--- a/bulrushlead/replication/_journal.py
+++ b/bulrushlead/replication/_journal.py
@@ -12,19 +12,14 @@
     load_generation,
     write_generation,
 )
-from bulrushlead.replication._messages import EntryKind, LogEntry, Members, VoteState
+from bulrushlead.replication._member_history import MemberHistory
+from bulrushlead.replication._messages import LogEntry, Members, VoteState
 from bulrushlead.replication._records import pack_records
 from bulrushlead.replication._storage import Storage
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire import codec
 
 
-@attrs.frozen
-class _MembersAt:
-    index: int
-    members: Members
-
-
 @attrs.define
 class _Batch:
     payloads: list[bytes]
@@ -77,7 +72,7 @@
         self.failure: BulrushleadError | None = None
         self.entries_bytes = 0
         self._entries: list[LogEntry] = []
-        self._member_history = [_MembersAt(0, Members())]
+        self._member_history = MemberHistory()
         self._pending: list[bytes] = []
         self._waiters: list[asyncio.Future] = []
         self._rewrite_needed = False
@@ -144,17 +139,16 @@
     @property
     def members(self) -> Members:
         """Latest set of replicas in the log, committed or not."""
-        return self._member_history[-1].members
+        return self._member_history.members
 
     @property
     def members_index(self) -> int:
         """Index of the entry that holds the latest set of replicas."""
-        return self._member_history[-1].index
+        return self._member_history.index
 
     def members_at(self, index: int) -> Members:
         """Return the set of replicas as of an entry."""
-        known = [at.members for at in self._member_history if at.index <= index]
-        return known[-1] if known else Members()
+        return self._member_history.members_at(index)
 
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry, or None if it is not held."""
@@ -192,9 +186,7 @@
                 self._truncate(entry.index)
             self._entries.append(entry)
             self.entries_bytes += len(entry.payload)
-            if entry.kind is EntryKind.MEMBERS:
-                members = codec.decode(entry.payload)
-                self._member_history.append(_MembersAt(entry.index, members))
+            self._member_history.add(entry)
             self._add(entry)
 
     def compact(self, snapshot: Snapshot, trailing_entries: int) -> None:
@@ -204,7 +196,7 @@
         base_term = self.term_at(base_index)
         self._delete(0, base_index - self.base_index)
         self.base_index, self.base_term = base_index, base_term
-        self._forget_members_before(snapshot)
+        self._member_history.restart_at(snapshot.header)
         self._request_rewrite()
 
     def install(self, snapshot: Snapshot) -> None:
@@ -214,11 +206,11 @@
             self._delete(0, header.index - self.base_index)
         else:
             self._delete(0, len(self._entries))
-            self._member_history.clear()
+            self._member_history = MemberHistory()
             self.durable_index = self._in_flight_index = 0
         self.base_index, self.base_term = header.index, header.term
         self.snapshot = snapshot
-        self._forget_members_before(snapshot)
+        self._member_history.restart_at(snapshot.header)
         self._request_rewrite()
 
     async def sync(self) -> None:
@@ -266,11 +258,9 @@
         self.entries_bytes = sum(len(entry.payload) for entry in self._entries)
         self.durable_index = self._in_flight_index = self.last_index
         for entry in self._entries:
-            if entry.kind is EntryKind.MEMBERS:
-                members = codec.decode(entry.payload)
-                self._member_history.append(_MembersAt(entry.index, members))
+            self._member_history.add(entry)
         if self.snapshot is not None:
-            self._forget_members_before(self.snapshot)
+            self._member_history.restart_at(self.snapshot.header)
 
     def _add(self, record: LogEntry | VoteState) -> None:
         self._pending.append(codec.encode(record))
@@ -278,8 +268,7 @@
 
     def _truncate(self, index: int) -> None:
         self._delete(index - self.base_index - 1, len(self._entries))
-        while self._member_history[-1].index >= index:
-            self._member_history.pop()
+        self._member_history.truncate(index)
         self.durable_index = min(self.durable_index, index - 1)
         self._in_flight_index = min(self._in_flight_index, index - 1)
 
@@ -288,11 +277,6 @@
         self.entries_bytes -= sum(len(entry.payload) for entry in removed)
         del self._entries[first:end]
 
-    def _forget_members_before(self, snapshot: Snapshot) -> None:
-        header = snapshot.header
-        later = [at for at in self._member_history if at.index > header.index]
-        self._member_history = [_MembersAt(header.index, header.members), *later]
-
     def _request_rewrite(self) -> None:
         self._rewrite_needed = True
         self._wake.set()
--- a/bulrushlead/replication/_settings.py
+++ b/bulrushlead/replication/_settings.py
@@ -74,18 +74,19 @@
         peer answers that it knows of no cluster.
     heartbeat_ms : float, default=150
         Time between two messages of the leader to an idle peer, in milliseconds.
-    lease_ms : float, default=700
+    lease_ms : float, default=540
         How long the leader answers after a quorum last acknowledged it, in
         milliseconds.
-    election_min_ms : float, default=800
+    election_min_ms : float, default=600
         Shortest time without a leader before an election, and the time for which
         a replica refuses votes after it heard from a leader, in milliseconds.
-    election_max_ms : float, default=1400
+    election_max_ms : float, default=1000
         Longest time without a leader before an election, in milliseconds.
     call_timeout_ms : float, default=300
         Time allowed for one call to a peer, in milliseconds.
     snapshot_threshold_entries : int, default=2000
-        Applied entries after which a snapshot is written.
+        Applied entries after which a snapshot is written; up to eight times as
+        many while the log is smaller than the last snapshot.
     snapshot_threshold_bytes : int, default=8 MiB
         Bytes of commands in the log after which a snapshot is written.
     snapshot_trailing_entries : int, default=500
@@ -108,9 +109,9 @@
     data_folder: str = ""
     bootstrap: bool = False
     heartbeat_ms: float = attrs.field(default=150, validator=_at_least(1))
-    lease_ms: float = attrs.field(default=700, validator=_at_least(1))
-    election_min_ms: float = attrs.field(default=800, validator=_at_least(1))
-    election_max_ms: float = attrs.field(default=1400, validator=_at_least(1))
+    lease_ms: float = attrs.field(default=540, validator=_at_least(1))
+    election_min_ms: float = attrs.field(default=600, validator=_at_least(1))
+    election_max_ms: float = attrs.field(default=1000, validator=_at_least(1))
     call_timeout_ms: float = attrs.field(default=300, validator=_at_least(1))
     snapshot_threshold_entries: int = attrs.field(default=2000, validator=_at_least(1))
     snapshot_threshold_bytes: int = attrs.field(
