Test two more guards of the coordinator; search spent keys in larger blocks

Cause: taking out the use of an own claim that took hold late, or the waiting in close(), failed no test. Change: a test for each guard, seen to fail without it. Blocks of 65 536.

--- a/bulrushlead/keys/_spent.py
+++ b/bulrushlead/keys/_spent.py
@@ -2,7 +2,7 @@
 
 import numpy as np
 
-BLOCK_KEYS = 16_384
+BLOCK_KEYS = 65_536
 
 
 class SpentKeys:
@@ -22,7 +22,8 @@
     def __contains__(self, fingerprint: int) -> bool:
         if fingerprint in self._recent:
             return True
-        return any(_holds(block, fingerprint) for block in self._blocks)
+        wanted = np.uint64(fingerprint)
+        return any(_holds(block, wanted) for block in self._blocks)
 
     def add(self, fingerprint: int) -> None:
         """Add a fingerprint."""
@@ -65,7 +66,6 @@
         return spent
 
 
-def _holds(block: np.ndarray, fingerprint: int) -> bool:
-    wanted = np.uint64(fingerprint)
+def _holds(block: np.ndarray, wanted: np.uint64) -> bool:
     position = block.searchsorted(wanted)
     return bool(position < len(block) and block[position] == wanted)
--- a/bulrushlead/keys/tests/test_coordinator.py
+++ b/bulrushlead/keys/tests/test_coordinator.py
@@ -304,6 +304,38 @@
     assert world.control.calls == []
 
 
+async def test_closing_waits_for_the_attempt_and_its_record(world):
+    world.gate.clear()
+    host = world.host("h1")
+    caller = world.start(host)
+    await world.began.wait()
+    closing = asyncio.create_task(host.close())
+    await world.clock.advance_ms(100)
+    assert not closing.done()
+    world.gate.set()
+    await world.clock.advance_ms(100)
+    assert closing.done()
+    assert (await caller).body == b"order 1"
+    assert world.control.count(FinishKey) == 1
+
+
+async def test_an_own_claim_that_took_hold_late_is_used(world):
+    """The holder ends as not run; a copy of the waiting claim arrives by itself."""
+    world.gate.clear()
+    first = world.start(world.host("h1"))
+    await world.began.wait()
+    second = world.start(world.host("h2"))
+    await world.clock.advance_ms(5)
+    held, waiting = [c for c in world.control.calls if isinstance(c, ClaimKey)]
+    world.control.apply(FinishKey("k", "stock", held.attempt_id, KeyOutcome.NOT_RUN))
+    world.control.apply(waiting)
+    world.gate.set()
+    await world.clock.advance_ms(1_000)
+    assert second.done()
+    assert (await second).body == b"order 2"
+    await first
+
+
 async def test_the_claim_comes_before_the_attempt_and_costs_one_call(world):
     calls_at_start = []
 
