Prove operators' changes; bound watches, commands and refusals

Conclusion: the tests found an open stream left behind by a watcher that stopped, and a watch that gave up after a quiet time; both are mended.

--- a/bulrushlead/declaration/_validation.py
+++ b/bulrushlead/declaration/_validation.py
@@ -61,7 +61,8 @@
 
 
 def _fault(section: str, item: Any, name: str, value: Any, allowed: str) -> Fault:
-    return Fault(f"{section}.{identity(item)}.{name}", show(value), allowed)
+    key = f"{section}.{identity(item)[:MAX_SHOWN_LENGTH]}.{name}"
+    return Fault(key, show(value), allowed)
 
 
 def _check_unique(declaration: Declaration) -> Iterator[Fault]:
@@ -69,7 +70,8 @@
         counts = Counter(identity(item) for item in getattr(declaration, section))
         for name, count in counts.items():
             if count > 1:
-                yield Fault(f"{section}.{name}", f"{count} entries", "one entry")
+                key = f"{section}.{name[:MAX_SHOWN_LENGTH]}"
+                yield Fault(key, f"{count} entries", "one entry")
 
 
 def _check_references(declaration: Declaration) -> Iterator[Fault]:
--- a/bulrushlead/operators/_backend.py
+++ b/bulrushlead/operators/_backend.py
@@ -28,7 +28,8 @@
         Raises
         ------
         BulrushleadError
-            ``NOT_LEADER`` only if the command was certainly not appended;
+            ``NOT_LEADER``, ``NO_QUORUM``, ``STORAGE_FAILED`` or
+            ``MESSAGE_TOO_LARGE`` only if the command was certainly not appended;
             ``CHANGE_OUTCOME_UNKNOWN`` if it may be accepted later.
         """
         ...
--- a/bulrushlead/operators/_client.py
+++ b/bulrushlead/operators/_client.py
@@ -9,6 +9,7 @@
 from bulrushlead.clock import Clock
 from bulrushlead.declaration import Declaration, validate
 from bulrushlead.operators import operators_pb2 as pb
+from bulrushlead.operators._channels import Channels
 from bulrushlead.operators._convert import (
     declaration_from_proto,
     difference_from_proto,
@@ -25,9 +26,12 @@
     HistoryEntry,
     ProposedChange,
 )
-from bulrushlead.operators._refusals import RefusedError, refusal_of
+from bulrushlead.operators._refusals import (
+    WATCH_ACCEPTED_KEY,
+    RefusedError,
+    refusal_of,
+)
 from bulrushlead.operators._search import (
-    RETRY_PAUSE_MS,
     TRIED_ELSEWHERE,
     LeaderSearch,
 )
@@ -36,7 +40,6 @@
     FaultsError,
     ResultCode,
 )
-from bulrushlead.wire import MAX_MESSAGE_BYTES
 
 DEFAULT_TIMEOUT_MS = 15_000
 ATTEMPT_TIMEOUT_MS = 3_000
@@ -88,7 +91,7 @@
         self.credentials = credentials
         self.timeout_ms = timeout_ms
         self.attempt_timeout_ms = attempt_timeout_ms
-        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._channels = Channels(credentials)
         self._leader = ""
 
     async def apply(
@@ -265,21 +268,26 @@
         while True:
             address = await search.next_address()
             request = pb.WatchRequest(after_revision=after_revision)
+            call = self._channels.stub(address).Watch(request)
             try:
-                async for message in self._stub(address).Watch(request):
-                    search.record_answer(address)
+                await self._await_acceptance(call, address, search)
+                # A quiet stream may end long after the time of one call.
+                async for message in call:
                     entry = entry_from_proto(message)
                     after_revision = entry.revision
                     yield entry
             except grpc.aio.AioRpcError as error:
+                search = self._new_search()
                 search.record_failure(refusal_of(error, address))
+            except RefusedError as error:
+                search.record_failure(error)
+            finally:
+                # A caller that stops here must not leave the stream open.
+                call.cancel()
 
     async def close(self) -> None:
         """Close every connection."""
-        channels = list(self._channels.values())
-        self._channels.clear()
-        for channel in channels:
-            await channel.close()
+        await self._channels.close()
 
     def _new_search(self) -> LeaderSearch:
         return LeaderSearch(self.addresses, self.clock, self.timeout_ms, self._leader)
@@ -306,9 +314,10 @@
         self, address: str, method: Callable, request: Any, search: LeaderSearch
     ) -> Any:
         timeout_ms = min(self.attempt_timeout_ms, search.remaining_ms())
+        await self._settle(address, timeout_ms)
         try:
             return await self.clock.wait_for(
-                method(self._stub(address))(request), timeout_ms
+                method(self._channels.stub(address))(request), timeout_ms
             )
         except TimeoutError as error:
             raise RefusedError(
@@ -318,28 +327,38 @@
         except grpc.aio.AioRpcError as error:
             raise refusal_of(error, address) from error
 
-    def _stub(self, address: str) -> OperatorsStub:
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = self._channels[address] = self._open(address)
-        return OperatorsStub(channel)
-
-    def _open(self, address: str) -> grpc.aio.Channel:
-        options = [
-            ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
-            ("grpc.enable_retries", 0),
-            ("grpc.enable_http_proxy", 0),
-            # Clients with other keys must not share a connection.
-            ("grpc.use_local_subchannel_pool", 1),
-            ("grpc.initial_reconnect_backoff_ms", RETRY_PAUSE_MS),
-            ("grpc.max_reconnect_backoff_ms", 1_000),
-        ]
-        if self.credentials is None:
-            return grpc.aio.insecure_channel(address, options)
-        if self.credentials.server_name:
-            name = self.credentials.server_name
-            options.append(("grpc.ssl_target_name_override", name))
-        return grpc.aio.secure_channel(address, self.credentials.for_client(), options)
+    async def _settle(self, address: str, timeout_ms: float) -> None:
+        try:
+            await self.clock.wait_for(self._channels.settle(address), timeout_ms)
+        except TimeoutError as error:
+            raise RefusedError(
+                ResultCode.PEER_UNREACHABLE,
+                f"{address} accepted no connection within {timeout_ms:.0f} ms",
+            ) from error
+
+    async def _await_acceptance(
+        self, call: grpc.aio.UnaryStreamCall, address: str, search: LeaderSearch
+    ) -> None:
+        try:
+            metadata = await self.clock.wait_for(
+                call.initial_metadata(), self.attempt_timeout_ms
+            )
+        except TimeoutError as error:
+            raise RefusedError(
+                ResultCode.PEER_TIMEOUT,
+                f"{address} did not accept the watch within "
+                f"{self.attempt_timeout_ms:.0f} ms",
+            ) from error
+        except grpc.aio.AioRpcError as error:
+            raise refusal_of(error, address) from error
+        if WATCH_ACCEPTED_KEY in metadata:
+            search.record_answer(address)
+            self._leader = address
+            return
+        try:
+            await call.read()
+        except grpc.aio.AioRpcError as error:
+            raise refusal_of(error, address) from error
 
 
 def _require_valid(declaration: Declaration) -> None:
--- a/bulrushlead/operators/_refusals.py
+++ b/bulrushlead/operators/_refusals.py
@@ -12,6 +12,7 @@
 
 CODE_KEY = "bulrushlead-code"
 REFUSAL_KEY = "bulrushlead-refusal-bin"
+WATCH_ACCEPTED_KEY = "bulrushlead-watch"
 # gRPC clients accept 8 KiB of metadata by default; base64 adds a third.
 MAX_REFUSAL_BYTES = 3_072
 MAX_DETAIL_LENGTH = 500
@@ -76,6 +77,10 @@
         self.differences = tuple(differences)
 
 
+class HandshakeError(RefusedError):
+    """A connection that ended before any call because the keys do not fit."""
+
+
 def to_refusal(error: BulrushleadError, leader_hint: str = "") -> pb.Refusal:
     """Return an error as a message of bounded size."""
     refusal = pb.Refusal(
@@ -159,6 +164,13 @@
 
 def _from_status(error: grpc.aio.AioRpcError, address: str) -> RefusedError:
     details = str(error.details())[:MAX_DETAIL_LENGTH]
+    if _is_handshake_failure(error.code(), details.lower()):
+        return HandshakeError(
+            ResultCode.NOT_AUTHORISED,
+            f"{address} ended the connection before any call; show a key signed by "
+            "its authority, trust the authority of its own key, and use keys on "
+            f"both sides or on neither ({details})",
+        )
     match error.code():
         case grpc.StatusCode.RESOURCE_EXHAUSTED if "larger than" in details:
             code = ResultCode.MESSAGE_TOO_LARGE
@@ -175,5 +187,13 @@
     return RefusedError(code, f"{address}: {error.code().name}: {details}")
 
 
+def _is_handshake_failure(status: grpc.StatusCode, details: str) -> bool:
+    return (
+        status is grpc.StatusCode.UNAVAILABLE
+        and "failed to connect" in details
+        and ("handshake failed" in details or "socket closed" in details)
+    )
+
+
 def _cut(text: str, length: int = MAX_ITEM_LENGTH) -> str:
     return text if len(text) <= length else text[: length - 3] + "..."
--- a/bulrushlead/operators/_search.py
+++ b/bulrushlead/operators/_search.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from bulrushlead.clock import Clock
-from bulrushlead.operators._refusals import RefusedError
+from bulrushlead.operators._refusals import HandshakeError, RefusedError
 from bulrushlead.results import Ran, ResultCode
 
 RETRY_PAUSE_MS = 100
@@ -73,18 +73,13 @@
         Raises
         ------
         RefusedError
-            ``CONTROL_UNREACHABLE`` once the time is up.
+            ``CONTROL_UNREACHABLE`` once the time is up, or ``NOT_AUTHORISED`` if
+            the keys were refused last.
         """
         if not self._round:
             await self._begin_round()
         if self._last is not None and self.remaining_ms() <= 0:
-            raise RefusedError(
-                ResultCode.CONTROL_UNREACHABLE,
-                f"no control host of {', '.join(self.addresses)} answered as "
-                f"leader within {self.timeout_ms:.0f} ms; last answer: "
-                f"{self._last}; check the addresses, and the keys where control "
-                "hosts require them",
-            ) from self._last
+            raise self._out_of_time(self._last)
         address = self._round.pop(0)
         self._asked.append(address)
         return address
@@ -96,9 +91,11 @@
 
     def record_failure(self, error: RefusedError) -> None:
         """Take note of a failed attempt; raise it if no other can help."""
-        if error.info.ran is not Ran.NO or error.code is ResultCode.NO_QUORUM:
+        if error.info.ran is not Ran.NO:
             self.may_have_run = True
-        if error.code not in TRIED_ELSEWHERE:
+        # Another control host may have keys that fit.
+        is_final = error.code not in TRIED_ELSEWHERE
+        if is_final and not isinstance(error, HandshakeError):
             raise error
         self._last = error
         self.leader = ""
@@ -106,6 +103,16 @@
         if hint and hint not in self._asked:
             self._round = [hint, *(a for a in self._round if a != hint)]
 
+    def _out_of_time(self, last: RefusedError) -> RefusedError:
+        if isinstance(last, HandshakeError):
+            return last
+        return RefusedError(
+            ResultCode.CONTROL_UNREACHABLE,
+            f"no control host of {', '.join(self.addresses)} answered as leader "
+            f"within {self.timeout_ms:.0f} ms; last answer: {last}; check the "
+            "addresses, or try again once a leader is elected",
+        )
+
     async def _begin_round(self) -> None:
         if self._asked:
             pause_ms = RETRY_PAUSE_MS * random.uniform(0.5, 1.5)
--- a/bulrushlead/operators/_server.py
+++ b/bulrushlead/operators/_server.py
@@ -13,11 +13,17 @@
 
 MAX_CONCURRENT_CALLS = MAX_WATCHERS + 64
 CLOSE_GRACE_S = 1.0
+KEEPALIVE_INTERVAL_MS = 10_000
 
 _OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     # Two servers on one port would split the calls between them.
     ("grpc.so_reuseport", 0),
+    # Half the interval of clients, so that jitter does not end their connections.
+    (
+        "grpc.http2.min_ping_interval_without_data_ms",
+        KEEPALIVE_INTERVAL_MS // 2,
+    ),
 )
 
 
--- a/bulrushlead/operators/_servicer.py
+++ b/bulrushlead/operators/_servicer.py
@@ -15,7 +15,7 @@
 from bulrushlead.operators._backend import OperatorBackend
 from bulrushlead.operators._convert import declaration_from_proto, to_proto
 from bulrushlead.operators._messages import ApplyDeclaration, ApplyReply
-from bulrushlead.operators._refusals import RefusedError, abort
+from bulrushlead.operators._refusals import WATCH_ACCEPTED_KEY, RefusedError, abort
 from bulrushlead.operators._state import digest_of, summarise
 from bulrushlead.operators._watch import ChangeFeed
 from bulrushlead.operators.operators_pb2_grpc import OperatorsServicer
@@ -27,9 +27,9 @@
 )
 from bulrushlead.wire import codec
 
-# A snapshot holds one declaration, the remembered changes and the history; with
-# this bound the whole stays under the 4 MiB of one message between processes.
-MAX_COMMAND_BYTES = 2 * 1024 * 1024
+# A record of the replicated log holds 1 MiB at most, and 4 KiB of that stay for
+# what the control program puts around a command.
+MAX_COMMAND_BYTES = 1024 * 1024 - 4096
 MAX_WATCHERS = 64
 READ_BARRIER_TIMEOUT_MS = 2_000
 PROPOSE_TIMEOUT_MS = 10_000
@@ -179,6 +179,8 @@
                     ResultCode.OVERLOADED,
                     f"{MAX_WATCHERS} watchers at most; end one or ask again later",
                 )
+            await self._read_barrier()
+            await context.send_initial_metadata(((WATCH_ACCEPTED_KEY, "accepted"),))
             async for entry in self.feed.follow(request.after_revision):
                 yield to_proto(entry)
         except BulrushleadError as error:
--- a/bulrushlead/operators/tests/conftest.py
+++ b/bulrushlead/operators/tests/conftest.py
@@ -1,9 +1,8 @@
 import attrs
 import pytest
 
-from bulrushlead.clock import MonotonicClock
 from bulrushlead.operators import OperatorClient, OperatorServer
-from bulrushlead.operators.tests.fake_log import FakeLog
+from bulrushlead.operators.tests.fake_log import FakeLog, SteppingClock
 
 
 @attrs.define
@@ -15,7 +14,7 @@
 
     def client(self, addresses=None, **settings) -> OperatorClient:
         return OperatorClient(
-            addresses or self.log.addresses, MonotonicClock(), **settings
+            addresses or self.log.addresses, SteppingClock(), **settings
         )
 
 
--- a/bulrushlead/operators/tests/fake_log.py
+++ b/bulrushlead/operators/tests/fake_log.py
@@ -13,6 +13,41 @@
 from bulrushlead.wire import codec
 
 
+class SteppingClock:
+    """Clock that moves only by the pauses of its user.
+
+    Nothing times out because a machine is slow; ``expire`` makes whatever is
+    awaited next, or now, time out.
+    """
+
+    def __init__(self):
+        self.time_ms = 0.0
+        self._expired = asyncio.Event()
+
+    def expire(self) -> None:
+        self._expired.set()
+
+    def now_ms(self) -> float:
+        return self.time_ms
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        self.time_ms += max(0.0, duration_ms)
+        await asyncio.sleep(0)
+
+    async def wait_for(self, awaitable, timeout_ms: float):
+        task = asyncio.ensure_future(awaitable)
+        expired = asyncio.ensure_future(self._expired.wait())
+        try:
+            await asyncio.wait({task, expired}, return_when=asyncio.FIRST_COMPLETED)
+            if task.done():
+                return task.result()
+            self._expired.clear()
+            raise TimeoutError
+        finally:
+            task.cancel()
+            expired.cancel()
+
+
 class FakeLog:
     """Committed commands as bytes, and which replica leads."""
 
@@ -37,6 +72,7 @@
         self.replies: list[ApplyReply] = []
         self.lose_answers = 0
         self.hang_answers = 0
+        self.on_hang = lambda: None
         self.lose_before_append = 0
         self.next_leader: int | None = None
         self.servers = ()
@@ -56,6 +92,7 @@
             self.log.leader, self.next_leader = self.next_leader, None
         if self.hang_answers:
             self.hang_answers -= 1
+            self.on_hang()
             await asyncio.Event().wait()
         if self.lose_answers:
             self.lose_answers -= 1
--- a/bulrushlead/operators/tests/test_calls.py
+++ b/bulrushlead/operators/tests/test_calls.py
@@ -57,8 +57,9 @@
 
 
 async def test_answer_that_never_comes_is_asked_for_again(cluster):
-    client = cluster.client(attempt_timeout_ms=200)
+    client = cluster.client()
     cluster.log.replicas[0].hang_answers = 1
+    cluster.log.replicas[0].on_hang = client.clock.expire
     assert (await client.apply(BASE, 0)).revision == 1
     assert len(cluster.log.entries) == 1
     await client.close()
@@ -116,10 +117,20 @@
 
 async def test_no_leader_at_all_is_said_so(cluster):
     cluster.log.replicas[0].is_leader = lambda: False
-    client = cluster.client(timeout_ms=200)
+    client = cluster.client(timeout_ms=300)
     for call in (client.export(), client.apply(BASE, 0)):
         error = await refusal_of(call)
         assert error.code is ResultCode.CONTROL_UNREACHABLE
+    assert not cluster.log.entries
+    await client.close()
+
+
+async def test_time_up_before_a_connection_means_that_nothing_was_sent(cluster):
+    client = cluster.client([cluster.log.addresses[0]], timeout_ms=1)
+    client._channels.settle = lambda address: asyncio.Event().wait()
+    client.clock.expire()
+    error = await refusal_of(client.apply(BASE, 0))
+    assert error.code is ResultCode.CONTROL_UNREACHABLE
     await client.close()
 
 
@@ -209,7 +220,7 @@
     assert 0 < refusal.ByteSize() <= 3_072
 
 
-async def test_watch_goes_on_across_a_leader_change(cluster, client):
+async def test_quiet_watch_goes_on_across_a_leader_change(cluster, client):
     seen = []
 
     async def watch():
@@ -222,6 +233,9 @@
     other = cluster.client()
     await other.apply(BASE, 0)
     await other.apply(with_cap(20), 1)
+    while len(seen) < 2:
+        await asyncio.sleep(0.01)
+    client.clock.time_ms += 2 * client.timeout_ms
     cluster.log.leader = 2
     await other.apply(with_cap(30), 2)
     await watching
