--- a/bulrushlead/declaration/__init__.py
+++ b/bulrushlead/declaration/__init__.py
@@ -22,6 +22,7 @@
     Service,
     Shift,
 )
+from bulrushlead.declaration._reference import render_reference
 from bulrushlead.declaration._risks import Risk, RiskKind, find_risks
 from bulrushlead.declaration._sections import SECTIONS, identity, normalise
 from bulrushlead.declaration._toml import (
@@ -59,5 +60,6 @@
     "load_declaration",
     "normalise",
     "parse_declaration",
+    "render_reference",
     "validate",
 ]
--- a/bulrushlead/operators/_client.py
+++ b/bulrushlead/operators/_client.py
@@ -149,7 +149,7 @@
                 raise RefusedError(
                     ResultCode.CHANGE_OUTCOME_UNKNOWN,
                     f"{error.detail}; send the change again with request id "
-                    f"{request_id}",
+                    f"{request_id} and expected revision {expected_revision}",
                     error.leader_hint,
                 ) from error
             raise
--- a/bulrushlead/operators/tests/test_calls.py
+++ b/bulrushlead/operators/tests/test_calls.py
@@ -84,7 +84,7 @@
     cluster.log.replicas[0].lose_before_append = 1_000
     error = await refusal_of(client.apply(BASE, 0, "change-1"))
     assert error.code is ResultCode.CHANGE_OUTCOME_UNKNOWN
-    assert "change-1" in error.detail
+    assert "request id change-1 and expected revision 0" in error.detail
     cluster.log.replicas[0].lose_before_append = 0
     assert (await client.apply(BASE, 0, "change-1")).revision == 1
     await client.close()
