Learn from requests that callers gave up, and forget servers unseen

Cause: a server that hangs until its callers give up showed no latency, so it kept its share; a server that had gone for good stayed in the median and in the count by which a zone is judged, since nothing calls Router.forget. Change: a request given up counts as a lower bound of the latency; a trial that is given up while still quick decides nothing and frees the next one. A server that neither reports nor is a candidate for 60 s is forgotten. Proof: with either guard out in a scratch copy, its new test fails (test_server_whose_callers_all_give_up_loses_its_share, test_server_that_is_not_seen_for_long_is_forgotten). Conclusion: both kept; 586 tests pass.

--- a/bulrushlead/routing/_book.py
+++ b/bulrushlead/routing/_book.py
@@ -48,6 +48,7 @@
             zone = self.zone(server.service, server.availability_zone)
             known = ServerSignals(server, zone, self.settings, self.clock.now_ms())
             self._servers[server.name] = known
+        known.last_seen_ms = self.clock.now_ms()
         return known
 
     def zone(self, service: str, availability_zone: str) -> ZoneSignals:
@@ -72,6 +73,7 @@
         value_ms, until_ms = self._baselines.get(key, (0.0, -1.0))
         if now_ms < until_ms:
             return value_ms
+        self._forget_unseen(now_ms)
         means_ms = [
             one.latency.mean_ms
             for one in self
@@ -85,6 +87,13 @@
         self._baselines[key] = (value_ms, until_ms)
         return value_ms
 
+    def _forget_unseen(self, now_ms: float) -> None:
+        """Drop servers that neither reported nor were candidates for long."""
+        oldest_ms = now_ms - self.settings.forget_after_ms
+        for one in list(self):
+            if one.last_seen_ms < oldest_ms and not one.in_flight:
+                self.forget(one.server.name)
+
     def end(self, server_name: str, latency_ms: float, outcome: AttemptOutcome) -> None:
         """Take in how a request ended, and judge its server and zone."""
         signals = self.find(server_name)
@@ -92,7 +101,7 @@
             return
         now_ms = self.clock.now_ms()
         signals.end(latency_ms, outcome, now_ms)
-        if outcome is AttemptOutcome.CANCELLED or not self.settings.distrust:
+        if not self.settings.distrust:
             return
         self._judge_zone(signals, latency_ms, outcome, now_ms)
         if signals.distrust is Distrust.NONE:
@@ -110,9 +119,7 @@
         server, zone = signals.server, signals.zone
         if zone.trial is not None:
             if zone.trial.is_result(now_ms - latency_ms, now_ms):
-                good = outcome not in FAILURES
-                if zone.trial.end(good, latency_ms, now_ms):
-                    self._restore_zone(zone, server)
+                self._judge_zone_trial(zone, server, latency_ms, outcome)
         elif outcome is AttemptOutcome.SUCCESS:
             zone.note_success()
         elif outcome in FAILURES:
@@ -120,6 +127,20 @@
             if zone.note_failure(server.name, n_servers, now_ms):
                 self._log_zone(Event.ZONE_DISTRUSTED, server)
 
+    def _judge_zone_trial(
+        self,
+        zone: ZoneSignals,
+        server: BackendServer,
+        latency_ms: float,
+        outcome: AttemptOutcome,
+    ) -> None:
+        if outcome is AttemptOutcome.CANCELLED:
+            zone.trial.abandon()
+            return
+        good = outcome not in FAILURES
+        if zone.trial.end(good, latency_ms, self.clock.now_ms()):
+            self._restore_zone(zone, server)
+
     def _restore_zone(self, zone: ZoneSignals, server: BackendServer) -> None:
         zone.clear()
         for one in self._in_zone(server):
@@ -185,8 +206,11 @@
         trial = signals.trial
         if trial is None or not trial.is_result(now_ms - latency_ms, now_ms):
             return
-        succeeded = outcome is AttemptOutcome.SUCCESS
-        good = succeeded and not self._is_slow(signals, latency_ms)
+        is_slow = self._is_slow(signals, latency_ms)
+        if outcome is AttemptOutcome.CANCELLED and not is_slow:
+            trial.abandon()
+            return
+        good = outcome is AttemptOutcome.SUCCESS and not is_slow
         if trial.end(good, latency_ms, now_ms):
             distrust = signals.distrust
             signals.restart(trial.mean_latency_ms, now_ms)
--- a/bulrushlead/routing/_settings.py
+++ b/bulrushlead/routing/_settings.py
@@ -69,6 +69,9 @@
         Share that a new server starts with, 0 to 1.
     zone_latency_ms : float
         Extra round trip to another zone of the region, in milliseconds.
+    forget_after_ms : float
+        Time after which a server that is neither a candidate nor reports is
+        forgotten.
     share_half_life_ms : float
         Half-life of the counts behind the shares shown to operators.
     """
@@ -100,4 +103,5 @@
     cold_limit_ms: float = 30_000.0
     min_ramp: float = 0.1
     zone_latency_ms: float = 2.0
+    forget_after_ms: float = 60_000.0
     share_half_life_ms: float = 10_000.0
--- a/bulrushlead/routing/_signals.py
+++ b/bulrushlead/routing/_signals.py
@@ -52,6 +52,7 @@
         self.trial: Trial | None = None
         self.last_chosen = 0
         self.first_seen_ms = now_ms
+        self.last_seen_ms = now_ms
         self.is_settled = False
         self.reported_load: float | None = None
         self.report_sequence = -1
@@ -96,6 +97,9 @@
         """
         self._remove_start(now_ms - latency_ms)
         if outcome is AttemptOutcome.CANCELLED:
+            # The answer would have taken at least this long.
+            if self.latency.n_samples and latency_ms > self.latency.mean_ms:
+                self.latency.add(latency_ms, now_ms)
             return
         failed = outcome is not AttemptOutcome.SUCCESS
         weight = self.settings.error_weight
--- a/bulrushlead/routing/_trial.py
+++ b/bulrushlead/routing/_trial.py
@@ -64,6 +64,10 @@
         running = now_ms < self.running_until_ms
         return running and started_ms >= self.started_ms - START_TOLERANCE_MS
 
+    def abandon(self) -> None:
+        """Note that the trial ended before it showed anything."""
+        self.running_until_ms = 0.0
+
     def end(self, good: bool, latency_ms: float, now_ms: float) -> bool:
         """Take in the result of a trial.
 
--- a/bulrushlead/routing/tests/test_router.py
+++ b/bulrushlead/routing/tests/test_router.py
@@ -156,6 +156,16 @@
     assert rig.status(name).ramp < 1.0
 
 
+async def test_server_that_is_not_seen_for_long_is_forgotten():
+    rig = Rig(make_fakes(per_zone=4, zones=ZONES[:1]))
+    await rig.run(1_000.0)
+    del rig.fakes["casa-a-0"]
+    await rig.run(50_000.0, interval_ms=50.0)
+    assert "casa-a-0" in {row.name for row in rig.router.status()}
+    await rig.run(20_000.0, interval_ms=50.0)
+    assert "casa-a-0" not in {row.name for row in rig.router.status()}
+
+
 def test_reports_out_of_order_are_ignored():
     rig = Rig([])
     server = make_server("s")
--- a/bulrushlead/routing/tests/test_trust.py
+++ b/bulrushlead/routing/tests/test_trust.py
@@ -44,6 +44,17 @@
     assert rig.n_refused == 0
 
 
+async def test_server_whose_callers_all_give_up_loses_its_share():
+    rig = Rig(make_fakes())
+    await rig.run(SECONDS_MS)
+    rig.fakes[SICK].latency_ms = 20 * SERVICE_TIME_MS
+    rig.fakes[SICK].outcome = AttemptOutcome.CANCELLED
+    await rig.run(SECONDS_MS)
+    assert rig.status(SICK).distrust is Distrust.SLOW
+    later = await rig.run(10_000.0)
+    assert sum(one.server.name == SICK for one in later) <= max_trials(10_000.0)
+
+
 @pytest.mark.parametrize(
     "outcome",
     [AttemptOutcome.ERROR, AttemptOutcome.LOST, AttemptOutcome.CONNECT_FAILED],
