Mend faults of the request path found by its own tests

Cause: a failed attempt over a link counted as no bytes; a caller that hung up counted as a failure of a shift's target; keys of a restarted entry host waited 35 s before a resend learned that their outcome is unknown.

--- a/bulrushlead/control/_program.py
+++ b/bulrushlead/control/_program.py
@@ -102,6 +102,7 @@
             self.log.is_leader,
             LeaseSettings(lease_ms=settings.lease_ms),
             settings.announcement_timeout_ms,
+            self._on_entry_restart,
         )
         address, _, port = settings.peer_address.rpartition(":")
         self.messages = MessageServer(
@@ -114,6 +115,7 @@
         self._metrics_runner: web.AppRunner | None = None
         self._ticker: asyncio.Task | None = None
         self._beginning: asyncio.Task | None = None
+        self._abandoning: set[asyncio.Task] = set()
         self._log = EventLogger("control")
 
     async def start(self) -> None:
@@ -135,7 +137,7 @@
         self._log.write(
             Event.PROCESS_STOPPING, program="control", name=self.settings.name
         )
-        for task in (self._ticker, self._beginning):
+        for task in (self._ticker, self._beginning, *self._abandoning):
             if task is not None:
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
@@ -209,6 +211,19 @@
             self.state.drains.active(current.declaration),
         )
 
+    def _on_entry_restart(self, host: str, incarnation: str) -> None:
+        task = asyncio.create_task(self._abandon_keys(host, incarnation))
+        self._abandoning.add(task)
+        task.add_done_callback(self._abandoning.discard)
+
+    async def _abandon_keys(self, host: str, incarnation: str) -> None:
+        """Mark the keys of an entry host's earlier runs as unknown."""
+        try:
+            await self.propose(AbandonHost(host, incarnation))
+        except BulrushleadError as error:
+            # A resend finds the holder gone by itself, only later.
+            self._log.write(Event.KEY_LOST, host=host, detail=error)
+
     def _on_leadership(self, leads: bool) -> None:
         if self._beginning is not None:
             self._beginning.cancel()
--- a/bulrushlead/distribution/_publisher.py
+++ b/bulrushlead/distribution/_publisher.py
@@ -50,6 +50,9 @@
         Durations of leases.
     announcement_timeout_ms : float
         After this long without a report a backend server is gone.
+    on_restart : callable, optional
+        Takes the name and the new incarnation of an entry host that was
+        restarted, as far as this leader has seen both runs.
 
     Attributes
     ----------
@@ -65,10 +68,12 @@
         is_leader: Callable[[], bool],
         lease_settings: LeaseSettings,
         announcement_timeout_ms: float,
+        on_restart: Callable[[str, str], None] | None = None,
     ):
         self.clock = clock
         self.is_leader = is_leader
         self.lease_settings = lease_settings
+        self.on_restart = on_restart
         self.leases = LeaseTable(clock, lease_settings)
         self.registry = BackendRegistry(clock, announcement_timeout_ms)
         self._hosts: VersionedTable[str, HostView] = VersionedTable()
@@ -213,6 +218,8 @@
     def _note_host(self, request: SyncRequest) -> None:
         record = self._records.get(request.host.name)
         if record is None or record.incarnation != request.incarnation:
+            if record is not None and self.on_restart is not None:
+                self.on_restart(request.host.name, request.incarnation)
             record = _HostRecord(request.host, request.incarnation, 0, 0.0)
             self._records[request.host.name] = record
         record.view = request.host
--- a/bulrushlead/distribution/tests/test_sessions.py
+++ b/bulrushlead/distribution/tests/test_sessions.py
@@ -121,3 +121,14 @@
     world.links["e3"].is_cut = True
     await world.run_ms(LEASE_MS + 1_000)
     assert set(world.sessions["e1"].hosts) == {"e1", "e2"}
+
+
+async def test_shares_are_kept_before_servers_announce_to_a_new_leader(world):
+    world.announce()
+    await world.run_ms(1_000)
+    world.change_leader()
+    for _ in range(10):
+        await world.run_ms(100)
+        held = [s.holder.held_slots("s1") for s in world.sessions.values()]
+        assert sum(held) == 4
+        assert all("s1" in session.servers for session in world.sessions.values())
--- a/bulrushlead/entry/_steering.py
+++ b/bulrushlead/entry/_steering.py
@@ -1,5 +1,6 @@
 """The way of one request through an entry host."""
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -228,14 +229,19 @@
         queue = self._queues[service.name]
         ticket = await self._admit(queue, service, target_region, source)
         started_ms = self.clock.now_ms()
-        answer = None
+        answer, is_cancelled = None, False
         try:
             answer = await self._forward(incoming, source, ticket.slot, deadline_ms)
             return answer
+        except asyncio.CancelledError:
+            is_cancelled = True
+            raise
         finally:
             spent_ms = self.clock.now_ms() - started_ms
             queue.leave(ticket, spent_ms if answer is not None else None)
-            self._observe_shifts(service, home_region, gate, spent_ms, answer)
+            if not is_cancelled:
+                # A caller that hangs up says nothing about the target region.
+                self._observe_shifts(service, home_region, gate, spent_ms, answer)
 
     def _source(
         self,
@@ -298,8 +304,10 @@
         )
         service = source.request.service
         loop = RetryLoop(attempts.send, self._budgets[service.name], self.clock)
-        answer = await loop.run(placement.server, request, attempts.pick)
+        # Until the answer is known, everything that was reserved counts as sent.
         source.sent_bytes = source.request.request_bytes
+        source.received_bytes = source.request.answer_bytes
+        answer = await loop.run(placement.server, request, attempts.pick)
         source.received_bytes = self._sizes.note_answer(service, answer)
         return answer
 
