--- a/benchmarks/policy_experiment.py
+++ b/benchmarks/policy_experiment.py
@@ -221,8 +221,8 @@
     def _behave(self, fake: FakeServer) -> tuple[float, AttemptOutcome]:
         """Return how long a request runs on a server, and how it ends."""
         now_ms = self._clock.now_ms()
-        mu = -(SERVICE_SIGMA**2) / 2.0
-        factor = self._rng.lognormvariate(mu, SERVICE_SIGMA)
+        mu = -(self.service_sigma**2) / 2.0
+        factor = self._rng.lognormvariate(mu, self.service_sigma)
         duration_ms = MEAN_SERVICE_MS * factor
         if fake.server.availability_zone != ZONES[0]:
             duration_ms += OTHER_ZONE_MS
