--- a/bulrushlead/cli/_operate.py
+++ b/bulrushlead/cli/_operate.py
@@ -48,8 +48,8 @@
         Revision that the change was made from; -1 takes the accepted one, which
         gives up the protection against other operators' changes.
     request_id : str
-        Identifier of the change; give the same one to send a change again whose
-        answer was lost.
+        Identifier of the change; give the same one, and the same expected
+        revision, to send a change again whose answer was lost.
     force : bool
         Accept the risks that diff names.
     wait : bool
@@ -59,6 +59,12 @@
     json : bool
         Print JSON.
     """
+    if request_id and expected_revision < 0:
+        raise BulrushleadError(
+            ResultCode.USAGE,
+            "--request-id goes with --expected-revision; give both as in the first "
+            "sending, which printed them",
+        )
     declaration = load_declaration(file)
 
     async def work(client: OperatorClient) -> int:
@@ -70,7 +76,10 @@
             declaration, revision, change_id, force, author=_author()
         )
         if not json:
-            print(f"revision {reply.revision} accepted (request {change_id})")
+            print(
+                f"revision {reply.revision} accepted (request {change_id}, "
+                f"expected revision {revision})"
+            )
         if not wait:
             if json:
                 print_json(reply)
--- a/bulrushlead/entry/_lookups.py
+++ b/bulrushlead/entry/_lookups.py
@@ -18,6 +18,7 @@
 from bulrushlead.results import BulrushleadError, ResultCode
 
 HOSTS_PER_ANSWER = 4
+MAX_KNOWN_REGIONS = 10_000
 
 
 class Lookups:
@@ -42,6 +43,7 @@
         self._order = EntryHostOrder(())
         self._services: frozenset[str] = frozenset()
         self._hosts: tuple[HostView, ...] = ()
+        self._known_regions: dict[str, str] = {}
         self._log = EventLogger("lookup")
 
     def set_configuration(self, declaration: Declaration) -> None:
@@ -51,6 +53,7 @@
         self._blocks = BlockTable.build(
             BlockArrays.from_client_blocks(declaration.client_blocks, self._regions)
         )
+        self._known_regions.clear()
         self._hosts = ()
         self.refresh_hosts()
 
@@ -65,10 +68,13 @@
 
     def region_of(self, address: str) -> str:
         """Return the home region of a caller's address, or an empty text."""
-        if self._blocks is None:
-            return ""
-        target = self._blocks.find(address)
-        return "" if target == NO_TARGET else self._regions[target]
+        region = self._known_regions.get(address)
+        if region is None:
+            region = self._find_region(address)
+            if len(self._known_regions) >= MAX_KNOWN_REGIONS:
+                self._known_regions.clear()
+            self._known_regions[address] = region
+        return region
 
     def find(self, service: str, address: str) -> LookupAnswer:
         """Return the entry hosts that a caller shall use.
@@ -118,6 +124,12 @@
         )
         return LookupAnswer(service, region, hosts, self.ttl_ms, self.session.revision)
 
+    def _find_region(self, address: str) -> str:
+        if self._blocks is None:
+            return ""
+        target = self._blocks.find(address)
+        return "" if target == NO_TARGET else self._regions[target]
+
 
 def _to_view(host: HostView) -> EntryHostView:
     return EntryHostView(
