--- a/bulrushlead/cli/_bench.py
+++ b/bulrushlead/cli/_bench.py
@@ -2,7 +2,6 @@
 
 import sys
 
-from bulrushlead.bench import load_experiment, run_experiment, write_report
 from bulrushlead.cli._run import run_async
 from bulrushlead.logs import LogFormat, build_handler
 
@@ -19,6 +18,9 @@
     out : str
         Folder for the result file, the report and the plots.
     """
+    # Imported here: the plots' library would cost every daemon tens of megabytes.
+    from bulrushlead.bench import load_experiment, run_experiment, write_report
+
     experiment = load_experiment(file)
     command = f"bulrushlead bench {file}"
     with build_handler(LogFormat.HUMAN, sys.stderr, "CRITICAL").applicationbound():
--- a/bulrushlead/cli/_main.py
+++ b/bulrushlead/cli/_main.py
@@ -24,6 +24,7 @@
     "lookup": _query.lookup,
     "keys": _query.keys,
     "resolve-key": _query.resolve_key,
+    "forget-keys": _query.forget_keys,
     "bench": _bench.bench,
 }
 
--- a/bulrushlead/cli/_query.py
+++ b/bulrushlead/cli/_query.py
@@ -6,7 +6,7 @@
 from bulrushlead.cli._run import new_rng, run_async
 from bulrushlead.clock import MonotonicClock
 from bulrushlead.distribution import LeaderClient
-from bulrushlead.keys import ListUnknownKeys, ResolveKey
+from bulrushlead.keys import ForgetKeys, ListUnknownKeys, ResolveKey
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire import MessageClient
 
@@ -102,6 +102,28 @@
     return run_async(work())
 
 
+def forget_keys(service: str, *, control: list[str], keep: int) -> int:
+    """Forget the oldest spent idempotency keys of a service, to make room.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    control : list[str]
+        IP:port of the control hosts for other processes (peer addresses).
+    keep : int
+        Number of spent keys that must remain; a resend of a forgotten key would
+        run again.
+    """
+
+    async def work() -> int:
+        reply = await _call(control, ForgetKeys(service, keep))
+        print(f"{reply.count} spent key(s) of service {service} forgotten")
+        return 0
+
+    return run_async(work())
+
+
 async def _lookup(service: str, entry_host: str, json: bool) -> int:
     url = f"http://{entry_host}/v1/lookup"
     try:
--- a/bulrushlead/control/_program.py
+++ b/bulrushlead/control/_program.py
@@ -21,6 +21,7 @@
     AbandonKey,
     ClaimKey,
     FinishKey,
+    ForgetKeys,
     ListUnknownKeys,
     ReadKey,
     ResolveKey,
@@ -52,6 +53,15 @@
 PROPOSE_TIMEOUT_MS = 1_500
 TICK_INTERVAL_MS = 200
 
+_KEY_COMMANDS = (
+    ClaimKey,
+    FinishKey,
+    AbandonKey,
+    AbandonHost,
+    ResolveKey,
+    ForgetKeys,
+)
+
 
 class ControlHost:
     """A control host: one replica of the log and, while it leads, the leader.
@@ -186,7 +196,7 @@
     def _register_handlers(self) -> None:
         self.log.register(self.messages)
         self.messages.handle(SyncRequest, self._answer_sync)
-        for command in (ClaimKey, FinishKey, AbandonKey, AbandonHost, ResolveKey):
+        for command in _KEY_COMMANDS:
             self.messages.handle(command, self.propose)
         for query in (ReadKey, ListUnknownKeys):
             self.messages.handle(query, self._answer_key_query)
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -338,6 +338,16 @@
     run(send())
 
 
+@when(parsers.parse("{count:d} callers ask at once through entry host {n:d}"))
+def _ask_one_at_once(world, run, count, n):
+    async def send():
+        for number in range(count):
+            world.send_later(n, world.services[0], f"/stock/{number}")
+        await world.settle()
+
+    run(send())
+
+
 @when(parsers.parse("{count:d} callers wait at entry host {n:d}"))
 def _callers_wait(world, run, count, n):
     async def begin():
@@ -605,7 +615,8 @@
     assert shifted_count <= math.ceil(total * percent / 100)
 
 
-@then(parsers.parse("some of them were shifted"))
+@then("some of them were shifted")
+@then("the other region ran some of them")
 def _some_shifted(world):
     assert world.executions(world.services[0], world.deployment.plan.regions[1])
 
--- a/tests/scenarios/features/complete_answers.feature
+++ b/tests/scenarios/features/complete_answers.feature
@@ -18,3 +18,12 @@
     When the leading control host dies
     And 30 callers ask at once through both entry hosts
     Then every complete answer belongs to its own request
+
+  Scenario: Callers of a region that failed are served from the other one
+    Given the "feed order" deployment runs
+    When 5 look-ups of stock are sent through entry host 1
+    And the first region fails
+    And entry host 2 serves callers again
+    And 20 look-ups of stock are sent through entry host 2
+    Then every complete answer belongs to its own request
+    And the other region ran some of them
--- a/tests/scenarios/features/configuration.feature
+++ b/tests/scenarios/features/configuration.feature
@@ -39,3 +39,9 @@
     And another control host is lost right after
     And 5 changes are accepted
     Then the newest revision is in force on every entry host
+
+  Scenario: Two operators race while the leader was cut off without notice
+    Given the "release signature" deployment runs
+    When the leading control host is cut off without notice
+    And two operators apply different changes with the same number at once
+    Then exactly one of them is accepted and the other is told the conflict
--- a/tests/scenarios/features/region_load.feature
+++ b/tests/scenarios/features/region_load.feature
@@ -23,3 +23,12 @@
     And 60 callers ask at once through both entry hosts
     Then no backend server was given more requests than its slots
     And every complete answer belongs to its own request
+
+  Scenario: Slots hold in the region that is left when a region and the leader fail
+    Given the "release signature" deployment runs
+    And backend servers take different times
+    When the first region fails
+    And the leading control host dies
+    And entry host 2 serves callers again
+    And 40 callers ask at once through entry host 2
+    Then no backend server was given more requests than its slots
--- /dev/null
+++ b/tests/test_reference.py
@@ -0,0 +1,18 @@
+import runpy
+from pathlib import Path
+
+import pytest
+
+DOCS = Path(__file__).parents[1] / "docs"
+PAGES = runpy.run_path(str(DOCS / "render_reference.py"))["build_pages"]()
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_reference_pages_say_what_the_code_says(page):
+    written = (DOCS / "reference" / page.name).read_text()
+    assert written == page.text, "run: python docs/render_reference.py"
+
+
+def test_no_reference_page_is_left_over():
+    names = {path.name for path in (DOCS / "reference").iterdir()}
+    assert names == {page.name for page in PAGES}
