Remember the demand for slots for some seconds

Cause: an entry host reported only waiting requests as demand. Between two bursts it reported none, its lent slots were called back within a second, and the next burst queued again; seen in the time line of the shift experiment as refusals in seconds 0, 5 and 9. Ruled out: the leader's loss at 12 s (no refusal there) and the shift itself (share under its cap throughout).

--- a/bulrushlead/entry/_steering.py
+++ b/bulrushlead/entry/_steering.py
@@ -10,6 +10,7 @@
 from bulrushlead.clock import Clock
 from bulrushlead.declaration import Declaration, Service
 from bulrushlead.distribution import Session
+from bulrushlead.entry._demand import DemandEstimate
 from bulrushlead.entry._limits import TrafficLimits
 from bulrushlead.entry._placement import (
     Placement,
@@ -129,6 +130,7 @@
         self._queues: dict[str, AdmissionQueue] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._sizes = AnswerSizes()
+        self._demands: dict[tuple[str, str], DemandEstimate] = {}
 
     def set_configuration(self, declaration: Declaration) -> None:
         """Take over the services of a new configuration."""
@@ -143,6 +145,8 @@
 
     def wake(self) -> None:
         """Let waiting requests try again; slots or limits may have changed."""
+        for service, region in self._demands:
+            self._note_demand(service, region)
         for queue in self._queues.values():
             queue.wake()
 
@@ -274,17 +278,29 @@
                 source.request.deadline_ms,
                 source,
                 region,
-                on_wait=lambda: self._note_demand(queue, service, region),
+                on_wait=lambda: self._note_wait(service.name, region),
             )
         finally:
-            self.parts.holder.note_demand(
-                service.name, region, queue.waiting_in(region)
-            )
+            self._note_demand(service.name, region)
 
-    def _note_demand(self, queue: AdmissionQueue, service: Service, region: str):
-        self.parts.holder.note_demand(service.name, region, queue.waiting_in(region))
+    def _note_wait(self, service: str, region: str) -> None:
+        self._note_demand(service, region)
         self.parts.session.kick()
 
+    def _note_demand(self, service: str, region: str) -> None:
+        """Report what runs and waits, and what did so a few seconds ago."""
+        queue = self._queues.get(service)
+        if queue is None:
+            return
+        running, waiting = queue.running_in(region), queue.waiting_in(region)
+        demand = self._demands.get((service, region))
+        if demand is None:
+            demand = DemandEstimate(self.clock)
+            self._demands[(service, region)] = demand
+        demand.observe(running + waiting)
+        wanted = max(waiting, demand.needed() - running)
+        self.parts.holder.note_demand(service, region, wanted)
+
     async def _forward(
         self,
         incoming: IncomingRequest,
--- a/bulrushlead/entry/tests/test_steering.py
+++ b/bulrushlead/entry/tests/test_steering.py
@@ -253,3 +253,18 @@
     world.forwarder.gate.set()
     await world.send()
     assert observed == [True]
+
+
+async def test_a_burst_keeps_its_slots_wanted_after_it_has_passed():
+    world = World(slots=(("s1", "casa", 4),))
+    world.forwarder.gate.clear()
+    tasks = [world.send() for _ in range(4)]
+    await world.passes()
+    world.forwarder.gate.set()
+    await asyncio.gather(*tasks)
+    world.steering.wake()
+    (demand,) = world.holder.build_request().demands
+    assert (demand.service, demand.region, demand.waiting) == ("stock", "casa", 4)
+    await world.clock.advance_ms(60_000)
+    world.steering.wake()
+    assert world.holder.build_request().demands == ()
--- a/bulrushlead/limits/_admission.py
+++ b/bulrushlead/limits/_admission.py
@@ -168,6 +168,10 @@
         """Return how many requests wait in a lane, as demand for slots."""
         return sum(lanes.length(lane) for lanes in self._waiting.values())
 
+    def running_in(self, lane: str) -> int:
+        """Return how many requests run in a lane."""
+        return self._running.get(lane, 0)
+
     def running(self) -> int:
         """Return how many requests run."""
         return sum(self._running.values())
