--- a/bulrushlead/distribution/_messages.py
+++ b/bulrushlead/distribution/_messages.py
@@ -40,12 +40,12 @@
     ----------
     section : str
         Name of the declaration's field.
-    names : tuple of str
-        Names that identify the item in it.
+    identity : str
+        Text that names the item within it.
     """
 
     section: str
-    names: tuple[str, ...]
+    identity: str
 
 
 @message("distribution.configuration")
--- a/bulrushlead/distribution/_update.py
+++ b/bulrushlead/distribution/_update.py
@@ -5,22 +5,14 @@
 
 import attrs
 
-from bulrushlead.declaration import Declaration
+from bulrushlead.declaration import Declaration, identity
 from bulrushlead.distribution._messages import ConfigurationUpdate, ItemKey
 from bulrushlead.results import BulrushleadError, ResultCode
 
-_KEY_FIELDS = {
-    "region_capacities": ("service", "region"),
-    "links": ("from_region", "to_region"),
-    "client_blocks": ("prefix",),
-}
-_DEFAULT_KEY_FIELDS = ("name",)
-
 
 def item_key(section: str, item: Any) -> ItemKey:
     """Return the key of a declared item."""
-    fields = _KEY_FIELDS.get(section, _DEFAULT_KEY_FIELDS)
-    return ItemKey(section, tuple(getattr(item, field) for field in fields))
+    return ItemKey(section, identity(item))
 
 
 def build_update(
--- a/bulrushlead/entry/__init__.py
+++ b/bulrushlead/entry/__init__.py
@@ -3,7 +3,7 @@
 from bulrushlead.entry._limits import LinkUse, TrafficLimits
 from bulrushlead.entry._placement import Placement, PlacementRequest, Placer
 from bulrushlead.entry._program import EntryHost
-from bulrushlead.entry._refusal import build_refusal, ran_of
+from bulrushlead.entry._refusal import build_refusal
 from bulrushlead.entry._steering import IncomingRequest, Steering, SteeringParts
 
 __all__ = [
@@ -17,5 +17,4 @@
     "SteeringParts",
     "TrafficLimits",
     "build_refusal",
-    "ran_of",
 ]
--- a/bulrushlead/entry/_http.py
+++ b/bulrushlead/entry/_http.py
@@ -8,18 +8,23 @@
 import cattrs
 from aiohttp import web
 
-from bulrushlead.backend import ANNOUNCE_PATH, TIMEOUT_MS_HEADER, Announcement
+from bulrushlead.backend import (
+    ANNOUNCE_PATH,
+    IDEMPOTENCY_KEY_HEADER,
+    TIMEOUT_MS_HEADER,
+    Announcement,
+)
 from bulrushlead.clock import Clock
 from bulrushlead.distribution import Session
 from bulrushlead.entry._lookups import Lookups
-from bulrushlead.entry._refusal import build_refusal, build_unexpected, ran_of
+from bulrushlead.entry._refusal import build_refusal, build_unexpected
 from bulrushlead.entry._steering import IncomingRequest, Steering
+from bulrushlead.forwarding import ran_of
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import Meters, Metric
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire import codec
 
-IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 MAX_KEY_LENGTH = 255
 MAX_ANNOUNCEMENT_BYTES = 16_384
 MAX_TIMEOUT_MS = 3_600_000
--- a/bulrushlead/entry/_refusal.py
+++ b/bulrushlead/entry/_refusal.py
@@ -4,16 +4,12 @@
 
 from aiohttp import web
 
-from bulrushlead.results import CODES, BulrushleadError, Ran, ResultCode
+from bulrushlead.forwarding import ran_of
+from bulrushlead.results import CODES, BulrushleadError, ResultCode
 
 DEFAULT_RETRY_AFTER_MS = 1_000
 
 
-def ran_of(error: BulrushleadError) -> Ran:
-    """Return whether the failed request can have run."""
-    return getattr(error, "ran", None) or CODES[error.code].ran
-
-
 def build_refusal(error: BulrushleadError) -> web.Response:
     """Return the HTTP answer for an error.
 
--- a/bulrushlead/replication/__init__.py
+++ b/bulrushlead/replication/__init__.py
@@ -3,7 +3,6 @@
 from bulrushlead.replication._interfaces import (
     LeadershipCallback,
     LinkFactory,
-    PeerLink,
     StateMachine,
 )
 from bulrushlead.replication._log import MAX_COMMAND_BYTES, ReplicatedLog
@@ -20,7 +19,6 @@
     "Member",
     "MemberRole",
     "MemoryStorage",
-    "PeerLink",
     "ReplicaSettings",
     "ReplicatedLog",
     "StateMachine",
--- a/bulrushlead/replication/_interfaces.py
+++ b/bulrushlead/replication/_interfaces.py
@@ -1,7 +1,9 @@
 """What the replicated log asks of its surroundings."""
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
+
+from bulrushlead.wire import PeerLink
 
 
 class StateMachine(Protocol):
@@ -29,17 +31,5 @@
         ...
 
 
-class PeerLink(Protocol):
-    """Way to call one other replica; ``wire.MessageClient`` is one."""
-
-    async def call(self, request: Any, timeout_ms: float) -> Any:
-        """Send a message and return the reply, or raise ``BulrushleadError``."""
-        ...
-
-    async def close(self) -> None:
-        """Close the connection."""
-        ...
-
-
 LinkFactory = Callable[[str], PeerLink]
 LeadershipCallback = Callable[[bool], None]
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -10,13 +10,13 @@
 from bulrushlead.replication._interfaces import (
     LeadershipCallback,
     LinkFactory,
-    PeerLink,
 )
 from bulrushlead.replication._journal import Journal
 from bulrushlead.replication._leadership import Leadership
 from bulrushlead.replication._messages import VoteState
 from bulrushlead.replication._settings import ReplicaSettings
 from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.wire import PeerLink
 
 
 class Replica:
--- a/conftest.py
+++ b/conftest.py
@@ -7,3 +7,10 @@
 )
 settings.register_profile("long", deadline=None, database=None, max_examples=20_000)
 settings.load_profile("ci")
+
+pytest_plugins = (
+    "tests.scenarios.steps_servers",
+    "tests.scenarios.steps_hosts",
+    "tests.scenarios.steps_callers",
+    "tests.scenarios.steps_operators",
+)
