--- a/bulrushlead/cli/_daemons.py
+++ b/bulrushlead/cli/_daemons.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 
 from bulrushlead.backend import SampleServer, SampleServerSettings
-from bulrushlead.cli._run import new_rng, refuse_missing_keys, run_async, run_daemon
+from bulrushlead.cli._run import new_rng, has_all_keys, run_async, run_daemon
 from bulrushlead.clock import MonotonicClock
 from bulrushlead.control import ControlHost
 from bulrushlead.declaration import load_declaration
@@ -36,7 +36,7 @@
         TOML file with the settings of the host.
     """
     loaded = load_settings(settings, ControlSettings)
-    has_keys = refuse_missing_keys(loaded.tls)
+    has_keys = has_all_keys(loaded.tls)
 
     async def start() -> AsyncIterator[None]:
         tls = loaded.tls
@@ -66,7 +66,7 @@
         TOML file with the settings of the host.
     """
     loaded = load_settings(settings, EntrySettings)
-    has_keys = refuse_missing_keys(loaded.tls)
+    has_keys = has_all_keys(loaded.tls)
 
     async def start() -> AsyncIterator[None]:
         host = EntryHost(
@@ -193,7 +193,7 @@
         load_declaration(file)
     elif kind in _SETTINGS_TYPES:
         loaded = load_settings(file, _SETTINGS_TYPES[kind])
-        refuse_missing_keys(loaded.tls)
+        has_all_keys(loaded.tls)
     else:
         raise BulrushleadError(
             ResultCode.USAGE,
--- a/bulrushlead/cli/_run.py
+++ b/bulrushlead/cli/_run.py
@@ -46,7 +46,7 @@
     return random.Random(random.SystemRandom().getrandbits(64))
 
 
-def refuse_missing_keys(tls: TlsSettings) -> bool:
+def has_all_keys(tls: TlsSettings) -> bool:
     """Return whether keys are configured.
 
     Raises
