--- a/bulrushlead/cli/_daemons.py
+++ b/bulrushlead/cli/_daemons.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 
 from bulrushlead.backend import SampleServer, SampleServerSettings
-from bulrushlead.cli._run import new_rng, has_all_keys, run_async, run_daemon
+from bulrushlead.cli._run import has_all_keys, new_rng, run_async, run_daemon
 from bulrushlead.clock import MonotonicClock
 from bulrushlead.control import ControlHost
 from bulrushlead.declaration import load_declaration
