--- a/bulrushlead/entry/__init__.py
+++ b/bulrushlead/entry/__init__.py
@@ -1,10 +1,11 @@
 """The entry program: look-ups and requests of callers."""
 
 from bulrushlead.entry._limits import LinkUse, TrafficLimits
+from bulrushlead.entry._parts import SteeringParts
 from bulrushlead.entry._placement import Placement, PlacementRequest, Placer
 from bulrushlead.entry._program import EntryHost
 from bulrushlead.entry._refusal import build_refusal
-from bulrushlead.entry._steering import IncomingRequest, Steering, SteeringParts
+from bulrushlead.entry._steering import IncomingRequest, Steering
 
 __all__ = [
     "EntryHost",
--- /dev/null
+++ b/bulrushlead/entry/_parts.py
@@ -0,0 +1,37 @@
+"""The parts of an entry host that steering works with."""
+
+from collections.abc import Callable
+
+import attrs
+
+from bulrushlead.distribution import Session
+from bulrushlead.entry._limits import TrafficLimits
+from bulrushlead.entry._placement import Placer
+from bulrushlead.forwarding import Forwarder
+from bulrushlead.keys import KeyCoordinator
+from bulrushlead.leases import LeaseHolder
+from bulrushlead.metrics import Meters
+from bulrushlead.routing import Router
+
+
+@attrs.frozen
+class SteeringParts:
+    """What steering works with.
+
+    Parameters
+    ----------
+    session, holder, limits, router, placer, forwarder, keys, meters
+        Parts of the entry host.
+    region_of : callable
+        Takes a caller's address, returns its home region or an empty text.
+    """
+
+    session: Session
+    holder: LeaseHolder
+    limits: TrafficLimits
+    router: Router
+    placer: Placer
+    forwarder: Forwarder
+    keys: KeyCoordinator
+    meters: Meters
+    region_of: Callable[[str], str]
--- a/bulrushlead/entry/_program.py
+++ b/bulrushlead/entry/_program.py
@@ -18,8 +18,9 @@
 from bulrushlead.entry._http import EntryHttp
 from bulrushlead.entry._limits import TrafficLimits
 from bulrushlead.entry._lookups import Lookups
+from bulrushlead.entry._parts import SteeringParts
 from bulrushlead.entry._placement import Placer
-from bulrushlead.entry._steering import Steering, SteeringParts
+from bulrushlead.entry._steering import Steering
 from bulrushlead.forwarding import Forwarder, ForwarderSettings
 from bulrushlead.keys import KeyCoordinator, KeySettings
 from bulrushlead.leases import LeaseHolder
--- a/bulrushlead/entry/_steering.py
+++ b/bulrushlead/entry/_steering.py
@@ -1,48 +1,33 @@
 """The way of one request through an entry host."""
 
 import asyncio
-from collections.abc import Callable
 
 import attrs
 from multidict import CIMultiDictProxy
 
-from bulrushlead.backend import BackendServer
 from bulrushlead.clock import Clock
 from bulrushlead.declaration import Declaration, Service
-from bulrushlead.distribution import Session
+from bulrushlead.entry._attempts import SERVER_ERROR_STATUS, Attempts
 from bulrushlead.entry._demand import DemandEstimate
-from bulrushlead.entry._limits import TrafficLimits
+from bulrushlead.entry._parts import SteeringParts
 from bulrushlead.entry._placement import (
     Placement,
     PlacementRequest,
     PlacementSource,
-    Placer,
 )
 from bulrushlead.entry._sizes import AnswerSizes
 from bulrushlead.forwarding import (
     REPEATABLE_METHODS,
     ForwardAnswer,
-    Forwarder,
     ForwardError,
     ForwardRequest,
     RetryBudget,
     RetryLoop,
 )
-from bulrushlead.keys import KeyCoordinator, request_digest
-from bulrushlead.leases import LeaseHolder
+from bulrushlead.keys import request_digest
 from bulrushlead.limits import AdmissionQueue, AdmissionSettings, ShiftGate
-from bulrushlead.metrics import Meters, Metric
+from bulrushlead.metrics import Metric
 from bulrushlead.results import BulrushleadError, Ran, ResultCode
-from bulrushlead.routing import AttemptOutcome, Router
-
-_OUTCOMES = {
-    ResultCode.DEADLINE_EXPIRED: AttemptOutcome.TIMEOUT,
-    ResultCode.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
-    ResultCode.ANSWER_LOST: AttemptOutcome.LOST,
-    ResultCode.ANSWER_TRUNCATED: AttemptOutcome.LOST,
-    ResultCode.BACKEND_REFUSED: AttemptOutcome.REFUSED,
-}
-SERVER_ERROR_STATUS = 500
 
 
 @attrs.frozen
@@ -77,29 +62,6 @@
     idempotency_key: str | None
 
 
-@attrs.frozen
-class SteeringParts:
-    """What steering works with.
-
-    Parameters
-    ----------
-    session, holder, limits, router, placer, forwarder, keys, meters
-        Parts of the entry host.
-    region_of : callable
-        Takes a caller's address, returns its home region or an empty text.
-    """
-
-    session: Session
-    holder: LeaseHolder
-    limits: TrafficLimits
-    router: Router
-    placer: Placer
-    forwarder: Forwarder
-    keys: KeyCoordinator
-    meters: Meters
-    region_of: Callable[[str], str]
-
-
 class Steering:
     """Takes requests, places them, and returns complete answers.
 
@@ -308,7 +270,7 @@
         placement: Placement,
         deadline_ms: float,
     ) -> ForwardAnswer:
-        attempts = _Attempts(self, source, placement)
+        attempts = Attempts(self.clock, self.parts, source, placement)
         request = ForwardRequest(
             method=incoming.method,
             path_qs=incoming.path_qs,
@@ -341,63 +303,3 @@
             return
         for other in self.parts.limits.gates_of(service.name, home_region):
             other.observe(spent_ms, ok, shifted=False)
-
-
-class _Attempts:
-    """Attempts at one request, each in the placement it needs.
-
-    The placement object is the one that the admission ticket holds; a retry
-    moves it to another server, so that the ticket returns what is held last.
-    """
-
-    def __init__(
-        self, steering: Steering, source: PlacementSource, placement: Placement
-    ):
-        self.steering = steering
-        self.source = source
-        self.placement = placement
-
-    async def send(
-        self, server: BackendServer, request: ForwardRequest
-    ) -> ForwardAnswer:
-        """Make one attempt at the server of the present placement."""
-        parts = self.steering.parts
-        if not parts.holder.may_start(self.placement.token):
-            raise ForwardError(
-                ResultCode.NO_LEASE,
-                "the lease ran out before the request was sent; use another host",
-                Ran.NO,
-            )
-        clock = self.steering.clock
-        started_ms = clock.now_ms()
-        outcome = AttemptOutcome.CANCELLED
-        parts.router.begin(server.name)
-        try:
-            answer = await parts.forwarder.forward(server, request)
-            failed = answer.status >= SERVER_ERROR_STATUS
-            outcome = AttemptOutcome.ERROR if failed else AttemptOutcome.SUCCESS
-            return answer
-        except ForwardError as error:
-            outcome = _OUTCOMES.get(error.code, AttemptOutcome.ERROR)
-            if outcome is AttemptOutcome.LOST:
-                self.placement.in_doubt_until_ms = request.deadline_ms
-            raise
-        finally:
-            parts.router.end(server.name, clock.now_ms() - started_ms, outcome)
-
-    def pick(self, tried: frozenset[str]) -> BackendServer | None:
-        """Move the placement to another server, if there is a place."""
-        parts = self.steering.parts
-        other = parts.placer.place(self.source.request, tried)
-        if other is None:
-            return None
-        parts.placer.release(
-            self.placement,
-            self.source.request.request_bytes,
-            self.source.request.answer_bytes,
-        )
-        self.placement.move_to(other)
-        parts.meters.count(
-            Metric.RETRIES_TOTAL, service=self.source.request.service.name
-        )
-        return other.server
