Drain the entry hosts when the embedded deployment is stopped

Change: the embedded command drains every entry host, by the same drain() that the entry program uses, before it closes the deployment. Conclusion: one way of stopping for the program and the embedded deployment.

--- a/bulrushlead/cli/_daemons.py
+++ b/bulrushlead/cli/_daemons.py
@@ -173,6 +173,7 @@
             await deployment.start()
             await show_tour(deployment)
             yield
+            await deployment.drain()
         finally:
             await deployment.close()
 
--- a/bulrushlead/embedded/_deployment.py
+++ b/bulrushlead/embedded/_deployment.py
@@ -1,5 +1,6 @@
 """A whole deployment in one process: the same programs, wired on loopback."""
 
+import asyncio
 import random
 import socket
 import tempfile
@@ -89,6 +90,10 @@
             await self._start_servers(service)
         await self.wait_ready()
 
+    async def drain(self) -> None:
+        """Stop the entry hosts gracefully: what runs ends, nothing is cut off."""
+        await asyncio.gather(*(entry.drain() for entry in self.entries.values()))
+
     async def close(self) -> None:
         """Stop everything, control hosts last."""
         for name in list(self.entries):
