--- a/bulrushlead/clock/_clock.py
+++ b/bulrushlead/clock/_clock.py
@@ -33,11 +33,17 @@
 
 
 class MonotonicClock:
-    """Clock of the running process, unaffected by changes of wall time."""
+    """Clock of the running process, unaffected by changes of wall time.
+
+    Notes
+    -----
+    It also counts the time for which the host was suspended: a lease must not
+    outlive a suspension that its holder did not notice.
+    """
 
     def now_ms(self) -> float:
         """Return the time in milliseconds since an arbitrary fixed point."""
-        return time.monotonic() * 1000.0
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
     async def sleep_ms(self, duration_ms: float) -> None:
         """Suspend the calling task for ``duration_ms`` milliseconds."""
--- /dev/null
+++ b/bulrushlead/coordinator/_program.py
@@ -0,0 +1,410 @@
+"""The coordinator program: one replica of the log and, while it leads, the leader."""
+
+import asyncio
+import random
+
+import attrs
+
+from bulrushlead.clock import Clock
+from bulrushlead.coordinator._messages import (
+    AnnounceBatch,
+    OrderRequest,
+    PlanReply,
+    PlanRequest,
+    StatusReply,
+)
+from bulrushlead.coordinator._settings import CoordinatorSettings
+from bulrushlead.coordinator._state import (
+    AcceptPlan,
+    EndEvacuation,
+    OrderState,
+    RecordDeparture,
+    StartEvacuation,
+)
+from bulrushlead.fleet import (
+    Announcement,
+    FleetRegistry,
+    FleetUpdate,
+    FleetView,
+    HostReport,
+    LeaderSession,
+    ServerState,
+    SyncPosition,
+    SyncRequest,
+)
+from bulrushlead.logs import Event, EventLogger
+from bulrushlead.replication import FileStorage, ReplicaSettings, ReplicatedLog
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.traffic import TrafficPlan, check_plan
+from bulrushlead.wire import LinkFactory, MessageServer, codec
+
+TICK_MS = 250
+FORWARD_INTERVAL_MS = 100  # heartbeats wait this long to travel together
+ORDER_TIMEOUT_MS = 900  # operators move on after a second
+PROPOSE_TIMEOUT_MS = 850
+READ_TIMEOUT_MS = 800
+# A new leader has heard every living server after this many heartbeats.
+COLLECT_HEARTBEATS = 4
+RETIRE_TIMEOUT_MS = 500
+
+
+class Coordinator:
+    """Accepts orders and heartbeats, and tells hosts what they must know.
+
+    Parameters
+    ----------
+    settings : CoordinatorSettings
+        Settings of the host.
+    clock : Clock
+        Source of time.
+    links : callable
+        Makes the link to the peer address of another host.
+    rng : random.Random
+        Source of identities and election times, different in each process.
+
+    Attributes
+    ----------
+    view : FleetView
+        What this host knows of the fleet, also while another one leads.
+    """
+
+    def __init__(
+        self,
+        settings: CoordinatorSettings,
+        clock: Clock,
+        links: LinkFactory,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.state = OrderState()
+        self.state.on_change = self._on_order
+        self.view = FleetView(clock)
+        self.registry = FleetRegistry(clock, settings.heartbeat_ms)
+        self.log = ReplicatedLog(
+            self._replica_settings(),
+            clock,
+            FileStorage(settings.data_folder),
+            links,
+            self.state,
+            rng,
+        )
+        self.log.watch_leadership(self._on_leadership)
+        self.session = LeaderSession(
+            clock,
+            (settings.peer_address, *settings.seeds),
+            links,
+            self.view,
+            self._report,
+            lambda update: None,
+            rng,
+        )
+        host, _, port = settings.peer_address.rpartition(":")
+        self.messages = MessageServer(host, int(port))
+        self._pending: dict[str, tuple[Announcement, float]] = {}
+        self._news = asyncio.Event()
+        self._told_revisions = (0, 0)
+        self._leading_since_ms: float | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._events = EventLogger("coordinator")
+
+    async def start(self) -> None:
+        """Listen for other hosts and take part in the log."""
+        self.log.register(self.messages)
+        self.messages.handle(SyncRequest, self._answer_sync)
+        self.messages.handle(AnnounceBatch, self._answer_announce)
+        self.messages.handle(OrderRequest, self._answer_order)
+        self.messages.handle(PlanRequest, self._answer_plan)
+        await self.messages.start()
+        await self.log.start()
+        await self.session.start()
+        for run in (self._forward_heartbeats, self._tick):
+            self._tasks.append(asyncio.create_task(run()))
+
+    async def close(self) -> None:
+        """Stop; everything acknowledged is on the disks of a quorum."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.session.close()
+        await self.log.close()
+        await self.messages.close()
+
+    async def accept_plan(self, plan: TrafficPlan, document: bytes) -> bool:
+        """Put a plan in force unless a higher or equal version holds.
+
+        Returns
+        -------
+        bool
+            Whether it changed anything.
+
+        Raises
+        ------
+        BulrushleadError
+            ``DECLARATION_INVALID``, or that no leader could accept it.
+        """
+        check_plan(plan)
+        return await self._order(AcceptPlan(plan, document))
+
+    async def start_evacuation(self, zone: str) -> bool:
+        """Take the servers of an availability zone out of use."""
+        return await self._order(StartEvacuation(zone))
+
+    async def end_evacuation(self, zone: str) -> bool:
+        """Allow the servers of an availability zone again."""
+        return await self._order(EndEvacuation(zone))
+
+    async def read_plan(self) -> PlanReply:
+        """Return the newest plan, confirmed by a quorum after this call began."""
+        if self.log.is_leader():
+            return await self._answer_plan(PlanRequest())
+        return await self.session.call_leader(PlanRequest(), ORDER_TIMEOUT_MS)
+
+    async def announce(self, heartbeat: Announcement) -> None:
+        """Take a heartbeat; a leaving server is recorded before this returns.
+
+        Raises
+        ------
+        BulrushleadError
+            If the departure could not be recorded.
+        """
+        leaving = heartbeat.state is ServerState.DRAINING
+        if leaving and not self.state.has_departed(
+            heartbeat.server_id, heartbeat.born_ms
+        ):
+            await self._order(RecordDeparture(heartbeat.server_id, heartbeat.born_ms))
+        known = self._pending.get(heartbeat.server_id)
+        if known is None or (known[0].born_ms, known[0].sequence) < (
+            heartbeat.born_ms,
+            heartbeat.sequence,
+        ):
+            self._pending[heartbeat.server_id] = (heartbeat, self.clock.now_ms())
+
+    async def deregister(self, server_id: str, born_ms: int | None) -> None:
+        """Record that a server gets no more work.
+
+        Parameters
+        ----------
+        server_id : str
+            Identity of the server.
+        born_ms : int or None
+            Its incarnation; the one known if None.
+        """
+        if born_ms is None:
+            known = self.view.servers.get(server_id)
+            born_ms = known.record.born_ms if known else 0
+            pending = self._pending.get(server_id)
+            if pending is not None:
+                born_ms = max(born_ms, pending[0].born_ms)
+        await self._order(RecordDeparture(server_id, born_ms))
+
+    def _report(self) -> HostReport:
+        settings = self.settings
+        return HostReport(
+            settings.host_id, 0, "", settings.zone, settings.region, False
+        )
+
+    def _replica_settings(self) -> ReplicaSettings:
+        settings = self.settings
+        is_seed = settings.peer_address in settings.seeds
+        return ReplicaSettings(
+            address=settings.peer_address,
+            peers=tuple(s for s in settings.seeds if s != settings.peer_address),
+            data_folder=settings.data_folder,
+            bootstrap=settings.bootstrap and is_seed,
+            admit_newcomers=True,
+        )
+
+    async def _order(self, command) -> bool:
+        if self.log.is_leader():
+            reply = await self._propose(codec.encode(command))
+        else:
+            request = OrderRequest(codec.encode(command))
+            reply = await self.session.call_leader(request, ORDER_TIMEOUT_MS)
+        self._events.write(
+            Event.ORDER_ACCEPTED,
+            order=type(command).__name__,
+            subject=_subject(command),
+            changed=reply.changed,
+            leader=self.log.leader_hint,
+        )
+        return reply.changed
+
+    async def _propose(self, command: bytes) -> StatusReply:
+        return codec.decode(await self.log.propose(command, PROPOSE_TIMEOUT_MS))
+
+    async def _answer_order(self, request: OrderRequest) -> StatusReply:
+        return await self._propose(request.command)
+
+    async def _answer_plan(self, request: PlanRequest) -> PlanReply:
+        await self.log.read_barrier(READ_TIMEOUT_MS)
+        plan = self.state.plan
+        if plan is None:
+            return PlanReply(-1)
+        return PlanReply(plan.version, self.state.document)
+
+    async def _answer_announce(self, request: AnnounceBatch) -> StatusReply:
+        self._require_leader()
+        for heartbeat in request.heartbeats:
+            self._take_heartbeat(heartbeat)
+        self._notify_if_changed()
+        return StatusReply(True)
+
+    def _take_heartbeat(self, heartbeat: Announcement) -> None:
+        if self.state.has_departed(heartbeat.server_id, heartbeat.born_ms):
+            heartbeat = attrs.evolve(heartbeat, state=ServerState.DRAINING)
+        self.registry.announce(heartbeat)
+
+    async def _answer_sync(self, request: SyncRequest) -> FleetUpdate:
+        self._require_leader()
+        self.registry.report_host(request.report)
+        self._notify_if_changed()
+        deadline_ms = self.clock.now_ms() + request.wait_ms
+        while not self._has_news(request.position):
+            left_ms = deadline_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                break
+            try:
+                await self.clock.wait_for(self._news.wait(), left_ms)
+            except TimeoutError:
+                break
+        self._require_leader()
+        return self._update_for(request.position)
+
+    def _update_for(self, known: SyncPosition) -> FleetUpdate:
+        epoch = self._epoch()
+        is_same = known.epoch == epoch
+        state, registry = self.state, self.registry
+        plan = state.plan
+        if plan is not None and plan.version <= known.plan_version:
+            plan = None
+        hosts = None
+        if not is_same or known.host_revision < registry.host_revision:
+            hosts = registry.hosts()
+        return FleetUpdate(
+            term=self.log.term,
+            position=SyncPosition(
+                epoch=epoch,
+                server_revision=registry.server_revision,
+                order_index=state.order_index,
+                host_revision=registry.host_revision,
+            ),
+            servers=registry.servers_after(known.server_revision if is_same else 0),
+            is_full=not is_same and self._has_collected(),
+            plan=plan,
+            evacuated_zones=tuple(sorted(state.evacuated_zones)),
+            hosts=hosts,
+            control_addresses=tuple(sorted(m.address for m in self.log.members)),
+        )
+
+    def _has_news(self, known: SyncPosition) -> bool:
+        plan = self.state.plan
+        return (
+            known.epoch != self._epoch()
+            or known.server_revision < self.registry.server_revision
+            or known.host_revision < self.registry.host_revision
+            or known.order_index < self.state.order_index
+            or (plan is not None and known.plan_version < plan.version)
+        )
+
+    def _epoch(self) -> str:
+        # Once all living servers have been heard, everybody gets a full list.
+        phase = "full" if self._has_collected() else "partial"
+        return f"{self.log.replica_id}/{self.log.term}/{phase}"
+
+    def _has_collected(self) -> bool:
+        if self._leading_since_ms is None:
+            return False
+        led_ms = self.clock.now_ms() - self._leading_since_ms
+        return led_ms > COLLECT_HEARTBEATS * self.settings.heartbeat_ms
+
+    def _require_leader(self) -> None:
+        if not self.log.is_leader():
+            hint = self.log.leader_hint or "unknown"
+            raise BulrushleadError(
+                ResultCode.NOT_LEADER,
+                f"{self.settings.peer_address} is not the leader; ask {hint}",
+            )
+
+    def _on_leadership(self, leads: bool) -> None:
+        if leads:
+            self._leading_since_ms = self.clock.now_ms()
+            self.registry = FleetRegistry(self.clock, self.settings.heartbeat_ms)
+            self.registry.seed(self.view.records(), list(self.view.hosts))
+            self._mark_departures()
+        else:
+            self._leading_since_ms = None
+        self._notify()
+
+    def _notify(self) -> None:
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+    def _on_order(self) -> None:
+        """Take a committed order into the registry and tell everybody."""
+        if self._leading_since_ms is not None:
+            self._mark_departures()
+        self._notify()
+
+    def _mark_departures(self) -> None:
+        for server_id in self.registry.ready_servers():
+            born_ms = self.registry.born_ms_of(server_id)
+            if self.state.has_departed(server_id, born_ms):
+                self.registry.mark_draining(server_id, born_ms)
+
+    def _notify_if_changed(self) -> None:
+        revisions = (self.registry.server_revision, self.registry.host_revision)
+        if revisions != self._told_revisions:
+            self._told_revisions = revisions
+            self._notify()
+
+    async def _forward_heartbeats(self) -> None:
+        while True:
+            await self.clock.sleep_ms(FORWARD_INTERVAL_MS)
+            if not self._pending:
+                continue
+            pending, self._pending = self._pending, {}
+            now_ms = self.clock.now_ms()
+            batch = AnnounceBatch(
+                tuple(
+                    attrs.evolve(heartbeat, age_ms=now_ms - received_ms)
+                    for heartbeat, received_ms in pending.values()
+                )
+            )
+            try:
+                if self.log.is_leader():
+                    await self._answer_announce(batch)
+                else:
+                    await self.session.call_leader(batch, ORDER_TIMEOUT_MS)
+            except BulrushleadError as error:
+                self._events.write(
+                    Event.HEARTBEATS_DELAYED,
+                    count=len(batch.heartbeats),
+                    code=error.code.value,
+                    detail=error.detail,
+                )
+                for server_id, entry in pending.items():
+                    self._pending.setdefault(server_id, entry)
+
+    async def _tick(self) -> None:
+        while True:
+            await self.clock.sleep_ms(TICK_MS)
+            if not self.log.is_leader():
+                continue
+            self.registry.check_silence()
+            self._notify_if_changed()
+            try:
+                await self.log.retire_silent_voter(RETIRE_TIMEOUT_MS)
+            except BulrushleadError as error:
+                self._events.write(
+                    Event.REPLICA_STALLED, code=error.code.value, error=error.detail
+                )
+
+
+def _subject(command) -> str:
+    match command:
+        case AcceptPlan(plan=plan):
+            return f"version {plan.version}"
+        case RecordDeparture(server_id=server_id, born_ms=born_ms):
+            return f"{server_id}/{born_ms}"
+    return command.zone
--- /dev/null
+++ b/bulrushlead/coordinator/_settings.py
@@ -0,0 +1,46 @@
+"""Settings of a coordinator."""
+
+import attrs
+
+from bulrushlead.results import BulrushleadError, ResultCode
+
+
+def _check_address(instance, attribute, value):
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdecimal():
+        raise BulrushleadError(
+            ResultCode.SETTINGS_INVALID,
+            f"{attribute.name} is {value!r}; set it to host:port by IP number",
+        )
+
+
+@attrs.frozen
+class CoordinatorSettings:
+    """Settings of a coordinator.
+
+    Parameters
+    ----------
+    host_id : str
+        Name of the host.
+    zone, region : str
+        Where it is.
+    peer_address : str
+        ``host:port`` by which other hosts reach it.
+    seeds : tuple of str
+        Peer addresses of coordinators to ask for the cluster.
+    data_folder : str
+        Folder of the replicated log.
+    bootstrap : bool
+        Whether the seeds may form a new cluster.
+    heartbeat_ms : float
+        Usual time between two heartbeats of a backend server, in milliseconds.
+    """
+
+    host_id: str
+    zone: str
+    region: str
+    peer_address: str = attrs.field(validator=_check_address)
+    seeds: tuple[str, ...]
+    data_folder: str
+    bootstrap: bool
+    heartbeat_ms: float = 1_500.0
--- /dev/null
+++ b/bulrushlead/coordinator/_state.py
@@ -0,0 +1,162 @@
+"""The orders that must survive: plans, evacuations, departures of servers."""
+
+from bulrushlead.coordinator._messages import StatusReply
+from bulrushlead.traffic import TrafficPlan
+from bulrushlead.wire import codec, message
+
+MAX_DEPARTURES = 2_000  # oldest are dropped; about 150 KB
+
+
+@message("orders.accept_plan")
+class AcceptPlan:
+    """Puts a plan in force unless a higher or equal version holds.
+
+    Parameters
+    ----------
+    plan : TrafficPlan
+        The plan.
+    document : bytes
+        The operator's document, returned as it came.
+    """
+
+    plan: TrafficPlan
+    document: bytes
+
+
+@message("orders.start_evacuation")
+class StartEvacuation:
+    """Takes the servers of an availability zone out of use.
+
+    Parameters
+    ----------
+    zone : str
+        Name of the availability zone.
+    """
+
+    zone: str
+
+
+@message("orders.end_evacuation")
+class EndEvacuation:
+    """Allows the servers of an availability zone again.
+
+    Parameters
+    ----------
+    zone : str
+        Name of the availability zone.
+    """
+
+    zone: str
+
+
+@message("orders.departure")
+class RecordDeparture:
+    """Notes that a server is leaving, before that is acknowledged to it.
+
+    Parameters
+    ----------
+    server_id : str
+        Identity of the server.
+    born_ms : int
+        Its incarnation.
+    """
+
+    server_id: str
+    born_ms: int
+
+
+@message("orders.snapshot")
+class _Snapshot:
+    plan: TrafficPlan | None
+    document: bytes
+    evacuated_zones: tuple[str, ...]
+    departures: dict[str, int]
+    order_index: int
+
+
+class OrderState:
+    """State machine of the coordinators' replicated log.
+
+    Attributes
+    ----------
+    plan : TrafficPlan or None
+        Plan in force.
+    document : bytes
+        The operator's document of that plan.
+    evacuated_zones : set of str
+        Availability zones that are evacuated.
+    departures : dict of str to int
+        Incarnation that is leaving or gone, by identity of the server.
+    order_index : int
+        Log index of the last change.
+    """
+
+    def __init__(self):
+        self.plan: TrafficPlan | None = None
+        self.document = b""
+        self.evacuated_zones: set[str] = set()
+        self.departures: dict[str, int] = {}
+        self.order_index = 0
+        self.on_change = lambda: None
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a committed command."""
+        changed = self._apply(codec.decode(command))
+        if changed:
+            self.order_index = index
+            self.on_change()
+        return codec.encode(StatusReply(changed))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return codec.encode(
+            _Snapshot(
+                self.plan,
+                self.document,
+                tuple(sorted(self.evacuated_zones)),
+                self.departures,
+                self.order_index,
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+        snapshot = codec.decode(data)
+        self.plan = snapshot.plan
+        self.document = snapshot.document
+        self.evacuated_zones = set(snapshot.evacuated_zones)
+        self.departures = dict(snapshot.departures)
+        self.order_index = snapshot.order_index
+        self.on_change()
+
+    def has_departed(self, server_id: str, born_ms: int) -> bool:
+        """Return whether an incarnation of a server is leaving or gone."""
+        return self.departures.get(server_id, -1) >= born_ms
+
+    def _apply(self, command) -> bool:
+        match command:
+            case AcceptPlan(plan=plan, document=document):
+                if self.plan is not None and plan.version <= self.plan.version:
+                    return False
+                self.plan = plan
+                self.document = document
+                return True
+            case StartEvacuation(zone=zone):
+                if zone in self.evacuated_zones:
+                    return False
+                self.evacuated_zones.add(zone)
+                return True
+            case EndEvacuation(zone=zone):
+                if zone not in self.evacuated_zones:
+                    return False
+                self.evacuated_zones.remove(zone)
+                return True
+            case RecordDeparture(server_id=server_id, born_ms=born_ms):
+                if self.has_departed(server_id, born_ms):
+                    return False
+                self.departures.pop(server_id, None)
+                self.departures[server_id] = born_ms
+                while len(self.departures) > MAX_DEPARTURES:
+                    del self.departures[next(iter(self.departures))]
+                return True
+        return False
--- /dev/null
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -0,0 +1,303 @@
+"""Places requests on backend servers, or refuses them at once."""
+
+import math
+import random
+
+import attrs
+
+from bulrushlead.clock import Clock
+from bulrushlead.dispatch._budget import RetryBudget
+from bulrushlead.dispatch._estimates import DurationEstimates
+from bulrushlead.dispatch._ranking import Ranking
+from bulrushlead.dispatch._server import ServerStats
+from bulrushlead.dispatch._settings import DispatchSettings
+from bulrushlead.dispatch._warmup import WarmupLimiter
+from bulrushlead.fleet import FleetView, ServerState
+from bulrushlead.results import ResultCode
+from bulrushlead.traffic import ServicePolicy
+
+HOME_SERVERS = 3  # servers that share the requests about one object
+WAIT_OVER_TARGET = 0.5  # longest queueing, in target latencies
+URGENT_WAIT_OVER_TARGET = 1.0  # the same for the most urgent kind of a service
+DEADLINE_SHARE = 0.9  # an answer needs the rest of the time for its way back
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 2_000
+REMOTE_ROUND_TRIP_MS = 50  # usual extra time to another region
+
+
+@attrs.frozen
+class Work:
+    """One request to be placed.
+
+    Parameters
+    ----------
+    service : str
+        Service that answers it.
+    route : str
+        Name of its route, which groups requests of similar duration.
+    key : bytes
+        Object that it is about; anything evenly spread if there is none.
+    sticky : bool
+        Whether a server that handled the object lately is faster.
+    target_ms : float
+        Time within which an answer is worth most.
+    remaining_ms : float
+        Time until the caller stops waiting.
+    urgent : bool
+        Whether no other kind of request of the service goes first.
+    allowed_regions : tuple of str
+        Regions that may run it; all if empty.
+    excluded : frozenset of str
+        Servers that have had it already.
+    """
+
+    service: str
+    route: str
+    key: bytes
+    sticky: bool
+    target_ms: float
+    remaining_ms: float
+    urgent: bool = False
+    allowed_regions: tuple[str, ...] = ()
+    excluded: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Placement:
+    """A server for a request.
+
+    Parameters
+    ----------
+    server : ServerStats
+        The server.
+    rank : int
+        Its place in the order for the object.
+    wait_ms, work_ms : float
+        Expected time in its queue and on its slot.
+    cold : bool
+        Whether the request counts against the rate of a cold server.
+    """
+
+    server: ServerStats
+    rank: int
+    wait_ms: float
+    work_ms: float
+    cold: bool = False
+
+
+@attrs.frozen
+class Refusal:
+    """Why a request was not placed.
+
+    Parameters
+    ----------
+    code : ResultCode
+        Cause.
+    retry_after_ms : float
+        When another try may succeed.
+    detail : str
+        What decided it.
+    """
+
+    code: ResultCode
+    retry_after_ms: float
+    detail: str
+
+
+class Dispatcher:
+    """Chooses servers from what this host has seen and was told.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    settings : DispatchSettings
+        Place of this host and limits shared by all hosts.
+    rng : random.Random
+        Breaks ties.
+
+    Attributes
+    ----------
+    budget : RetryBudget
+        Repeats that are left.
+    """
+
+    def __init__(self, clock: Clock, settings: DispatchSettings, rng: random.Random):
+        self.clock = clock
+        self.settings = settings
+        self.rng = rng
+        self.budget = RetryBudget(
+            clock,
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_ms,
+        )
+        self.warmup = WarmupLimiter(
+            clock, settings.host_id, settings.region, settings.warmup_slack
+        )
+        self.estimates = DurationEstimates()
+        self._servers: dict[str, ServerStats] = {}
+        self._rankings: dict[str, Ranking] = {}
+        self._policies: dict[str, ServicePolicy] = {}
+        self._view: FleetView | None = None
+
+    def update(self, view: FleetView) -> None:
+        """Take the fleet as the leader tells it."""
+        self._view = view
+        accepting = [host for host in view.hosts if host.accepting]
+        self.budget.host_count = max(1, len(accepting))
+        self.warmup.set_hosts([(host.host_id, host.region) for host in accepting])
+        if view.plan is not None:
+            self._policies = {policy.name: policy for policy in view.plan.services}
+        servers = {}
+        changed = set()
+        for server_id, known in view.servers.items():
+            stats = self._servers.get(server_id)
+            record = known.record
+            if stats is None or not _is_same(stats, record):
+                if stats is not None:
+                    changed.add(stats.service)
+                stats = self._new_stats(record)
+                changed.add(record.service)
+            ready = (
+                record.state is ServerState.READY
+                and record.zone not in view.evacuated_zones
+            )
+            if ready != stats.ready:
+                changed.add(record.service)
+            stats.ready = ready
+            stats.silent = record.silent
+            stats.cold_until_ms = known.cold_until_ms
+            stats.told_ms = known.received_ms
+            servers[server_id] = stats
+        changed |= {
+            stats.service
+            for server_id, stats in self._servers.items()
+            if server_id not in servers
+        }
+        self._servers = servers
+        for service in changed:
+            members = [s for s in servers.values() if s.service == service and s.ready]
+            self._rankings[service] = Ranking(members, self.settings.region)
+
+    def server(self, server_id: str) -> ServerStats | None:
+        """Return what is known of a server, or None."""
+        return self._servers.get(server_id)
+
+    def place(self, work: Work) -> Placement | Refusal:
+        """Return the server that should finish a request first.
+
+        Returns
+        -------
+        Placement or Refusal
+            A refusal says when to come back.
+        """
+        ranking = self._rankings.get(work.service)
+        if ranking is None:
+            return Refusal(
+                ResultCode.NO_BACKEND_SERVER, MAX_RETRY_AFTER_MS / 2, "no server known"
+            )
+        now_ms = self.clock.now_ms()
+        best: Placement | None = None
+        for members in ranking.order(work.key):
+            if work.allowed_regions and members[0].region not in work.allowed_regions:
+                continue
+            best = self._best_of(members, work, now_ms)
+            if best is not None:
+                break
+        if best is None:
+            return Refusal(
+                ResultCode.NO_BACKEND_SERVER,
+                MAX_RETRY_AFTER_MS / 4,
+                "no server is reachable, warm and allowed",
+            )
+        return self._admit(best, work)
+
+    def note_sent(self, placement: Placement) -> None:
+        """Count an attempt that is about to be sent."""
+        server = placement.server
+        server.note_sent(self.clock.now_ms())
+        if placement.cold:
+            self.warmup.note_sent(
+                server.server_id, server.region, self._warmup_rate(server.service)
+            )
+
+    def _admit(self, best: Placement, work: Work) -> Placement | Refusal:
+        share = URGENT_WAIT_OVER_TARGET if work.urgent else WAIT_OVER_TARGET
+        longest_wait_ms = share * work.target_ms
+        expected_ms = best.wait_ms + best.work_ms
+        if best.wait_ms > longest_wait_ms:
+            over_ms = best.wait_ms - longest_wait_ms
+            code = ResultCode.OVERLOADED
+        elif expected_ms > DEADLINE_SHARE * work.remaining_ms and best.wait_ms > 0:
+            over_ms = expected_ms - DEADLINE_SHARE * work.remaining_ms
+            code = ResultCode.DEADLINE_TOO_SHORT
+        else:
+            return best
+        retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, over_ms))
+        return Refusal(
+            code,
+            retry_after_ms,
+            f"{best.server.server_id} would need {best.wait_ms:.0f} ms in its queue "
+            f"and {best.work_ms:.0f} ms of work",
+        )
+
+    def _best_of(
+        self, members: list[ServerStats], work: Work, now_ms: float
+    ) -> Placement | None:
+        fleet_age_ms = self._view.age_ms()
+        known_ms, fresh_ms = self.estimates.of(work.route, work.target_ms)
+        mean_ms = self.estimates.mean_of(work.service, work.target_ms)
+        best: Placement | None = None
+        best_cost = math.inf
+        rank = 0
+        for server in members:
+            if server.server_id in work.excluded or not server.is_available(now_ms):
+                continue
+            cold = server.may_be_cold(now_ms, fleet_age_ms)
+            if cold and not self.warmup.allows(
+                server.server_id, server.region, self._warmup_rate(work.service)
+            ):
+                continue
+            load = server.load(now_ms)
+            slowness = server.slowness(now_ms)
+            is_home = work.sticky and rank < HOME_SERVERS
+            work_ms = (known_ms if is_home else fresh_ms) * slowness
+            wait_ms = max(0.0, load + 1.0 - server.slots) * mean_ms * slowness
+            wait_ms /= server.slots
+            cost = (wait_ms + work_ms) / (1.0 - 0.9 * server.failure_rate(now_ms))
+            if server.silent:
+                cost *= 2.0
+            if not work.sticky:
+                cost += load * mean_ms / server.slots * 0.5
+            if cost < best_cost:
+                best_cost = cost
+                best = Placement(server, rank, wait_ms, work_ms, cold)
+            rank += 1
+        return best
+
+    def _warmup_rate(self, service: str) -> float:
+        policy = self._policies.get(service)
+        return policy.warmup_per_s if policy is not None else 0.0
+
+    def _new_stats(self, record) -> ServerStats:
+        region = self.settings.zone_regions.get(record.zone, "")
+        return ServerStats(
+            self.clock,
+            record.server_id,
+            record.born_ms,
+            record.address,
+            record.zone,
+            region,
+            record.service,
+            max(1, record.slots),
+        )
+
+
+def _is_same(stats: ServerStats, record) -> bool:
+    return (stats.born_ms, stats.address, stats.service, stats.slots) == (
+        record.born_ms,
+        record.address,
+        record.service,
+        max(1, record.slots),
+    )
--- /dev/null
+++ b/bulrushlead/dispatch/_warmup.py
@@ -0,0 +1,71 @@
+"""Holds the requests to a cold server below its rate, without a call."""
+
+import xxhash
+
+from bulrushlead.clock import Clock
+
+MAX_WARMING_HOSTS = 4  # each may send one request at once
+
+
+class WarmupLimiter:
+    """Answers the pattern of a cold return: a zone comes back with empty caches.
+
+    A few hosts, the same on every host, share the rate of a cold server; all
+    others send nothing to it until it is warm.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    host_id, region : str
+        Name and region of this host.
+    slack : int
+        Requests a second that are tolerated beyond the rate.
+    """
+
+    def __init__(self, clock: Clock, host_id: str, region: str, slack: int):
+        self.clock = clock
+        self.host_id = host_id
+        self.region = region
+        self.warming_hosts = max(1, min(MAX_WARMING_HOSTS, slack - 1))
+        self._hosts: list[tuple[str, str]] = []
+        self._shares: dict[str, float] = {}
+        self._next_ms: dict[str, float] = {}
+
+    def set_hosts(self, hosts: list[tuple[str, str]]) -> None:
+        """Take the entry hosts, as pairs of name and region."""
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._shares.clear()
+
+    def allows(self, server_id: str, region: str, rate_per_s: float) -> bool:
+        """Return whether this host may send a request to a cold server now."""
+        if rate_per_s <= 0:
+            return True
+        if self._share(server_id, region) <= 0:
+            return False
+        return self.clock.now_ms() >= self._next_ms.get(server_id, 0.0)
+
+    def note_sent(self, server_id: str, region: str, rate_per_s: float) -> None:
+        """Count a request to a cold server."""
+        share = self._share(server_id, region)
+        if rate_per_s > 0 and share > 0:
+            interval_ms = 1_000.0 / (rate_per_s * share)
+            self._next_ms[server_id] = self.clock.now_ms() + interval_ms
+
+    def _share(self, server_id: str, region: str) -> float:
+        share = self._shares.get(server_id)
+        if share is None:
+            share = self._shares[server_id] = self._find_share(server_id, region)
+        return share
+
+    def _find_share(self, server_id: str, region: str) -> float:
+        ranked = sorted(
+            self._hosts,
+            key=lambda host: (
+                host[1] != region,
+                xxhash.xxh64_intdigest(f"{server_id}/{host[0]}".encode()),
+            ),
+        )
+        chosen = [host_id for host_id, _ in ranked[: self.warming_hosts]]
+        return 1.0 / len(chosen) if self.host_id in chosen else 0.0
--- /dev/null
+++ b/bulrushlead/fleet/__init__.py
@@ -0,0 +1,30 @@
+"""Backend servers that announce themselves, and the hosts of the system."""
+
+from bulrushlead.fleet._messages import (
+    Announcement,
+    FleetUpdate,
+    HostRecord,
+    HostReport,
+    ServerRecord,
+    ServerState,
+    SyncPosition,
+    SyncRequest,
+)
+from bulrushlead.fleet._registry import FleetRegistry
+from bulrushlead.fleet._session import LeaderSession
+from bulrushlead.fleet._view import FleetView, KnownServer
+
+__all__ = [
+    "Announcement",
+    "FleetRegistry",
+    "FleetUpdate",
+    "FleetView",
+    "HostRecord",
+    "HostReport",
+    "KnownServer",
+    "LeaderSession",
+    "ServerRecord",
+    "ServerState",
+    "SyncPosition",
+    "SyncRequest",
+]
--- /dev/null
+++ b/bulrushlead/gateway/_program.py
@@ -0,0 +1,135 @@
+"""The gateway program: puts its slices together."""
+
+import random
+
+from bulrushlead.clock import Clock
+from bulrushlead.dispatch import Dispatcher
+from bulrushlead.fleet import FleetUpdate, FleetView, HostReport, LeaderSession
+from bulrushlead.gateway._dialect import Dialect
+from bulrushlead.gateway._forwarding import RequestForwarder
+from bulrushlead.gateway._settings import GatewaySettings
+from bulrushlead.http1 import (
+    Answer,
+    ConnectionPool,
+    HttpServer,
+    Request,
+    RequestLimits,
+)
+from bulrushlead.logs import Event, EventLogger
+from bulrushlead.wire import LinkFactory
+
+CLOSE_IDLE_INTERVAL_MS = 500  # while draining
+
+
+class Gateway:
+    """An entry host between callers and announced backend servers.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings of the host.
+    dialect : Dialect
+        Names of header fields.
+    clock : Clock
+        Source of time.
+    links : callable
+        Makes the link to the peer address of a coordinator.
+    rng : random.Random
+        Source of choices.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        clock: Clock,
+        links: LinkFactory,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.view = FleetView(clock)
+        self.dispatcher = Dispatcher(clock, settings.dispatch, rng)
+        self.pool = ConnectionPool(clock, dialect.request_id)
+        self.forwarder = RequestForwarder(
+            clock, dialect, self.dispatcher, self.pool, rng
+        )
+        host, _, port = settings.front_address.rpartition(":")
+        self.front = HttpServer(host, int(port), self.forwarder.answer, clock)
+        host, _, port = settings.readiness_address.rpartition(":")
+        self.readiness = HttpServer(host, int(port), self._answer_readiness, clock)
+        self._incarnation = rng.getrandbits(32)
+        self.session = LeaderSession(
+            clock,
+            settings.seeds,
+            links,
+            self.view,
+            self._report,
+            self._on_update,
+            rng,
+        )
+        self._log = EventLogger("gateway")
+
+    async def start(self) -> None:
+        """Listen and ask for the plan and the fleet."""
+        await self.readiness.start()
+        await self.front.start()
+        await self.session.start()
+
+    async def drain(self) -> None:
+        """Stop taking callers, finish what is in progress, then return."""
+        self.front.drain()
+        deadline_ms = self.clock.now_ms() + self.settings.drain_ms
+        while self.clock.now_ms() < deadline_ms:
+            await self.clock.sleep_ms(CLOSE_IDLE_INTERVAL_MS)
+            if deadline_ms - self.clock.now_ms() < self.settings.drain_ms / 2:
+                self.front.close_idle()
+
+    async def close(self) -> None:
+        """Stop at once."""
+        await self.session.close()
+        await self.front.close()
+        await self.readiness.close()
+        self.pool.close()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            self.view.plan is not None
+            and bool(self.view.servers)
+            and not self.front.draining
+        )
+
+    def _report(self) -> HostReport:
+        settings = self.settings
+        return HostReport(
+            settings.host_id,
+            self._incarnation,
+            settings.front_address,
+            settings.zone,
+            settings.region,
+            self.is_ready,
+        )
+
+    def _on_update(self, update: FleetUpdate) -> None:
+        plan = self.view.plan
+        if update.plan is not None and plan is not None:
+            self._put_in_force(plan)
+        self.dispatcher.update(self.view)
+
+    def _put_in_force(self, plan) -> None:
+        self.forwarder.set_plan(plan)
+        limits = plan.limits
+        self.front.limits = RequestLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+        self._log.write(
+            Event.CONFIGURATION_IN_FORCE, version=plan.version, routes=len(plan.routes)
+        )
+
+    async def _answer_readiness(self, request: Request) -> Answer:
+        return Answer(200 if self.is_ready else 503)
--- /dev/null
+++ b/bulrushlead/gateway/_settings.py
@@ -0,0 +1,37 @@
+"""Settings of a gateway."""
+
+import attrs
+
+from bulrushlead.dispatch import DispatchSettings
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Settings of a gateway.
+
+    Parameters
+    ----------
+    host_id : str
+        Name of the host.
+    zone, region : str
+        Where it is.
+    front_address : str
+        ``host:port`` on which it takes callers.
+    readiness_address : str
+        ``host:port`` on which it says whether it takes callers.
+    seeds : tuple of str
+        Peer addresses of coordinators.
+    dispatch : DispatchSettings
+        Limits shared by all hosts.
+    drain_ms : float
+        Time from a planned stop to the end of the process, in milliseconds.
+    """
+
+    host_id: str
+    zone: str
+    region: str
+    front_address: str
+    readiness_address: str
+    seeds: tuple[str, ...]
+    dispatch: DispatchSettings
+    drain_ms: float = 5_000.0
--- /dev/null
+++ b/bulrushlead/http1/__init__.py
@@ -0,0 +1,31 @@
+"""HTTP/1.1 connections on both sides of a host, framed by ``httptools``."""
+
+from bulrushlead.http1._client import ClientConnection, ExchangeError, ExchangeFault
+from bulrushlead.http1._messages import (
+    Answer,
+    HeaderList,
+    Request,
+    find_header,
+    forwardable_headers,
+    render_answer,
+    render_request,
+)
+from bulrushlead.http1._pool import ConnectionPool
+from bulrushlead.http1._server import HttpServer, RequestLimits, ServerConnection
+
+__all__ = [
+    "Answer",
+    "ClientConnection",
+    "ConnectionPool",
+    "ExchangeError",
+    "ExchangeFault",
+    "HeaderList",
+    "HttpServer",
+    "Request",
+    "RequestLimits",
+    "ServerConnection",
+    "find_header",
+    "forwardable_headers",
+    "render_answer",
+    "render_request",
+]
--- /dev/null
+++ b/bulrushlead/http1/_client.py
@@ -0,0 +1,246 @@
+"""Calling side: one exchange at a time on a connection to a backend server."""
+
+import asyncio
+from enum import Enum
+
+import httptools
+
+from bulrushlead.http1._messages import BODILESS_STATUSES, Answer
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024  # an answer is held whole until it is complete
+
+
+class ExchangeFault(Enum):
+    """Why an exchange brought no answer."""
+
+    NOT_SENT = "not_sent"
+    CLOSED = "closed"
+    TRUNCATED = "truncated"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+
+
+class ExchangeError(Exception):
+    """An exchange that brought no answer.
+
+    Parameters
+    ----------
+    fault : ExchangeFault
+        What happened. Only ``NOT_SENT`` says that the request did not run.
+    detail : str
+        What was seen.
+    """
+
+    def __init__(self, fault: ExchangeFault, detail: str):
+        super().__init__(f"{fault.value}: {detail}")
+        self.fault = fault
+        self.detail = detail
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection that carries one request at a time.
+
+    Parameters
+    ----------
+    id_header : bytes
+        Lower-case name of the field in which the backend server echoes the
+        identifier of the request that it answers.
+
+    Attributes
+    ----------
+    exchanges : int
+        Requests sent so far.
+    idle_since_ms : float
+        When the last answer ended; kept by the pool.
+    keep_alive_ms : float or None
+        Idle time that the backend server announced, in milliseconds.
+    """
+
+    def __init__(self, id_header: bytes):
+        self.id_header = id_header
+        self.exchanges = 0
+        self.idle_since_ms = 0.0
+        self.keep_alive_ms: float | None = None
+        self._transport: asyncio.Transport | None = None
+        self._parser = None
+        self._future: asyncio.Future | None = None
+        self._request_id = b""
+        self._is_head = False
+        self._usable = True
+        self._start_message()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on this connection."""
+        return self._usable and self._future is None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    async def exchange(self, data: bytes, request_id: bytes, is_head: bool) -> Answer:
+        """Send a request and return its whole answer.
+
+        Parameters
+        ----------
+        data : bytes
+            The request.
+        request_id : bytes
+            Identifier that its answer must echo.
+        is_head : bool
+            Whether the answer has no body.
+
+        Raises
+        ------
+        ExchangeError
+            If no complete answer came.
+        """
+        if not self.is_reusable or self._transport.is_closing():
+            raise ExchangeError(ExchangeFault.NOT_SENT, "connection is not usable")
+        self._request_id = request_id
+        self._is_head = is_head
+        self._parser = httptools.HttpResponseParser(self)
+        self._start_message()
+        self.exchanges += 1
+        self._future = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        try:
+            return await self._future
+        except asyncio.CancelledError:
+            # The answer is no longer wanted: closing tells the backend server.
+            self.close()
+            raise
+        finally:
+            self._future = None
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._usable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; bytes that nobody waits for end the connection."""
+        if self._future is None or self._future.done():
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._usable = False
+            self._fail(ExchangeFault.MALFORMED, str(error))
+            self.close()
+
+    def eof_received(self) -> bool:
+        """End an answer that has no length with its connection."""
+        self._usable = False
+        if self._has_head and not self._is_framed and not self._is_foreign:
+            self._finish()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the exchange in progress."""
+        self._usable = False
+        fault = ExchangeFault.TRUNCATED if self._has_head else ExchangeFault.CLOSED
+        self._fail(fault, repr(error) if error else "closed by the backend server")
+
+    def on_message_begin(self) -> None:
+        """Begin another answer; a second one belongs to no request."""
+        if self._is_complete:
+            self._usable = False
+            return
+        self._start_message()
+
+    def on_status(self, reason: bytes) -> None:
+        """Take the reason phrase."""
+        if not self._is_complete:
+            self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header field."""
+        if self._is_complete:
+            return
+        self._headers.append((name, value))
+        lower = name.lower()
+        if lower in (b"content-length", b"transfer-encoding"):
+            self._is_framed = True
+        elif lower == self.id_header:
+            self._echoed_id = value
+        elif lower == b"keep-alive":
+            self.keep_alive_ms = _parse_keep_alive(value)
+
+    def on_headers_complete(self) -> None:
+        """Decide whether the answer is the expected one."""
+        if self._is_complete:
+            return
+        self._status = self._parser.get_status_code()
+        if self._status < 200:
+            return
+        self._has_head = True
+        # A late second answer to an earlier request may come first. Refusals need
+        # not echo the identifier; a success on a used connection must.
+        if self._echoed_id is None:
+            self._is_foreign = self.exchanges > 1 and self._status < 300
+        else:
+            self._is_foreign = self._echoed_id != self._request_id
+        if self._is_head and not self._is_foreign:
+            self._usable = False
+            self._finish()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        if self._is_complete or self._is_foreign:
+            return
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            self._fail(ExchangeFault.TOO_LARGE, f"over {MAX_ANSWER_BYTES} bytes")
+            self.close()
+        else:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Deliver the answer, or drop one that belongs to another request."""
+        if self._is_complete or self._status < 200:
+            return
+        if self._is_foreign:
+            self._start_message()
+            return
+        if not self._is_framed and self._status not in BODILESS_STATUSES:
+            return  # ends with its connection
+        if not self._parser.should_keep_alive():
+            self._usable = False
+        self._finish()
+
+    def _start_message(self) -> None:
+        self._status = 0
+        self._reason = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._echoed_id: bytes | None = None
+        self._has_head = False
+        self._is_framed = False
+        self._is_foreign = False
+        self._is_complete = False
+
+    def _finish(self) -> None:
+        self._is_complete = True
+        # An early answer may leave a part of the request unsent.
+        if self._transport.get_write_buffer_size() > 0:
+            self._usable = False
+        if self._future is not None and not self._future.done():
+            self._future.set_result(
+                Answer(self._status, self._headers, b"".join(self._body), self._reason)
+            )
+
+    def _fail(self, fault: ExchangeFault, detail: str) -> None:
+        if self._future is not None and not self._future.done():
+            self._future.set_exception(ExchangeError(fault, detail))
+
+
+def _parse_keep_alive(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.strip().isdigit():
+            return int(seconds) * 1000.0
+    return None
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -29,6 +29,9 @@
     CONFIGURATION_IN_FORCE = 302
     SESSION_OPENED = 310
     SESSION_LOST = 311
+    ORDER_ACCEPTED = 320
+    ORDER_REFUSED = 321
+    HEARTBEATS_DELAYED = 322
 
     # Replicated log.
     LEADER_ELECTED = 400
@@ -56,8 +59,10 @@
     BACKEND_TRUSTED = 604
     ZONE_DISTRUSTED = 605
     ZONE_TRUSTED = 606
+    BACKEND_SILENT = 607
     DRAIN_STARTED = 610
     DRAIN_ENDED = 611
+    HOST_CHANGED = 620
 
     # Idempotency keys.
     KEY_CLAIMED = 700
@@ -104,6 +109,9 @@
     _E.CONFIGURATION_IN_FORCE: EventInfo("INFO", "A revision is in force here."),
     _E.SESSION_OPENED: EventInfo("INFO", "A session with control was opened."),
     _E.SESSION_LOST: EventInfo("WARNING", "The session with control was lost."),
+    _E.ORDER_ACCEPTED: EventInfo("INFO", "An order is on the disks of a quorum."),
+    _E.ORDER_REFUSED: EventInfo("WARNING", "An order was refused or is in doubt."),
+    _E.HEARTBEATS_DELAYED: EventInfo("WARNING", "Heartbeats wait for a leader."),
     _E.LEADER_ELECTED: EventInfo("INFO", "This replica became the leader."),
     _E.LEADER_LOST: EventInfo("WARNING", "This replica is no longer the leader."),
     _E.SNAPSHOT_WRITTEN: EventInfo("INFO", "A snapshot was written."),
@@ -123,8 +131,10 @@
     _E.BACKEND_TRUSTED: EventInfo("INFO", "A backend server got its share back."),
     _E.ZONE_DISTRUSTED: EventInfo("WARNING", "A zone fails as a whole."),
     _E.ZONE_TRUSTED: EventInfo("INFO", "A zone takes traffic again."),
+    _E.BACKEND_SILENT: EventInfo("WARNING", "Heartbeats of a server are missing."),
     _E.DRAIN_STARTED: EventInfo("INFO", "A planned drain has started."),
     _E.DRAIN_ENDED: EventInfo("INFO", "A planned drain has ended."),
+    _E.HOST_CHANGED: EventInfo("INFO", "An entry host takes callers, or stopped."),
     _E.KEY_CLAIMED: EventInfo("INFO", "An idempotency key was claimed."),
     _E.KEY_FINISHED: EventInfo("INFO", "The outcome of a key was recorded."),
     _E.KEY_REPLAYED: EventInfo("INFO", "A recorded answer was sent again."),
--- /dev/null
+++ b/bulrushlead/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product; see docs/decisions."""
--- /dev/null
+++ b/bulrushlead/platform/_control.py
@@ -0,0 +1,116 @@
+"""Answers the platform's calls to the control interface."""
+
+import json
+from urllib.parse import parse_qs
+
+from bulrushlead.clock import Clock
+from bulrushlead.coordinator import Coordinator
+from bulrushlead.http1 import Answer, Request
+from bulrushlead.logs import Event, EventLogger
+from bulrushlead.platform._heartbeats import decode_birth_ms, decode_heartbeat
+from bulrushlead.platform._plans import decode_plan
+from bulrushlead.results import BulrushleadError, ResultCode
+
+_JSON = (b"content-type", b"application/json")
+# The caller has moved on to another host after a second; a call that was held up
+# longer than that, for example by a suspended host, must not take effect late.
+MAX_CALL_AGE_MS = 1_000
+_CLIENT_ERRORS = frozenset(
+    {
+        ResultCode.DECLARATION_INVALID,
+        ResultCode.DECLARATION_UNREADABLE,
+        ResultCode.BAD_REQUEST,
+        ResultCode.MESSAGE_TOO_LARGE,
+    }
+)
+
+
+class ControlInterface:
+    """Takes heartbeats, configurations and evacuations.
+
+    Parameters
+    ----------
+    coordinator : Coordinator
+        Where they go.
+    zone_regions : dict of str to str
+        Availability zones that exist, with their regions.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, coordinator: Coordinator, zone_regions: dict[str, str], clock: Clock
+    ):
+        self.coordinator = coordinator
+        self.zones = set(zone_regions)
+        self.clock = clock
+        self._calls = {
+            "instances.heartbeat": self._heartbeat,
+            "instances.deregister": self._deregister,
+            "config.put": self._put_config,
+            "config.get": self._get_config,
+            "evacuations.start": self._start_evacuation,
+            "evacuations.end": self._end_evacuation,
+        }
+        self._log = EventLogger("platform")
+
+    async def answer(self, request: Request) -> Answer:
+        """Answer one call."""
+        path, _, query = request.target.decode("latin-1").partition("?")
+        fields = parse_qs(query, keep_blank_values=True)
+        name = fields.get("call", [""])[0]
+        subject = fields.get("of", [""])[0]
+        call = self._calls.get(name) if path == "/v1/rpc" else None
+        if call is None:
+            return Answer(404)
+        age_ms = self.clock.now_ms() - request.received_ms
+        if age_ms > MAX_CALL_AGE_MS:
+            return Answer(503)
+        try:
+            return await call(subject, request.body)
+        except BulrushleadError as error:
+            is_rejected = error.code in _CLIENT_ERRORS
+            self._log.write(
+                Event.ORDER_REFUSED,
+                call=name,
+                subject=subject,
+                code=error.code.value,
+                detail=error.detail,
+            )
+            body = json.dumps({"error": error.detail}).encode()
+            return Answer(400 if is_rejected else 503, [_JSON], body)
+
+    async def _heartbeat(self, server_id: str, body: bytes) -> Answer:
+        await self.coordinator.announce(decode_heartbeat(server_id, body, self.zones))
+        return Answer(200, [_JSON], b"{}")
+
+    async def _deregister(self, server_id: str, body: bytes) -> Answer:
+        await self.coordinator.deregister(server_id, decode_birth_ms(body))
+        return Answer(200, [_JSON], b"{}")
+
+    async def _put_config(self, subject: str, body: bytes) -> Answer:
+        await self.coordinator.accept_plan(decode_plan(body), body)
+        return Answer(200, [_JSON], b"{}")
+
+    async def _get_config(self, subject: str, body: bytes) -> Answer:
+        reply = await self.coordinator.read_plan()
+        if reply.version < 0:
+            return Answer(503)
+        return Answer(200, [_JSON], reply.document)
+
+    async def _start_evacuation(self, zone: str, body: bytes) -> Answer:
+        self._check_zone(zone)
+        await self.coordinator.start_evacuation(zone)
+        return Answer(200, [_JSON], b"{}")
+
+    async def _end_evacuation(self, zone: str, body: bytes) -> Answer:
+        self._check_zone(zone)
+        await self.coordinator.end_evacuation(zone)
+        return Answer(200, [_JSON], b"{}")
+
+    def _check_zone(self, zone: str) -> None:
+        if zone not in self.zones:
+            raise BulrushleadError(
+                ResultCode.BAD_REQUEST,
+                f"no availability zone {zone!r:.60}; known: {sorted(self.zones)}",
+            )
--- /dev/null
+++ b/bulrushlead/platform/_dialect.py
@@ -0,0 +1,12 @@
+"""The platform's names of header fields."""
+
+from bulrushlead.gateway import Dialect
+
+DIALECT = Dialect(
+    request_id=b"request-id",
+    deadline_ms=b"deadline-ms",
+    affinity_key=b"affinity-key",
+    expected_server=b"expect-instance",
+    not_run=b"not-executed",
+    load=b"server-load",
+)
--- /dev/null
+++ b/bulrushlead/platform/_heartbeats.py
@@ -0,0 +1,88 @@
+"""Decodes what backend servers say of themselves."""
+
+import json
+from typing import Any
+
+from bulrushlead.fleet import Announcement, ServerState
+from bulrushlead.platform._units import parse_duration_ms
+from bulrushlead.results import BulrushleadError, ResultCode
+
+_STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
+
+
+def decode_heartbeat(server_id: str, body: bytes, zones: set[str]) -> Announcement:
+    """Return a heartbeat.
+
+    Parameters
+    ----------
+    server_id : str
+        Identity that the call names.
+    body : bytes
+        Body of the call.
+    zones : set of str
+        Availability zones that exist.
+
+    Raises
+    ------
+    BulrushleadError
+        ``BAD_REQUEST`` if a field is missing, of another type or unknown.
+    """
+    try:
+        return _heartbeat(server_id, json.loads(body), zones)
+    except (ValueError, TypeError, KeyError, RecursionError) as error:
+        raise BulrushleadError(
+            ResultCode.BAD_REQUEST, f"heartbeat of {server_id!r:.60}: {error!r:.200}"
+        ) from error
+
+
+def decode_birth_ms(body: bytes) -> int | None:
+    """Return the start of the incarnation that signs off, or None if untold."""
+    try:
+        born_ms = json.loads(body).get("born") if body else None
+    except (ValueError, AttributeError, RecursionError):
+        return None
+    return born_ms if type(born_ms) is int else None
+
+
+def _heartbeat(server_id: str, fields: Any, zones: set[str]) -> Announcement:
+    if not isinstance(fields, dict) or not server_id:
+        raise ValueError("not an object with an identity")
+    cold_left_ms = parse_duration_ms(fields["warmupLeft"])
+    if cold_left_ms is None:
+        raise ValueError(f"warmupLeft is {fields['warmupLeft']!r}")
+    host, _, port = _text(fields, "address").rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"address is {fields['address']!r}")
+    if fields["zone"] not in zones:
+        raise ValueError(f"zone is {fields['zone']!r}")
+    if fields["state"] not in _STATES:
+        raise ValueError(f"state is {fields['state']!r}")
+    slots = _integer(fields, "capacity")
+    if slots < 1:
+        raise ValueError(f"capacity is {slots}")
+    return Announcement(
+        server_id=server_id,
+        born_ms=_integer(fields, "born", 0),
+        sequence=_integer(fields, "sequence"),
+        service=_text(fields, "service"),
+        address=fields["address"],
+        zone=fields["zone"],
+        version=_text(fields, "version"),
+        slots=slots,
+        state=_STATES[fields["state"]],
+        cold_left_ms=cold_left_ms,
+    )
+
+
+def _text(fields: dict[str, Any], name: str) -> str:
+    value = fields[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is {value!r}")
+    return value
+
+
+def _integer(fields: dict[str, Any], name: str, default: int | None = None) -> int:
+    value = fields[name] if default is None else fields.get(name, default)
+    if type(value) is not int:
+        raise ValueError(f"{name} is {value!r}")
+    return value
--- /dev/null
+++ b/bulrushlead/platform/_plans.py
@@ -0,0 +1,122 @@
+"""Decodes the operator's configuration into a traffic plan."""
+
+import json
+import math
+from typing import Any
+
+from bulrushlead.platform._units import parse_duration_ms
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.traffic import (
+    PlanLimits,
+    Route,
+    ServicePolicy,
+    ServiceShare,
+    TrafficPlan,
+)
+
+REPEATABLE_TYPE = "safe"  # every other type of route may run once at most
+
+
+def decode_plan(body: bytes) -> TrafficPlan:
+    """Return the plan in a configuration.
+
+    Raises
+    ------
+    BulrushleadError
+        ``DECLARATION_UNREADABLE`` if it cannot be read in full.
+    """
+    try:
+        document = json.loads(body)
+        return _plan(document)
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
+        raise BulrushleadError(
+            ResultCode.DECLARATION_UNREADABLE, f"configuration: {error!r:.200}"
+        ) from error
+
+
+def _plan(document: dict[str, Any]) -> TrafficPlan:
+    routes, services = [], []
+    limits = PlanLimits()
+    for resource in document["resources"]:
+        kind, spec = resource["resourceKind"], resource["spec"]
+        if kind == "routes":
+            routes.append(_route(resource["metadata"]["name"], spec))
+        elif kind == "services":
+            services.append(_service(resource["metadata"]["name"], spec))
+        elif kind == "limits":
+            limits = _limits(spec)
+    return TrafficPlan(
+        _integer(document["version"]), tuple(routes), tuple(services), limits
+    )
+
+
+def _route(name: str, spec: dict[str, Any]) -> Route:
+    if "backends" in spec:
+        shares = tuple(
+            ServiceShare(_text(part["service"]), _number(part["weight"]))
+            for part in spec["backends"]
+        )
+    else:
+        shares = (ServiceShare(_text(spec["service"]), 1.0),)
+    timeout_ms = _duration(spec["timeout"])
+    target_ms = timeout_ms
+    if "targetLatency" in spec:
+        target_ms = _duration(spec["targetLatency"])
+    return Route(
+        name=_text(name),
+        host=_text(spec["host"]).lower(),
+        path_prefix=_text(spec["pathPrefix"]),
+        shares=shares,
+        idempotent=_text(spec["type"]) == REPEATABLE_TYPE,
+        timeout_ms=timeout_ms,
+        target_latency_ms=target_ms,
+        priority=_integer(spec.get("priority", 0)),
+        max_attempts=max(1, _integer(spec.get("maxAttempts", 1))),
+        sticky=bool(spec.get("sessionAffinity", False)),
+        allowed_regions=tuple(_text(r) for r in spec.get("allowedRegions") or ()),
+    )
+
+
+def _service(name: str, spec: dict[str, Any]) -> ServicePolicy:
+    return ServicePolicy(
+        name=_text(name),
+        max_connections=_integer(spec.get("maxConnections", 0)),
+        warmup_ms=_duration(spec.get("warmup", "0ms")),
+        warmup_per_s=_number(spec.get("warmupPerS", 0)),
+    )
+
+
+def _limits(spec: dict[str, Any]) -> PlanLimits:
+    return PlanLimits(
+        max_header_bytes=_integer(spec["maxHeaderBytes"]),
+        max_body_bytes=_integer(spec["maxBodyBytes"]),
+        header_timeout_ms=_duration(spec["headerTimeout"]),
+        idle_timeout_ms=_duration(spec["idleTimeout"]),
+    )
+
+
+def _duration(value: object) -> float:
+    duration_ms = parse_duration_ms(value)
+    if duration_ms is None:
+        raise ValueError(f"{value!r} is not a time such as 1500ms or 2.5s")
+    return duration_ms
+
+
+def _integer(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{value!r} is not a whole number")
+    return value
+
+
+def _number(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"{value!r} is not a number")
+    if not math.isfinite(value):
+        raise ValueError(f"{value!r} is not finite")
+    return float(value)
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is not a text")
+    return value
--- /dev/null
+++ b/bulrushlead/platform/_settings.py
@@ -0,0 +1,203 @@
+"""Decodes the platform's settings file into the product's settings."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from bulrushlead.coordinator import CoordinatorSettings
+from bulrushlead.dispatch import DispatchSettings
+from bulrushlead.gateway import GatewaySettings
+from bulrushlead.platform._units import parse_duration_ms
+from bulrushlead.results import BulrushleadError, Fault, FaultsError, ResultCode
+
+DRAIN_SHARE = 0.85  # of the time that the platform grants to a planned stop
+
+
+@attrs.frozen
+class HostSettings:
+    """What the platform tells a process about its host.
+
+    Parameters
+    ----------
+    host_id, zone, region : str
+        Name and place.
+    ip : str
+        Address of the host.
+    peer_port : int
+        Port for messages between hosts; the same on every host.
+    seeds : tuple of str
+        Peer addresses of a few coordinators.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
+    data_folder : str
+        Folder for state; empty on a host without a disk.
+    zone_regions : dict of str to str
+        Region of each availability zone.
+    serves_callers, serves_control, serves_directory : bool
+        Who may call this process.
+    caller_address, readiness_address, control_address, directory_address : str
+        Where it listens for them; empty if it does not.
+    heartbeat_ms, grace_ms : float
+        Time between two heartbeats of a server; time granted to a planned stop.
+    lookup_ttl_ms : float
+        Longest time for which a look-up may be kept.
+    retry_ratio, retry_slack, retry_window_ms
+        See ``DispatchSettings``.
+    warmup_overshoot, warmup_slack
+        See ``DispatchSettings``.
+    """
+
+    host_id: str
+    zone: str
+    region: str
+    ip: str
+    peer_port: int
+    seeds: tuple[str, ...]
+    is_first_start: bool
+    data_folder: str
+    zone_regions: dict[str, str]
+    serves_callers: bool
+    serves_control: bool
+    serves_directory: bool
+    caller_address: str
+    readiness_address: str
+    control_address: str
+    directory_address: str
+    heartbeat_ms: float
+    grace_ms: float
+    lookup_ttl_ms: float
+    retry_ratio: float
+    retry_slack: int
+    retry_window_ms: float
+    warmup_overshoot: float
+    warmup_slack: int
+
+    @property
+    def peer_address(self) -> str:
+        """Address for messages between hosts."""
+        return f"{self.ip}:{self.peer_port}"
+
+    def for_gateway(self) -> GatewaySettings:
+        """Return the settings of a gateway on this host."""
+        return GatewaySettings(
+            host_id=self.host_id,
+            zone=self.zone,
+            region=self.region,
+            front_address=self.caller_address,
+            readiness_address=self.readiness_address,
+            seeds=self.seeds,
+            drain_ms=self.grace_ms * DRAIN_SHARE,
+            dispatch=DispatchSettings(
+                host_id=self.host_id,
+                zone=self.zone,
+                region=self.region,
+                zone_regions=self.zone_regions,
+                retry_ratio=self.retry_ratio,
+                retry_slack=self.retry_slack,
+                retry_window_ms=self.retry_window_ms,
+                warmup_overshoot=self.warmup_overshoot,
+                warmup_slack=self.warmup_slack,
+            ),
+        )
+
+    def for_coordinator(self) -> CoordinatorSettings:
+        """Return the settings of a coordinator on this host."""
+        return CoordinatorSettings(
+            host_id=self.host_id,
+            zone=self.zone,
+            region=self.region,
+            peer_address=self.peer_address,
+            seeds=self.seeds,
+            data_folder=self.data_folder,
+            bootstrap=self.is_first_start,
+            heartbeat_ms=self.heartbeat_ms,
+        )
+
+
+def load_host_settings(path: str) -> HostSettings:
+    """Return the settings in the platform's file.
+
+    Raises
+    ------
+    BulrushleadError
+        ``SETTINGS_UNREADABLE`` if it is missing or not TOML.
+    FaultsError
+        ``SETTINGS_INVALID`` with every fault; unknown fields are ignored.
+    """
+    try:
+        table = tomllib.loads(Path(path).read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise BulrushleadError(
+            ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}"
+        ) from error
+    reader = _Reader(table)
+    port = reader.get("internalPortRange.0", int)
+    serves = reader.get("serves", list, [])
+    settings = HostSettings(
+        host_id=reader.get("nodeName", str),
+        zone=reader.get("zone", str),
+        region=reader.get("region", str),
+        ip=reader.get("ip", str),
+        peer_port=port,
+        # The seeds are given with the port of the control interface.
+        seeds=tuple(
+            f"{seed.rpartition(':')[0]}:{port}" for seed in reader.get("seeds", list)
+        ),
+        is_first_start=reader.get("bootstrap", bool, False),
+        data_folder=reader.get("dataDir", str, ""),
+        zone_regions=reader.get("zones", dict),
+        serves_callers="edge" in serves,
+        serves_control="control" in serves,
+        serves_directory="directory" in serves,
+        caller_address=reader.get("listen.front", str, ""),
+        readiness_address=reader.get("listen.readinessAddr", str, ""),
+        control_address=reader.get("listen.control", str, ""),
+        directory_address=reader.get("listen.directory", str, ""),
+        heartbeat_ms=reader.duration_ms("heartbeat", "1500ms"),
+        grace_ms=reader.duration_ms("bounds.grace", "6s"),
+        lookup_ttl_ms=reader.duration_ms("bounds.ttl_max", "5s"),
+        retry_ratio=float(reader.get("bounds.retryBudgetRatio", float, 0.1)),
+        retry_slack=int(reader.get("bounds.retryBudgetSlack", float, 10)),
+        retry_window_ms=reader.duration_ms("bounds.budgetWindow", "10s"),
+        warmup_overshoot=float(reader.get("bounds.warmupOvershoot", float, 1.0)),
+        warmup_slack=int(reader.get("bounds.warmupSlack", float, 1)),
+    )
+    if reader.faults:
+        raise FaultsError(ResultCode.SETTINGS_INVALID, path, reader.faults)
+    return settings
+
+
+class _Reader:
+    """Reads values by dotted path and collects every fault."""
+
+    def __init__(self, table: dict):
+        self.table = table
+        self.faults: list[Fault] = []
+
+    def get(self, path: str, kind: type, default: Any = None) -> Any:
+        value: Any = self.table
+        for part in path.split("."):
+            if isinstance(value, list):
+                value = value[int(part)] if int(part) < len(value) else None
+            else:
+                value = value.get(part) if isinstance(value, dict) else None
+        if value is None and default is not None:
+            return default
+        if kind is float and isinstance(value, int) and not isinstance(value, bool):
+            return value
+        if not isinstance(value, kind) or (
+            kind is not bool and isinstance(value, bool)
+        ):
+            self.faults.append(Fault(path, repr(value), f"a {kind.__name__}"))
+            return kind()
+        return value
+
+    def duration_ms(self, path: str, default: str) -> float:
+        text = self.get(path, str, default)
+        value = parse_duration_ms(text)
+        if value is None:
+            self.faults.append(Fault(path, repr(text), "a time such as 1500ms or 2.5s"))
+            return 0.0
+        return value
--- a/bulrushlead/replication/_interfaces.py
+++ b/bulrushlead/replication/_interfaces.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from bulrushlead.wire import PeerLink
+from bulrushlead.wire import LinkFactory
 
 
 class StateMachine(Protocol):
@@ -31,5 +31,6 @@
         ...
 
 
-LinkFactory = Callable[[str], PeerLink]
 LeadershipCallback = Callable[[bool], None]
+
+__all__ = ["LeadershipCallback", "LinkFactory", "StateMachine"]
--- a/bulrushlead/replication/_joining.py
+++ b/bulrushlead/replication/_joining.py
@@ -22,6 +22,7 @@
 
 ID_BITS = 64
 JOIN_INTERVAL_HEARTBEATS = 2
+FORGOTTEN_ELECTIONS = 3  # time-outs in a row without any leader
 FIRST_TERM = 1
 
 
@@ -46,12 +47,22 @@
         """
         replica, settings = self.replica, self.replica.settings
         while True:
-            if not replica.is_voter():
+            if not replica.is_voter() or self._is_forgotten():
                 await self._join()
             await replica.clock.sleep_ms(
                 settings.heartbeat_ms * JOIN_INTERVAL_HEARTBEATS
             )
 
+    def _is_forgotten(self) -> bool:
+        """Return whether the cluster may have gone on without this voter."""
+        replica, settings = self.replica, self.replica.settings
+        silence_ms = replica.clock.now_ms() - replica.heard_ms
+        return (
+            settings.admit_newcomers
+            and replica.leadership is None
+            and silence_ms > FORGOTTEN_ELECTIONS * settings.election_max_ms
+        )
+
     async def _join(self) -> None:
         replica = self.replica
         replies = await self._ask_all()
--- a/bulrushlead/replication/_leadership.py
+++ b/bulrushlead/replication/_leadership.py
@@ -8,6 +8,7 @@
 
 from bulrushlead.replication._messages import EntryKind, LogEntry, Member
 from bulrushlead.replication._peer import PeerReplicator, Progress
+from bulrushlead.results import BulrushleadError, ResultCode
 
 if TYPE_CHECKING:
     from bulrushlead.replication._replica import Replica
@@ -20,6 +21,12 @@
     task: asyncio.Task
 
 
+@attrs.define(eq=False)
+class _Confirmation:
+    since_ms: float
+    confirmed: asyncio.Future
+
+
 class Leadership:
     """Appends entries, counts acknowledgements and holds the lease of one term.
 
@@ -46,9 +53,11 @@
         self.term = term
         self.votes = votes
         self.announced = False
+        self.started_ms = replica.clock.now_ms()
         self.first_index = 0
         self._peers: dict[str, _Peer] = {}
         self._lease_task: asyncio.Task | None = None
+        self._confirmations: list[_Confirmation] = []
 
     def start(self) -> None:
         """Append the first entry of the term and begin to replicate."""
@@ -61,6 +70,13 @@
             peer.task.cancel()
         if self._lease_task is not None:
             self._lease_task.cancel()
+        for waiting in self._confirmations:
+            if not waiting.confirmed.done():
+                waiting.confirmed.set_exception(
+                    BulrushleadError(ResultCode.NOT_LEADER, "the leader changed; retry")
+                )
+                # Its caller may have given up meanwhile and never look at it.
+                waiting.confirmed.exception()
 
     def append(self, kind: EntryKind, payload: bytes) -> LogEntry:
         """Add an entry to the log and send it to the peers."""
@@ -96,6 +112,32 @@
         """Return whether no other replica can be the leader now."""
         return self.replica.clock.now_ms() < self.lease_until_ms()
 
+    async def confirm(self) -> None:
+        """Wait until a quorum has acknowledged a message sent after this call.
+
+        A lease alone does not make a read safe on a host that may be suspended
+        between the check and the answer.
+        """
+        now_ms = self.replica.clock.now_ms()
+        confirmed = asyncio.get_running_loop().create_future()
+        self._confirmations.append(_Confirmation(now_ms, confirmed))
+        for peer in self._peers.values():
+            peer.replicator.wake()
+        self.note_acknowledged()
+        await confirmed
+
+    def note_acknowledged(self) -> None:
+        """Complete the confirmations that a quorum has answered."""
+        if not self._confirmations:
+            return
+        quorum_ms = self.lease_until_ms() - self.replica.settings.lease_ms
+        for waiting in self._confirmations:
+            if waiting.since_ms <= quorum_ms and not waiting.confirmed.done():
+                waiting.confirmed.set_result(None)
+        self._confirmations = [
+            waiting for waiting in self._confirmations if not waiting.confirmed.done()
+        ]
+
     def advance_commit(self) -> None:
         """Commit what a quorum has on its disks.
 
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -16,6 +16,7 @@
 )
 from bulrushlead.replication._joining import ID_BITS, Joining
 from bulrushlead.replication._journal import Journal
+from bulrushlead.replication._leadership import Leadership
 from bulrushlead.replication._membership import Membership
 from bulrushlead.replication._messages import (
     AppendRequest,
@@ -178,17 +179,22 @@
         BulrushleadError
             ``NOT_LEADER`` or ``NO_QUORUM``; nothing was read.
         """
-        self._membership.require_leadership()
+        leadership = self._membership.require_leadership()
         index = self._replica.commit_index
         try:
-            await self.clock.wait_for(self._applier.wait_applied(index), timeout_ms)
+            await self.clock.wait_for(self._confirm(leadership, index), timeout_ms)
         except TimeoutError as error:
             raise BulrushleadError(
                 ResultCode.NO_QUORUM,
-                f"entry {index} was not applied within {timeout_ms:.0f} ms; try again",
+                f"entry {index} was not confirmed by a quorum within "
+                f"{timeout_ms:.0f} ms; try again",
             ) from error
         return index
 
+    async def _confirm(self, leadership: Leadership, index: int) -> None:
+        await leadership.confirm()
+        await self._applier.wait_applied(index)
+
     def is_leader(self) -> bool:
         """Return whether this replica answers as the leader now.
 
@@ -245,6 +251,10 @@
         """
         await self._membership.remove(replica_id, timeout_ms)
 
+    async def retire_silent_voter(self, timeout_ms: float) -> str | None:
+        """Remove a voter that was silent for long; see ``Membership``."""
+        return await self._membership.retire_silent_voter(timeout_ms)
+
     @property
     def term(self) -> int:
         """Highest term that this replica has seen."""
--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -20,6 +20,9 @@
     from bulrushlead.replication._replica import Replica
 
 
+MIN_VOTERS_AFTER_RETIREMENT = 3  # fewer could not lose one more
+
+
 class Membership:
     """Adds, promotes, removes and replaces replicas.
 
@@ -86,6 +89,36 @@
             self._check_reachable_quorum(leadership, left)
             await self._change(leadership, left, timeout_ms)
 
+    async def retire_silent_voter(self, timeout_ms: float) -> str | None:
+        """Remove a voter that has been silent for long while all others answer.
+
+        Returns
+        -------
+        str or None
+            Identity of the voter removed. It is let in again if it comes back.
+        """
+        leadership = self.require_leadership()
+        async with self._lock:
+            members = self._settled_members(leadership)
+            retire_ms = self.replica.settings.retire_silent_ms
+            voters = members.voters()
+            silent = [v for v in voters if self._silence_ms(leadership, v) > retire_ms]
+            heard = [
+                v
+                for v in voters
+                if v.replica_id == self.replica.replica_id
+                or self._is_heard(leadership, v.replica_id)
+            ]
+            if (
+                len(silent) != 1
+                or len(heard) != len(voters) - 1
+                or len(heard) < MIN_VOTERS_AFTER_RETIREMENT
+            ):
+                return None
+            left = members.replaced(silent[0].replica_id)
+            await self._change(leadership, left, timeout_ms)
+            return silent[0].replica_id
+
     async def answer_join(self, request: JoinRequest) -> JoinReply:
         """Tell what is known of a cluster; as the leader, let the replica in."""
         replica = self.replica
@@ -140,11 +173,11 @@
                 timeout_ms = self.replica.settings.call_timeout_ms
                 newcomer = members.find(request.replica_id)
                 if newcomer is None:
-                    changed = self._with_newcomer(members, request)
-                elif newcomer.replaces and self._has_caught_up(
+                    changed = self._with_newcomer(leadership, members, request)
+                elif newcomer.role is MemberRole.LEARNER and self._has_caught_up(
                     leadership, newcomer.replica_id
                 ):
-                    changed = await self._without_lost(
+                    changed = await self._with_vote(
                         leadership, members, newcomer, timeout_ms
                     )
                 else:
@@ -154,10 +187,29 @@
         except BulrushleadError:
             return  # The newcomer asks again.
 
-    def _with_newcomer(self, members: Members, request: JoinRequest) -> Members | None:
+    async def _with_vote(
+        self,
+        leadership: Leadership,
+        members: Members,
+        newcomer: Member,
+        timeout_ms: float,
+    ) -> Members | None:
+        """Return the set in which a learner that has caught up counts."""
+        if newcomer.replaces:
+            return await self._without_lost(leadership, members, newcomer, timeout_ms)
+        if self.replica.settings.admit_newcomers:
+            voter = Member(newcomer.replica_id, newcomer.address)
+            return members.replaced(newcomer.replica_id, voter)
+        return None
+
+    def _with_newcomer(
+        self, leadership: Leadership, members: Members, request: JoinRequest
+    ) -> Members | None:
         same_address = [m for m in members.members if m.address == request.address]
-        if not same_address or request.address == self.replica.settings.address:
+        if request.address == self.replica.settings.address:
             return None
+        if not same_address:
+            return self._with_stranger(leadership, members, request)
         voters = [m for m in same_address if m.role is MemberRole.VOTER]
         replaces = voters[0].replica_id if voters else same_address[0].replaces
         newcomer = Member(
@@ -166,6 +218,42 @@
         kept = [m for m in members.members if m not in same_address or m in voters]
         return Members((*kept, newcomer))
 
+    def _with_stranger(
+        self, leadership: Leadership, members: Members, request: JoinRequest
+    ) -> Members | None:
+        """Return the set with a learner at an address that the log does not know.
+
+        It takes the place of a voter that has been silent for long: a host that
+        is replaced does not come back, and must not count for ever. A voter that
+        does come back is let in again as a stranger.
+        """
+        settings = self.replica.settings
+        if not settings.admit_newcomers:
+            return None
+        taken = {member.replaces for member in members.members}
+        silent = [
+            voter.replica_id
+            for voter in members.voters()
+            if voter.replica_id not in taken
+            and self._silence_ms(leadership, voter) > settings.retire_silent_ms
+        ]
+        learner = Member(
+            request.replica_id,
+            request.address,
+            MemberRole.LEARNER,
+            silent[0] if silent else "",
+        )
+        return Members((*members.members, learner))
+
+    def _silence_ms(self, leadership: Leadership, voter: Member) -> float:
+        if voter.replica_id == self.replica.replica_id:
+            return 0.0
+        progress = leadership.progress_of(voter.replica_id)
+        heard_ms = leadership.started_ms
+        if progress is not None:
+            heard_ms = max(heard_ms, progress.acknowledged_ms)
+        return self.replica.clock.now_ms() - heard_ms
+
     async def _without_lost(
         self,
         leadership: Leadership,
--- a/bulrushlead/replication/_peer.py
+++ b/bulrushlead/replication/_peer.py
@@ -168,6 +168,7 @@
             return
         self._stalled = False
         self.progress.acknowledged_ms = max(self.progress.acknowledged_ms, sent_ms)
+        self.leadership.note_acknowledged()
         if isinstance(reply, AppendReply):
             self._take_append_reply(reply)
         elif isinstance(reply, SnapshotReply):
--- a/bulrushlead/replication/_settings.py
+++ b/bulrushlead/replication/_settings.py
@@ -82,6 +82,11 @@
         a replica refuses votes after it heard from a leader, in milliseconds.
     election_max_ms : float, default=1000
         Longest time without a leader before an election, in milliseconds.
+    admit_newcomers : bool, default=False
+        Whether the leader lets in a replica at an address that the log does not
+        know, and retires voters that such a replica has made superfluous.
+    retire_silent_ms : float, default=10000
+        Silence of a voter after which a newcomer takes its place, in milliseconds.
     call_timeout_ms : float, default=300
         Time allowed for one call to a peer, in milliseconds.
     snapshot_threshold_entries : int, default=2000
@@ -112,6 +117,8 @@
     lease_ms: float = attrs.field(default=540, validator=_at_least(1))
     election_min_ms: float = attrs.field(default=600, validator=_at_least(1))
     election_max_ms: float = attrs.field(default=1000, validator=_at_least(1))
+    admit_newcomers: bool = False
+    retire_silent_ms: float = attrs.field(default=10_000, validator=_at_least(1))
     call_timeout_ms: float = attrs.field(default=300, validator=_at_least(1))
     snapshot_threshold_entries: int = attrs.field(default=2000, validator=_at_least(1))
     snapshot_threshold_bytes: int = attrs.field(
--- /dev/null
+++ b/bulrushlead/traffic/_validation.py
@@ -0,0 +1,70 @@
+"""Checks a traffic plan as a whole before it is accepted."""
+
+from bulrushlead.results import Fault, FaultsError, ResultCode
+from bulrushlead.traffic._plan import Route, TrafficPlan
+
+# A target this far above the time-out can only be a slip of the pen.
+MAX_TARGET_OVER_TIMEOUT_MS = 60_000
+
+
+def check_plan(plan: TrafficPlan) -> None:
+    """Refuse a plan that cannot be put in force as it stands.
+
+    Parameters
+    ----------
+    plan : TrafficPlan
+        Plan of an operator.
+
+    Raises
+    ------
+    FaultsError
+        ``DECLARATION_INVALID`` with every fault.
+    """
+    faults: list[Fault] = []
+    services = {service.name for service in plan.services}
+    places: dict[tuple[str, str], str] = {}
+    for route in plan.routes:
+        _check_route(route, services, faults)
+        place = (route.host, route.path_prefix)
+        other = places.setdefault(place, route.name)
+        if other != route.name:
+            faults.append(
+                Fault(
+                    f"routes.{route.name}.path_prefix",
+                    f"the same host and path as route {other}",
+                    "one route for each host and path",
+                )
+            )
+    if faults:
+        raise FaultsError(
+            ResultCode.DECLARATION_INVALID, f"plan {plan.version}", faults
+        )
+
+
+def _check_route(route: Route, services: set[str], faults: list[Fault]) -> None:
+    key = f"routes.{route.name}"
+    if not route.path_prefix.startswith("/"):
+        faults.append(
+            Fault(f"{key}.path_prefix", repr(route.path_prefix), "begins with a slash")
+        )
+    if route.timeout_ms <= 0:
+        faults.append(
+            Fault(f"{key}.timeout_ms", str(route.timeout_ms), "more than 0 ms")
+        )
+    if route.target_latency_ms >= route.timeout_ms + MAX_TARGET_OVER_TIMEOUT_MS:
+        faults.append(
+            Fault(
+                f"{key}.target_latency_ms",
+                str(route.target_latency_ms),
+                f"less than {MAX_TARGET_OVER_TIMEOUT_MS} ms above the time-out",
+            )
+        )
+    for share in route.shares:
+        if share.service not in services:
+            faults.append(
+                Fault(f"{key}.shares", share.service, "a service of the same plan")
+            )
+        if not share.weight >= 0:
+            faults.append(Fault(f"{key}.shares", str(share.weight), "at least 0"))
+    if not sum(share.weight for share in route.shares) > 0:
+        faults.append(Fault(f"{key}.shares", "no weight", "a weight above 0"))
--- a/bulrushlead/wire/__init__.py
+++ b/bulrushlead/wire/__init__.py
@@ -1,6 +1,6 @@
 """Typed CBOR messages between the system's processes, over websockets."""
 
-from bulrushlead.wire._client import MessageClient, PeerLink
+from bulrushlead.wire._client import LinkFactory, MessageClient, PeerLink
 from bulrushlead.wire._codec import (
     MAX_MESSAGE_BYTES,
     MessageCodec,
@@ -16,6 +16,7 @@
     "MAX_MESSAGE_BYTES",
     "ByteMeter",
     "ErrorReply",
+    "LinkFactory",
     "MessageClient",
     "MessageCodec",
     "MessageServer",
--- a/bulrushlead/wire/_client.py
+++ b/bulrushlead/wire/_client.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import ssl
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import websockets.asyncio.client
@@ -31,6 +32,9 @@
         ...
 
 
+LinkFactory = Callable[[str], PeerLink]
+
+
 class MessageClient:
     """Sends calls to one process and matches its replies.
 
