Keep an object at one server, and a region's share of the others steady

Cause: each object is asked for a few times a minute; three equal homes and a noisy slowness factor spread it over many servers that did not know it (rank 0 got 40 % of the answers). Ruled out: too few slots (p50 of remembered work was 30 % of the fresh one). Change: the first server by hash keeps an object until its queue costs more than beginning afresh; slowness is measured against fresh work; a region keeps its objects up to its fair share of slots; impatience counts fresh work.

--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -16,7 +16,6 @@
 from bulrushlead.results import ResultCode
 from bulrushlead.traffic import ServicePolicy
 
-HOME_SERVERS = 3  # servers that share the requests about one object
 WAIT_OVER_TARGET = 0.5  # longest queueing, in target latencies
 URGENT_WAIT_OVER_TARGET = 1.0  # the same for the most urgent kind of a service
 DEADLINE_SHARE = 0.9  # an answer needs the rest of the time for its way back
@@ -72,8 +71,9 @@
         The server.
     rank : int
         Its place in the order for the object.
-    wait_ms, work_ms : float
-        Expected time in its queue and on its slot.
+    wait_ms, work_ms, fresh_ms : float
+        Expected time in its queue, on its slot, and on the slot of a server that
+        does not know the object.
     cold : bool
         Whether the request counts against the rate of a cold server.
     """
@@ -82,6 +82,7 @@
     rank: int
     wait_ms: float
     work_ms: float
+    fresh_ms: float
     cold: bool = False
 
 
@@ -246,7 +247,7 @@
         self, members: list[ServerStats], work: Work, now_ms: float
     ) -> Placement | None:
         fleet_age_ms = self._view.age_ms()
-        known_ms, fresh_ms = self.estimates.of(work.route, work.target_ms)
+        estimate = self.estimates.of(work.route, work.target_ms)
         mean_ms = self.estimates.mean_of(work.service, work.target_ms)
         best: Placement | None = None
         best_cost = math.inf
@@ -261,8 +262,9 @@
                 continue
             load = server.load(now_ms)
             slowness = server.slowness(now_ms)
-            is_home = work.sticky and rank < HOME_SERVERS
-            work_ms = (known_ms if is_home else fresh_ms) * slowness
+            is_first = rank == 0 and work.sticky
+            work_ms = estimate.known_ms if is_first else estimate.fresh_ms
+            work_ms *= slowness
             wait_ms = max(0.0, load + 1.0 - server.slots) * mean_ms * slowness
             wait_ms /= server.slots
             cost = (wait_ms + work_ms) / (1.0 - 0.9 * server.failure_rate(now_ms))
@@ -272,7 +274,9 @@
                 cost += load * mean_ms / server.slots * 0.5
             if cost < best_cost:
                 best_cost = cost
-                best = Placement(server, rank, wait_ms, work_ms, cold)
+                best = Placement(
+                    server, rank, wait_ms, work_ms, estimate.fresh_ms, cold
+                )
             rank += 1
         return best
 
--- a/bulrushlead/dispatch/_ranking.py
+++ b/bulrushlead/dispatch/_ranking.py
@@ -6,7 +6,9 @@
 
 from bulrushlead.dispatch._server import ServerStats
 
-LOCAL_WEIGHT = 3.0  # a local slot counts as much as three elsewhere
+# A region keeps its own requests up to this multiple of its fair share of the
+# slots: a little above one, because remote answers cost time and bytes.
+LOCAL_HEADROOM = 1.25
 MAX_CACHED_KEYS = 20_000  # about 10 MB of lists of references
 _HASH_RANGE = float(2**64)
 
@@ -14,9 +16,11 @@
 class Ranking:
     """Answers the pattern of repeated objects: a server remembers only a few.
 
-    Weighted rendezvous hashing, first of regions, then of servers. Every host
-    finds the same order without a call, and a change of the fleet moves only the
-    objects that it must.
+    First the region, then the servers in it, are found by hashing, so that every
+    host finds the same order without a call, and a change of the fleet moves only
+    the objects that it must. A region with less than its fair share of the slots
+    sends the same part of its objects elsewhere all the time: a steady split keeps
+    objects where they are known, and no region swings.
 
     Parameters
     ----------
@@ -31,11 +35,18 @@
         self._by_region: dict[str, list[ServerStats]] = {}
         for server in servers:
             self._by_region.setdefault(server.region, []).append(server)
-        self._weights = {
+        slots = {
             name: sum(server.slots for server in members)
-            * (LOCAL_WEIGHT if name == region else 1.0)
             for name, members in self._by_region.items()
         }
+        fair_slots = sum(slots.values()) / max(1, len(slots))
+        self.local_share = 0.0
+        if region in slots:
+            share = LOCAL_HEADROOM * slots[region] / fair_slots
+            self.local_share = min(1.0, share)
+        surplus = {name: max(0.0, count - fair_slots) for name, count in slots.items()}
+        has_surplus = any(surplus[name] for name in surplus if name != region)
+        self._weights = surplus if has_surplus else slots
         self._cache: dict[bytes, list[list[ServerStats]]] = {}
 
     def order(self, key: bytes) -> list[list[ServerStats]]:
@@ -56,10 +67,17 @@
         return ordered
 
     def _region_score(self, key: bytes, name: str) -> float:
-        digest = xxhash.xxh64_intdigest(name.encode() + b"/" + key)
-        uniform = (digest + 1) / (_HASH_RANGE + 2)
+        if name == self.region:
+            is_local = _uniform(xxhash.xxh64_intdigest(key)) < self.local_share
+            return -math.inf if is_local else math.inf
+        uniform = _uniform(xxhash.xxh64_intdigest(name.encode() + b"/" + key))
         return -math.log(uniform) / max(self._weights[name], 1e-9)
 
 
+def _uniform(digest: int) -> float:
+    """Return a hash as a number between 0 and 1, both excluded."""
+    return (digest + 1) / (_HASH_RANGE + 2)
+
+
 def _score(key: bytes, server_hash: int) -> int:
     return xxhash.xxh64_intdigest(key, server_hash)
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -11,6 +11,7 @@
 FAILURE_HALF_LIFE_MS = 3_000  # without outcomes the failure rate fades
 SPEED_WEIGHT = 0.2  # of the newest answer in the slowness
 SPEED_HALF_LIFE_MS = 5_000
+MAX_SLOWNESS = 10.0  # one lost answer must not ban a server for long
 LOAD_WEIGHT = 0.4  # of the newest report in the load that others cause
 LOAD_HALF_LIFE_MS = 1_000  # an old report says little
 FULL_HOLD_MS = 150  # after a refusal, about half of a short request
@@ -129,7 +130,8 @@
     def note_duration(self, ratio: float, now_ms: float) -> None:
         """Take an answer's time against the usual one, as a factor."""
         known = self.slowness(now_ms)
-        self._slowness = max(0.5, known + SPEED_WEIGHT * (ratio - known))
+        ratio = min(MAX_SLOWNESS, max(1.0, ratio))
+        self._slowness = known + SPEED_WEIGHT * (ratio - known)
         self._slowness_ms = now_ms
 
     def note_outcome(self, outcome: Outcome, now_ms: float) -> None:
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -134,6 +134,7 @@
             Event.REQUEST_DONE,
             request_id=_text(request_id),
             route=route.name,
+            key=_text(key),
             status=answer.status,
             total_ms=round(self.clock.now_ms() - request.received_ms, 1),
             attempts=trace.attempts,
@@ -218,11 +219,10 @@
         self, work: Work, placement: Placement, elapsed_ms: float, now_ms: float
     ) -> None:
         work_ms = max(elapsed_ms - placement.wait_ms, 0.2 * elapsed_ms)
-        is_home = work.sticky and placement.rank < 3
-        self.dispatcher.estimates.note(work.route, work.service, is_home, work_ms)
-        expected_ms = max(1.0, placement.wait_ms + placement.work_ms)
-        ratio = min(8.0, max(0.25, elapsed_ms / expected_ms))
-        placement.server.note_duration(ratio, now_ms)
+        is_first = work.sticky and placement.rank == 0
+        self.dispatcher.estimates.note(work.route, work.service, is_first, work_ms)
+        usual_ms = max(1.0, placement.wait_ms + placement.fresh_ms)
+        placement.server.note_duration(elapsed_ms / usual_ms, now_ms)
 
     async def _exchange(
         self,
@@ -252,7 +252,7 @@
         data = render_request(request.method, request.target, headers, request.body)
         patience_ms = left_ms
         if may_repeat and idempotent:
-            expected_ms = placement.wait_ms + placement.work_ms
+            expected_ms = placement.wait_ms + placement.fresh_ms
             patience_ms = max(PATIENCE_MIN_MS, PATIENCE_FACTOR * expected_ms)
             if patience_ms + expected_ms > left_ms:
                 patience_ms = left_ms
