--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -181,6 +181,10 @@
             members = [s for s in servers.values() if s.service == service and s.ready]
             self._rankings[service] = Ranking(members, self.settings.region)
 
+    def fleet_age_ms(self) -> float:
+        """Return the age of what the leader told."""
+        return self._view.age_ms() if self._view is not None else math.inf
+
     def server(self, server_id: str) -> ServerStats | None:
         """Return what is known of a server, or None."""
         return self._servers.get(server_id)
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -18,7 +18,8 @@
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.wire import LinkFactory
 
-CLOSE_IDLE_INTERVAL_MS = 500  # while draining
+CLOSE_IDLE_INTERVAL_MS = 50  # while draining; a process should not outlive its work
+ACCEPT_SHARE = 0.55  # of the time to drain; the rest is for requests in progress
 
 
 class Gateway:
@@ -77,13 +78,21 @@
         await self.session.start()
 
     async def drain(self) -> None:
-        """Stop taking callers, finish what is in progress, then return."""
+        """Stop taking callers, finish what is in progress, then return.
+
+        Callers that know this host go on using it until their look-ups run out,
+        so it goes on accepting for a while. Requests that come later than that
+        are refused, and each that was taken has the rest of the time to finish.
+        """
         self.front.drain()
-        deadline_ms = self.clock.now_ms() + self.settings.drain_ms
-        while self.clock.now_ms() < deadline_ms:
+        now_ms = self.clock.now_ms()
+        accept_until_ms = now_ms + self.settings.drain_ms * ACCEPT_SHARE
+        deadline_ms = now_ms + self.settings.drain_ms
+        await self.clock.sleep_ms(accept_until_ms - now_ms)
+        self.front.stop_listening()
+        self.forwarder.stop()
+        while not self.front.close_idle() and self.clock.now_ms() < deadline_ms:
             await self.clock.sleep_ms(CLOSE_IDLE_INTERVAL_MS)
-            if deadline_ms - self.clock.now_ms() < self.settings.drain_ms / 2:
-                self.front.close_idle()
 
     async def close(self) -> None:
         """Stop at once."""
--- a/bulrushlead/gateway/_settings.py
+++ b/bulrushlead/gateway/_settings.py
@@ -24,7 +24,7 @@
     dispatch : DispatchSettings
         Limits shared by all hosts.
     drain_ms : float
-        Time from a planned stop to the end of the process, in milliseconds.
+        Longest time from a planned stop to the end of the process.
     """
 
     host_id: str
--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -264,19 +264,30 @@
         """End each connection with its next answer; go on accepting."""
         self.draining = True
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open go on."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close_idle(self) -> bool:
+        """Close the connections on which no request is in progress.
+
+        Returns
+        -------
+        bool
+            Whether no connection is left.
+        """
         for connection in list(self.connections):
             connection.close_if_idle()
+        return not self.connections
 
     async def close(self) -> None:
         """Stop listening and close every connection."""
         if self._sweeper is not None:
             self._sweeper.cancel()
             self._sweeper = None
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        self.stop_listening()
         for connection in list(self.connections):
             connection.close()
         await asyncio.sleep(0)
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -12,7 +12,7 @@
 from bulrushlead.platform._units import parse_duration_ms
 from bulrushlead.results import BulrushleadError, Fault, FaultsError, ResultCode
 
-DRAIN_SHARE = 0.85  # of the time that the platform grants to a planned stop
+DRAIN_SHARE = 0.96  # of the time granted to a planned stop; the rest is for closing
 
 
 @attrs.frozen
--- a/bulrushlead/wire/_client.py
+++ b/bulrushlead/wire/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import ssl
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -69,6 +70,7 @@
         self._waiting: dict[int, asyncio.Future] = {}
         self._call_ids = itertools.count(1)
         self._connect_lock = asyncio.Lock()
+        self._received_ms = -math.inf
         self._closed = False
 
     async def call(self, request: Any, timeout_ms: float) -> Any:
@@ -97,6 +99,7 @@
         call_id = next(self._call_ids)
         future = asyncio.get_running_loop().create_future()
         self._waiting[call_id] = future
+        sent_ms = self.clock.now_ms()
         try:
             frame = pack_frame(call_id, codec.encode(request))
             self.meter.record_sent(len(frame))
@@ -105,6 +108,9 @@
                 self._exchange(connection, frame, future), remaining_ms
             )
         except TimeoutError as error:
+            if self._connection is connection and self._received_ms < sent_ms:
+                # A connection may go silent without a reset; a new one may work.
+                await self._abandon(connection)
             raise BulrushleadError(
                 ResultCode.PEER_TIMEOUT,
                 f"{self.address} did not answer {type(request).__name__} within "
@@ -161,6 +167,7 @@
         try:
             async for frame in connection:
                 self.meter.record_received(len(frame))
+                self._received_ms = self.clock.now_ms()
                 call_id, payload = unpack_frame(frame)
                 future = self._waiting.get(call_id)
                 if future is not None and not future.done():
@@ -181,6 +188,11 @@
                 # Its caller may have given up meanwhile and never look at it.
                 future.exception()
 
+    async def _abandon(self, connection) -> None:
+        """Forget a connection without waiting for its other end."""
+        self._connection = None
+        connection.transport.abort()
+
     async def _drop_connection(self) -> None:
         reader, self._reader = self._reader, None
         connection, self._connection = self._connection, None
