Bound the log, serve metrics, explain a request from its identifier

Cause: a stalled reader of standard output would have stopped the event loop; two lines were written for a refused request; no metrics were served on the platform. Ruled out: O_NONBLOCK on standard output (it changes the file of whoever shares it); aioprometheus in small programs (5.7 MB against 0.8 for hdrh). Change: a bounded buffer with one writing thread, a ceiling of lines for each event, one line a request that holds every attempt and why it was refused, compact meters on port 9464, reload of settings, the command explain.

--- a/bulrushlead/cli/_main.py
+++ b/bulrushlead/cli/_main.py
@@ -6,7 +6,7 @@
 
 import defopt
 
-from bulrushlead.cli import _bench, _daemons, _operate, _query
+from bulrushlead.cli import _bench, _daemons, _explain, _operate, _query
 from bulrushlead.results import CODES, BulrushleadError, ResultCode
 
 COMMANDS = {
@@ -26,6 +26,7 @@
     "resolve-key": _query.resolve_key,
     "forget-keys": _query.forget_keys,
     "bench": _bench.bench,
+    "explain": _explain.explain,
 }
 
 
--- /dev/null
+++ b/bulrushlead/cli/tests/test_explain.py
@@ -0,0 +1,45 @@
+import json
+
+import pytest
+
+from bulrushlead.cli._explain import explain
+
+LINES = [
+    {
+        "time": "2026-01-01T00:00:02",
+        "event": 215,
+        "name": "REQUEST_FAILED",
+        "request_id": "r1",
+        "status": 502,
+        "attempts": ["s7 rank=0 load=1.0 took=12 lost closed"],
+    },
+    {
+        "time": "2026-01-01T00:00:01",
+        "event": 601,
+        "name": "BACKEND_LEAVING",
+        "server_id": "s7",
+    },
+    {"time": "2026-01-01T00:00:03", "event": 212, "request_id": "r2"},
+]
+
+
+@pytest.fixture
+def files(tmp_path):
+    entry, core = tmp_path / "edge.log", tmp_path / "core.log"
+    entry.write_text(f"{json.dumps(LINES[0])}\nnoise\n{json.dumps(LINES[2])}\n")
+    core.write_text(f"  1.25 core-1 {json.dumps(LINES[1])}\n")
+    return [str(entry), str(core)]
+
+
+def test_the_story_holds_the_servers_that_were_tried(files, capsys):
+    assert explain("r1", *files) == 0
+    text = capsys.readouterr().out
+    assert text.index("BACKEND_LEAVING") < text.index("REQUEST_FAILED")
+    assert "core.log" in text
+    assert "s7 rank=0 load=1.0 took=12 lost closed" in text
+    assert "r2" not in text
+
+
+def test_an_unknown_identifier_is_an_error(files, capsys):
+    assert explain("r9", *files) == 1
+    assert "no line about r9" in capsys.readouterr().out
--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -33,6 +33,7 @@
     SyncRequest,
 )
 from bulrushlead.logs import Event, EventLogger
+from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.replication import FileStorage, ReplicaSettings, ReplicatedLog
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.traffic import TrafficPlan, check_plan
@@ -78,6 +79,7 @@
     ):
         self.settings = settings
         self.clock = clock
+        self.meters = CompactMeters()
         self.state = OrderState()
         self.state.on_change = self._on_order
         self.view = FleetView(clock)
@@ -107,6 +109,10 @@
         self._told_revisions = (0, 0)
         self._leading_since_ms: float | None = None
         self._tasks: list[asyncio.Task] = []
+        self.meters.watch(Metric.IS_LEADER, lambda: float(self.log.is_leader()))
+        self.meters.watch(Metric.TERM, lambda: self.log.term)
+        self.meters.watch(Metric.APPLIED_INDEX, lambda: self.log.last_applied)
+        self.meters.watch(Metric.SERVERS, lambda: len(self.view.servers))
         self._events = EventLogger("coordinator")
 
     async def start(self) -> None:
@@ -215,13 +221,19 @@
 
     async def _order(self, command) -> bool:
         request = OrderRequest(codec.encode(command))
-        if self.log.is_leader():
-            reply = await self._answer_order(request)
-        else:
-            reply = await self.session.call_leader(request, ORDER_TIMEOUT_MS)
+        name = type(command).__name__
+        try:
+            if self.log.is_leader():
+                reply = await self._answer_order(request)
+            else:
+                reply = await self.session.call_leader(request, ORDER_TIMEOUT_MS)
+        except BulrushleadError as error:
+            self.meters.count(Metric.ORDERS_TOTAL, order=name, outcome=error.code.name)
+            raise
+        self.meters.count(Metric.ORDERS_TOTAL, order=name, outcome="accepted")
         self._events.write(
             Event.ORDER_ACCEPTED,
-            order=type(command).__name__,
+            order=name,
             subject=_subject(command),
             changed=reply.changed,
             leader=self.log.leader_hint,
@@ -265,7 +277,8 @@
     def _take_heartbeat(self, heartbeat: Announcement) -> None:
         if self.state.has_departed(heartbeat.server_id, heartbeat.born_ms):
             heartbeat = attrs.evolve(heartbeat, state=ServerState.DRAINING)
-        self.registry.announce(heartbeat)
+        if self.registry.announce(heartbeat):
+            self.meters.count(Metric.ANNOUNCEMENTS_TOTAL, service=heartbeat.service)
 
     async def _answer_sync(self, request: SyncRequest) -> FleetUpdate:
         self._require_leader()
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -76,6 +76,8 @@
         does not know the object.
     cold : bool
         Whether the request counts against the rate of a cold server.
+    load : float
+        Requests expected at the server, waiting ones included.
     """
 
     server: ServerStats
@@ -84,6 +86,7 @@
     work_ms: float
     fresh_ms: float
     cold: bool = False
+    load: float = 0.0
 
 
 @attrs.frozen
@@ -181,9 +184,11 @@
             members = [s for s in servers.values() if s.service == service and s.ready]
             self._rankings[service] = Ranking(members, self.settings.region)
 
-    def fleet_age_ms(self) -> float:
-        """Return the age of what the leader told."""
-        return self._view.age_ms() if self._view is not None else math.inf
+    def fleet_age_ms(self) -> int:
+        """Return the age of what the leader told, in whole milliseconds."""
+        if self._view is None or self._view.updated_ms is None:
+            return -1
+        return round(self._view.age_ms())
 
     def server(self, server_id: str) -> ServerStats | None:
         """Return what is known of a server, or None."""
@@ -279,7 +284,7 @@
             if cost < best_cost:
                 best_cost = cost
                 best = Placement(
-                    server, rank, wait_ms, work_ms, estimate.fresh_ms, cold
+                    server, rank, wait_ms, work_ms, estimate.fresh_ms, cold, load
                 )
             rank += 1
         return best
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -15,6 +15,7 @@
     forwardable_headers,
     render_request,
 )
+from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.traffic import Route
 
 CONNECT_TIMEOUT_MS = 400  # several round trips to the farthest region
@@ -44,6 +45,8 @@
         When its answer must be sent, in milliseconds of the own clock.
     attempts : list of str
         What the log line tells of each attempt.
+    refusal : str
+        Why it was refused, if it was.
     may_have_run : bool
         Whether a server may have begun to work on it.
     abandoned : bool
@@ -55,6 +58,7 @@
     route: Route
     end_ms: float
     attempts: list[str] = attrs.field(factory=list)
+    refusal: str = ""
     may_have_run: bool = False
     abandoned: bool = False
 
@@ -97,6 +101,8 @@
         Learns from the outcome.
     pool : ConnectionPool
         Connections to servers.
+    meters : CompactMeters
+        Where attempts are counted.
     """
 
     def __init__(
@@ -105,11 +111,13 @@
         dialect: Dialect,
         dispatcher: Dispatcher,
         pool: ConnectionPool,
+        meters: CompactMeters,
     ):
         self.clock = clock
         self.dialect = dialect
         self.dispatcher = dispatcher
         self.pool = pool
+        self.meters = meters
 
     async def run(
         self, trace: Trace, work: Work, placement: Placement
@@ -125,11 +133,16 @@
             now_ms = self.clock.now_ms()
             elapsed_ms = now_ms - begun_ms
             server.note_outcome(result.outcome, now_ms)
+            self.meters.count(
+                Metric.ATTEMPTS_TOTAL,
+                service=server.service,
+                outcome=result.outcome.value,
+            )
             if result.outcome is Outcome.ANSWERED:
                 self._learn(work, placement, elapsed_ms, now_ms)
             trace.may_have_run = trace.may_have_run or result.was_run
             trace.attempts.append(
-                f"{server.server_id} rank={placement.rank} "
+                f"{server.server_id} rank={placement.rank} load={placement.load:.1f} "
                 f"wait={placement.wait_ms:.0f} work={placement.work_ms:.0f} "
                 f"took={elapsed_ms:.0f} {result.outcome.value} {result.detail}"
             )
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -16,7 +16,8 @@
 from bulrushlead.gateway._dialect import Dialect
 from bulrushlead.http1 import Answer, ConnectionPool, Request
 from bulrushlead.logs import Event, EventLogger
-from bulrushlead.results import CODES, ResultCode
+from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.results import ResultCode
 from bulrushlead.traffic import Route, RouteTable, TrafficPlan, WeightedSplit
 
 PATIENCE_FACTOR = 3.0  # of the expected time, before a second server is tried
@@ -42,6 +43,8 @@
         Connections to servers.
     rng : random.Random
         Spreads requests without a key.
+    meters : CompactMeters, optional
+        Where requests are counted.
     """
 
     def __init__(
@@ -51,12 +54,14 @@
         dispatcher: Dispatcher,
         pool: ConnectionPool,
         rng: random.Random,
+        meters: CompactMeters | None = None,
     ):
         self.clock = clock
         self.dialect = dialect
         self.dispatcher = dispatcher
         self.rng = rng
-        self._runner = AttemptRunner(clock, dialect, dispatcher, pool)
+        self.meters = meters or CompactMeters()
+        self._runner = AttemptRunner(clock, dialect, dispatcher, pool, self.meters)
         self._stopping = False
         self._plan: TrafficPlan | None = None
         self._table: RouteTable | None = None
@@ -94,11 +99,10 @@
             )
         route = self._table.find(request.header(b"host") or b"", request.target)
         if route is None:
-            self._log.write(
-                Event.REQUEST_REFUSED,
-                request_id=_text(request.header(self.dialect.request_id)),
-                code=ResultCode.NOT_FOUND.value,
-                plan_version=self._plan.version,
+            self._note_refusal(
+                _text(request.header(self.dialect.request_id)),
+                ResultCode.NOT_FOUND,
+                f"no route; plan {self._plan.version}",
             )
             return Answer(404)
         return await self._forward(request, route)
@@ -127,17 +131,22 @@
             status = answer.status
             return answer
         finally:
+            total_ms = self.clock.now_ms() - request.received_ms
+            self.meters.count(Metric.REQUESTS_TOTAL, service=service, code=str(status))
+            self.meters.observe(Metric.REQUEST_DURATION_MS, total_ms, service=service)
             self._log.write(
-                Event.REQUEST_DONE,
+                _event_of(trace, status),
                 request_id=_text(request_id),
                 route=route.name,
                 service=service,
                 key=_text(key),
                 status=status,
-                total_ms=round(self.clock.now_ms() - request.received_ms, 1),
+                total_ms=round(total_ms, 1),
                 allowed_ms=round(allowed_ms),
                 attempts=trace.attempts,
+                refusal=trace.refusal,
                 abandoned=trace.abandoned,
+                may_have_run=trace.may_have_run,
                 plan_version=plan_version,
                 fleet_age_ms=self.dispatcher.fleet_age_ms(),
             )
@@ -152,7 +161,6 @@
                 return last or self._timed_out(trace)
             placement = self.dispatcher.place(work)
             if isinstance(placement, Refusal):
-                trace.attempts.append(f"refused {placement.code.name}")
                 return last or self._give_up(trace, placement)
             if sent:
                 self.dispatcher.budget.note_repeat(work.service)
@@ -253,13 +261,11 @@
                 BACKEND_REFUSED_RETRY_AFTER_MS,
                 "refused by the servers that were tried",
             )
-        self._log.write(
-            Event.REQUEST_REFUSED,
-            request_id=_text(trace.request_id),
-            code=refusal.code.value,
-            retry_after_ms=round(refusal.retry_after_ms),
-            detail=refusal.detail,
+        trace.refusal = (
+            f"{refusal.code.value} {refusal.code.name}: {refusal.detail}; "
+            f"come back in {refusal.retry_after_ms:.0f} ms"
         )
+        self.meters.count(Metric.REFUSALS_TOTAL, code=refusal.code.name)
         return _not_run(refusal.retry_after_ms)
 
     def _timed_out(self, trace: Trace) -> Answer:
@@ -268,13 +274,24 @@
     def _refuse(
         self, request: Request, code: ResultCode, retry_after_ms: float, detail: str
     ) -> Answer:
+        self._note_refusal(_text(request.header(self.dialect.request_id)), code, detail)
+        return _not_run(retry_after_ms)
+
+    def _note_refusal(self, request_id: str, code: ResultCode, detail: str) -> None:
+        self.meters.count(Metric.REFUSALS_TOTAL, code=code.name)
         self._log.write(
             Event.REQUEST_REFUSED,
-            request_id=_text(request.header(self.dialect.request_id)),
-            code=code.value,
-            detail=f"{CODES[code].summary} {detail}",
+            request_id=request_id,
+            refusal=f"{code.value} {code.name}: {detail}",
         )
-        return _not_run(retry_after_ms)
+
+
+def _event_of(trace: Trace, status: int) -> Event:
+    if trace.refusal:
+        return Event.REQUEST_REFUSED
+    if trace.abandoned or not 0 < status < 500:
+        return Event.REQUEST_FAILED
+    return Event.REQUEST_DONE
 
 
 async def _first_success(tasks: set[asyncio.Task]) -> AttemptResult:
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -16,6 +16,7 @@
     RequestLimits,
 )
 from bulrushlead.logs import Event, EventLogger
+from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.wire import LinkFactory
 
 CLOSE_IDLE_INTERVAL_MS = 50  # while draining; a process should not outlive its work
@@ -49,11 +50,12 @@
     ):
         self.settings = settings
         self.clock = clock
+        self.meters = CompactMeters()
         self.view = FleetView(clock)
         self.dispatcher = Dispatcher(clock, settings.dispatch, rng)
         self.pool = ConnectionPool(clock, dialect.request_id)
         self.forwarder = RequestForwarder(
-            clock, dialect, self.dispatcher, self.pool, rng
+            clock, dialect, self.dispatcher, self.pool, rng, self.meters
         )
         host, _, port = settings.front_address.rpartition(":")
         self.front = HttpServer(host, int(port), self.forwarder.answer, clock)
@@ -69,6 +71,8 @@
             self._on_update,
             rng,
         )
+        self.meters.watch(Metric.FLEET_AGE_MS, self.dispatcher.fleet_age_ms)
+        self.meters.watch(Metric.SERVERS, lambda: len(self.view.servers))
         self._log = EventLogger("gateway")
 
     async def start(self) -> None:
--- a/bulrushlead/logs/__init__.py
+++ b/bulrushlead/logs/__init__.py
@@ -1,14 +1,18 @@
 """Numbered log events and their handlers."""
 
+from bulrushlead.logs._buffer import BufferedStream
+from bulrushlead.logs._ceiling import LineCeiling
 from bulrushlead.logs._events import EVENTS, Event, EventInfo, render_catalogue
 from bulrushlead.logs._handlers import LogFormat, build_handler
 from bulrushlead.logs._logger import EventLogger
 
 __all__ = [
     "EVENTS",
+    "BufferedStream",
     "Event",
     "EventInfo",
     "EventLogger",
+    "LineCeiling",
     "LogFormat",
     "build_handler",
     "render_catalogue",
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -13,6 +13,8 @@
     PROCESS_STOPPING = 101
     PROCESS_STOPPED = 102
     UNEXPECTED_ERROR = 103
+    SETTINGS_RELOADED = 104
+    LINES_DROPPED = 110
 
     # Look-ups, routing and placement.
     LOOKUP_ANSWERED = 200
@@ -22,6 +24,7 @@
     REQUEST_DONE = 212
     ATTEMPT_FAILED = 213
     RETRY_CHOSEN = 214
+    REQUEST_FAILED = 215
 
     # Configuration and distribution.
     CONFIGURATION_ACCEPTED = 300
@@ -97,6 +100,8 @@
     _E.PROCESS_STOPPING: EventInfo("INFO", "A graceful shutdown has begun."),
     _E.PROCESS_STOPPED: EventInfo("INFO", "A process has stopped."),
     _E.UNEXPECTED_ERROR: EventInfo("ERROR", "An unexpected error was caught."),
+    _E.SETTINGS_RELOADED: EventInfo("INFO", "The settings were read again."),
+    _E.LINES_DROPPED: EventInfo("WARNING", "The reader of the log was too slow."),
     _E.LOOKUP_ANSWERED: EventInfo("INFO", "A look-up was answered."),
     _E.LOOKUP_REFUSED: EventInfo("WARNING", "A look-up was refused."),
     _E.ROUTE_CHOSEN: EventInfo("INFO", "A backend server was chosen."),
@@ -104,6 +109,7 @@
     _E.REQUEST_DONE: EventInfo("INFO", "A request was answered."),
     _E.ATTEMPT_FAILED: EventInfo("WARNING", "An attempt at a request failed."),
     _E.RETRY_CHOSEN: EventInfo("INFO", "A request is tried again elsewhere."),
+    _E.REQUEST_FAILED: EventInfo("WARNING", "A request ended without success."),
     _E.CONFIGURATION_ACCEPTED: EventInfo("INFO", "A change was accepted."),
     _E.CONFIGURATION_REFUSED: EventInfo("WARNING", "A change was refused."),
     _E.CONFIGURATION_IN_FORCE: EventInfo("INFO", "A revision is in force here."),
--- /dev/null
+++ b/bulrushlead/logs/tests/test_bounds.py
@@ -0,0 +1,125 @@
+"""The log must neither grow without bound nor make a request wait."""
+
+import json
+import os
+import threading
+
+import pytest
+
+from bulrushlead.logs import (
+    BufferedStream,
+    Event,
+    EventLogger,
+    LineCeiling,
+    LogFormat,
+    build_handler,
+)
+from bulrushlead.logs._logger import MAX_LINES_PER_S
+
+LINE = "x" * 99 + "\n"
+
+
+@pytest.fixture
+def pipe():
+    read_end, write_end = os.pipe()
+    yield read_end, write_end
+    os.close(read_end)
+    os.close(write_end)
+
+
+def read_lines(read_end, count):
+    lines = []
+    with os.fdopen(os.dup(read_end)) as file:
+        while len(lines) < count:
+            lines.append(file.readline().strip())
+    return lines
+
+
+def test_lines_arrive_in_order(pipe):
+    read_end, write_end = pipe
+    stream = BufferedStream(write_end)
+    stream.start()
+    for number in range(100):
+        stream.write(f"line {number}\n")
+    assert read_lines(read_end, 100) == [f"line {n}" for n in range(100)]
+    stream.close()
+
+
+def test_a_stalled_reader_blocks_no_writer_and_costs_bounded_memory(pipe):
+    """Nobody reads: the pipe is full, and its writer hangs in the system call."""
+    read_end, write_end = pipe
+    stream = BufferedStream(write_end, max_bytes=10_000)
+    stream.start()
+    done = threading.Event()
+
+    def write_many():
+        for _ in range(20_000):
+            stream.write(LINE)
+        done.set()
+
+    threading.Thread(target=write_many, daemon=True).start()
+    assert done.wait(30), "a write waited for the reader"
+    assert stream.dropped > 0
+    assert stream._bytes <= 10_000
+    # Once the reader is back, the next line says how many are missing.
+    while os.read(read_end, 65_536):
+        if stream._bytes == 0:
+            break
+    dropped = stream.dropped
+    stream.write("after\n")
+    while True:
+        text = os.read(read_end, 65_536).decode()
+        if "after" in text:
+            break
+    note = next(line for line in text.splitlines() if "LINES_DROPPED" in line)
+    assert json.loads(note)["count"] == dropped
+    stream.close()
+
+
+def test_closing_does_not_wait_for_a_stalled_reader(pipe):
+    _, write_end = pipe
+    stream = BufferedStream(write_end)
+    stream.start()
+    for _ in range(2_000):
+        stream.write(LINE)
+    stream.close(timeout_s=0.01)
+
+
+def test_a_storm_of_one_event_leaves_room_for_others():
+    ceiling = LineCeiling(10)
+    admitted = [ceiling.admit(211) for _ in range(500)]
+    assert admitted.count(0) == 10
+    assert admitted.count(None) == 490
+    assert ceiling.admit(300) == 0
+
+
+def test_the_next_line_says_how_many_were_left_out():
+    ceiling = LineCeiling(1)
+    ceiling.admit(211)
+    for _ in range(5):
+        assert ceiling.admit(211) is None
+    ceiling._begun_s -= 2
+    assert ceiling.admit(211) == 5
+    assert ceiling.admit(211) is None
+
+
+def test_a_storm_of_refusals_writes_a_bounded_number_of_lines(monkeypatch):
+    ceiling = LineCeiling(MAX_LINES_PER_S)
+    monkeypatch.setattr("bulrushlead.logs._ceiling.time.monotonic", lambda: 1.0)
+    monkeypatch.setattr("bulrushlead.logs._logger._ceiling", ceiling)
+
+    class Counter:
+        lines = 0
+
+        def write(self, text):
+            self.lines += text.count("\n")
+
+        def flush(self):
+            pass
+
+    counter = Counter()
+    with build_handler(LogFormat.JSON, counter).applicationbound():
+        logger = EventLogger("gateway")
+        for number in range(5_000):
+            logger.write(Event.REQUEST_REFUSED, request_id=number)
+    assert counter.lines <= MAX_LINES_PER_S
--- a/bulrushlead/metrics/__init__.py
+++ b/bulrushlead/metrics/__init__.py
@@ -1,6 +1,27 @@
-"""Metrics of every program and the handler that serves them."""
+"""Metrics of every program and the handlers that serve them."""
+
+from typing import TYPE_CHECKING
 
 from bulrushlead.metrics._catalogue import METRICS, Metric, MetricInfo, render_metrics
-from bulrushlead.metrics._meters import Meters
+from bulrushlead.metrics._compact import CompactMeters
+
+if TYPE_CHECKING:
+    from bulrushlead.metrics._meters import Meters
+
+__all__ = [
+    "METRICS",
+    "CompactMeters",
+    "Meters",
+    "Metric",
+    "MetricInfo",
+    "render_metrics",
+]
+
+
+def __getattr__(name: str):
+    # Loaded on demand: it brings an HTTP framework that small hosts do not need.
+    if name == "Meters":
+        from bulrushlead.metrics._meters import Meters
 
-__all__ = ["METRICS", "Meters", "Metric", "MetricInfo", "render_metrics"]
+        return Meters
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/bulrushlead/metrics/_catalogue.py
+++ b/bulrushlead/metrics/_catalogue.py
@@ -21,6 +21,12 @@
     IS_LEADER = "bulrushlead_is_leader"
     TERM = "bulrushlead_term"
     APPLIED_INDEX = "bulrushlead_applied_index"
+    ATTEMPTS_TOTAL = "bulrushlead_attempts_total"
+    REFUSALS_TOTAL = "bulrushlead_refusals_total"
+    ORDERS_TOTAL = "bulrushlead_orders_total"
+    FLEET_AGE_MS = "bulrushlead_fleet_age_ms"
+    SERVERS = "bulrushlead_servers"
+    LINES_DROPPED_TOTAL = "bulrushlead_log_lines_dropped_total"
 
 
 class MetricKind(Enum):
@@ -80,6 +86,18 @@
     _M.IS_LEADER: MetricInfo(_K.GAUGE, "1 while this replica is the leader."),
     _M.TERM: MetricInfo(_K.GAUGE, "Term of the replicated log."),
     _M.APPLIED_INDEX: MetricInfo(_K.GAUGE, "Last applied index of the log."),
+    _M.ATTEMPTS_TOTAL: MetricInfo(
+        _K.COUNTER, "Attempts at backend servers, by outcome.", ("service", "outcome")
+    ),
+    _M.REFUSALS_TOTAL: MetricInfo(
+        _K.COUNTER, "Requests refused here, by result code.", ("code",)
+    ),
+    _M.ORDERS_TOTAL: MetricInfo(
+        _K.COUNTER, "Orders taken, by kind and outcome.", ("order", "outcome")
+    ),
+    _M.FLEET_AGE_MS: MetricInfo(_K.GAUGE, "Age of the news from the leader."),
+    _M.SERVERS: MetricInfo(_K.GAUGE, "Backend servers known."),
+    _M.LINES_DROPPED_TOTAL: MetricInfo(_K.COUNTER, "Log lines dropped."),
 }
 
 
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -10,13 +10,23 @@
 import uvloop
 
 from bulrushlead.clock import MonotonicClock
-from bulrushlead.logs import Event, EventLogger, LogFormat, build_handler
+from bulrushlead.http1 import Answer, HttpServer, Request
+from bulrushlead.logs import (
+    BufferedStream,
+    Event,
+    EventLogger,
+    LogFormat,
+    build_handler,
+)
+from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.platform._settings import HostSettings, load_host_settings
 from bulrushlead.results import BulrushleadError
 from bulrushlead.wire import MessageClient
 
 SETTINGS_VARIABLE = "BULRUSHLEAD_BOOT"
 EXIT_SETTINGS = 3
+METRICS_PORT = 9464  # the customary port of exporters; named in deploy/system.toml
+SETTINGS_CHECK_MS = 1_000  # the file may change without a signal
 
 
 def main() -> None:
@@ -27,36 +37,127 @@
     except BulrushleadError as error:
         print(f"{SETTINGS_VARIABLE}={path}: {error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    with build_handler(LogFormat.JSON, sys.stdout).applicationbound():
-        uvloop.run(_run(settings))
-
-
-async def _run(settings: HostSettings) -> None:
-    log = EventLogger("platform")
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    loop.add_signal_handler(signal.SIGINT, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    clock = MonotonicClock()
-    rng = random.Random(os.urandom(16))
-    log.write(Event.PROCESS_STARTED, host_id=settings.host_id, zone=settings.zone)
-    async with contextlib.AsyncExitStack() as stack:
-        draining = []
-        if settings.serves_callers:
-            gateway = _build_gateway(settings, clock, rng)
-            await gateway.start()
-            stack.push_async_callback(gateway.close)
-            draining.append(gateway)
-        if settings.serves_control or settings.serves_directory:
-            for part in _build_control(settings, clock, rng):
-                await part.start()
-                stack.push_async_callback(part.close)
-        await stopping.wait()
-        log.write(Event.PROCESS_STOPPING, host_id=settings.host_id)
-        for gateway in draining:
-            await gateway.drain()
-    log.write(Event.PROCESS_STOPPED, host_id=settings.host_id)
+    stream = BufferedStream(sys.stdout.fileno())
+    stream.start()
+    try:
+        with build_handler(LogFormat.JSON, stream).applicationbound():
+            uvloop.run(Process(settings, path, stream).run())
+    finally:
+        stream.close()
+
+
+class Process:
+    """The programs of one host, their signals and their settings.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Settings at the start.
+    path : str
+        File that they come from.
+    stream : BufferedStream
+        Where log lines go.
+    """
+
+    def __init__(self, settings: HostSettings, path: str, stream: BufferedStream):
+        self.settings = settings
+        self.path = path
+        self.stream = stream
+        self.clock = MonotonicClock()
+        self.rng = random.Random(os.urandom(16))
+        self._stopping = asyncio.Event()
+        self._reload = asyncio.Event()
+        self._sessions = []
+        self._log = EventLogger("platform")
+
+    async def run(self) -> None:
+        """Start everything, wait for SIGTERM, finish what is in progress."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
+        settings = self.settings
+        self._log.write(
+            Event.PROCESS_STARTED,
+            host_id=settings.host_id,
+            zone=settings.zone,
+            region=settings.region,
+            seeds=settings.seeds,
+            first_start=settings.is_first_start,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            gateways = []
+            meters = None
+            if settings.serves_callers:
+                gateway = _build_gateway(settings, self.clock, self.rng)
+                gateways.append(gateway)
+                await self._start(stack, gateway, gateway.session)
+                meters = gateway.meters
+            if settings.serves_control or settings.serves_directory:
+                coordinator, *servers = _build_control(settings, self.clock, self.rng)
+                await self._start(stack, coordinator, coordinator.session)
+                for server in servers:
+                    await self._start(stack, server)
+                meters = coordinator.meters
+            if meters is not None:
+                await self._start_metrics(stack, meters)
+            watcher = asyncio.create_task(self._watch_settings())
+            await self._stopping.wait()
+            watcher.cancel()
+            self._log.write(Event.PROCESS_STOPPING, host_id=settings.host_id)
+            for gateway in gateways:
+                await gateway.drain()
+        self._log.write(Event.PROCESS_STOPPED, host_id=settings.host_id)
+
+    async def _start(self, stack, part, session=None) -> None:
+        await part.start()
+        stack.push_async_callback(part.close)
+        if session is not None:
+            self._sessions.append(session)
+
+    async def _start_metrics(self, stack, meters: CompactMeters) -> None:
+        meters.watch(Metric.LINES_DROPPED_TOTAL, lambda: self.stream.dropped)
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+
+        async def answer(request: Request) -> Answer:
+            return Answer(200, headers, meters.render().encode())
+
+        server = HttpServer(self.settings.ip, METRICS_PORT, answer, self.clock)
+        try:
+            await self._start(stack, server)
+        except OSError as error:
+            # Metrics must not keep a host from serving callers.
+            self._log.write(Event.UNEXPECTED_ERROR, error=f"metrics: {error}")
+
+    async def _watch_settings(self) -> None:
+        """Read the settings again on SIGHUP, and when the file has changed."""
+        known = self._fingerprint()
+        while True:
+            try:
+                await self.clock.wait_for(self._reload.wait(), SETTINGS_CHECK_MS)
+            except TimeoutError:
+                if self._fingerprint() == known:
+                    continue
+            self._reload.clear()
+            known = self._fingerprint()
+            try:
+                settings = load_host_settings(self.path)
+            except BulrushleadError as error:
+                # What is in force stays in force.
+                self._log.write(
+                    Event.UNEXPECTED_ERROR, error=str(error), code=error.code.value
+                )
+                continue
+            for session in self._sessions:
+                session.seeds = settings.seeds
+            self._log.write(Event.SETTINGS_RELOADED, seeds=settings.seeds)
+
+    def _fingerprint(self) -> tuple[int, int]:
+        try:
+            status = os.stat(self.path)
+        except OSError:
+            return (0, 0)  # being replaced; the next look finds it
+        return (status.st_mtime_ns, status.st_size)
 
 
 def _build_gateway(settings: HostSettings, clock: MonotonicClock, rng: random.Random):
@@ -75,7 +176,6 @@
 
 def _build_control(settings: HostSettings, clock: MonotonicClock, rng: random.Random):
     from bulrushlead.coordinator import Coordinator
-    from bulrushlead.http1 import HttpServer
     from bulrushlead.platform._control import ControlInterface
     from bulrushlead.platform._directory import Directory
 
