Count overdue requests as evidence against a slow server

Change: the oldest request in progress counts for the slowness once it is 1.5 times over its usual time; explain takes the identity of a server too.

--- a/bulrushlead/cli/_explain.py
+++ b/bulrushlead/cli/_explain.py
@@ -25,7 +25,8 @@
     Parameters
     ----------
     request_id : str
-        Identifier of the request, or of a backend server.
+        Identifier of a request, or of a backend server: then every line about the
+        server, requests that tried it included.
     log_files : str
         Files with the log lines of hosts.
     """
@@ -34,7 +35,8 @@
     if not own:
         print(f"no line about {request_id} in {len(log_files)} file(s)")
         return 1
-    servers = {word for line in own for word in _servers(line)}
+    asked_for_request = any(line.fields.get("request_id") == request_id for line in own)
+    servers = {word for line in own for word in _servers(line) if asked_for_request}
     about_servers = [
         line
         for line in lines
@@ -65,7 +67,9 @@
 
 
 def _mentions(line: _Line, identifier: str) -> bool:
-    return identifier in (line.fields.get("request_id"), line.fields.get("server_id"))
+    if identifier in (line.fields.get("request_id"), line.fields.get("server_id")):
+        return True
+    return identifier in _servers(line)
 
 
 def _servers(line: _Line) -> set[str]:
--- a/bulrushlead/cli/tests/test_explain.py
+++ b/bulrushlead/cli/tests/test_explain.py
@@ -40,6 +40,13 @@
     assert "r2" not in text
 
 
+def test_the_story_of_a_server_holds_the_requests_that_tried_it(files, capsys):
+    assert explain("s7", *files) == 0
+    text = capsys.readouterr().out
+    assert "BACKEND_LEAVING" in text
+    assert "request_id: r1" in text
+
+
 def test_an_unknown_identifier_is_an_error(files, capsys):
     assert explain("r9", *files) == 1
     assert "no line about r9" in capsys.readouterr().out
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -223,14 +223,22 @@
             )
         return self._admit(best, work)
 
-    def note_sent(self, placement: Placement) -> None:
-        """Count an attempt that is about to be sent."""
+    def note_sent(self, placement: Placement) -> int:
+        """Count an attempt that is about to be sent.
+
+        Returns
+        -------
+        int
+            Number of the attempt at its server.
+        """
         server = placement.server
-        server.note_sent(self.clock.now_ms())
+        usual_ms = placement.wait_ms + placement.fresh_ms
+        attempt = server.note_sent(self.clock.now_ms(), usual_ms)
         if placement.cold:
             self.warmup.note_sent(
                 server.server_id, server.region, self._warmup_rate(server.service)
             )
+        return attempt
 
     def _admit(self, best: Placement, work: Work) -> Placement | Refusal:
         share = URGENT_WAIT_OVER_TARGET if work.urgent else WAIT_OVER_TARGET
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -11,6 +11,7 @@
 FAILURE_HALF_LIFE_MS = 3_000  # without outcomes the failure rate fades
 SPEED_WEIGHT = 0.2  # of the newest answer in the slowness
 SPEED_HALF_LIFE_MS = 5_000
+OVERDUE_RATIO = 1.5  # of the usual time; work varies by about that much
 MAX_SLOWNESS = 10.0  # one lost answer must not ban a server for long
 LOAD_WEIGHT = 0.4  # of the newest report in the load that others cause
 LOAD_HALF_LIFE_MS = 1_000  # an old report says little
@@ -36,6 +37,15 @@
     ABANDONED = "abandoned"
 
 
+_SAYS_NOTHING_OF_SPEED = frozenset({Outcome.UNREACHABLE, Outcome.MISDIRECTED})
+
+
+@attrs.frozen
+class _Attempt:
+    sent_ms: float
+    usual_ms: float
+
+
 @attrs.define(eq=False)
 class ServerStats:
     """State of one incarnation of a server, as seen by this host.
@@ -62,8 +72,9 @@
     silent: bool = False
     cold_until_ms: float = 0.0
     told_ms: float = 0.0
-    in_flight: int = 0
     hash: int = 0
+    _attempts: dict[int, "_Attempt"] = attrs.field(factory=dict)
+    _attempt_count: int = 0
     _others: float = 0.0
     _others_ms: float = 0.0
     _full_until_ms: float = 0.0
@@ -80,6 +91,11 @@
     def __attrs_post_init__(self):
         self.hash = xxhash.xxh32_intdigest(self.server_id.encode())
 
+    @property
+    def in_flight(self) -> int:
+        """Attempts of this host in progress."""
+        return len(self._attempts)
+
     def load(self, now_ms: float) -> float:
         """Return the estimated requests at the server, waiting ones included."""
         fade = 0.5 ** ((now_ms - self._others_ms) / LOAD_HALF_LIFE_MS)
@@ -89,9 +105,19 @@
         return load
 
     def slowness(self, now_ms: float) -> float:
-        """Return how much longer it takes than usual, as a factor."""
+        """Return how much longer it takes than usual, as a factor.
+
+        A request that is overdue counts before its answer comes: a server that
+        has turned slow says so last of all.
+        """
         fade = 0.5 ** ((now_ms - self._slowness_ms) / SPEED_HALF_LIFE_MS)
-        return 1.0 + (self._slowness - 1.0) * fade
+        slowness = 1.0 + (self._slowness - 1.0) * fade
+        if self._attempts:
+            oldest = next(iter(self._attempts.values()))
+            overdue = (now_ms - oldest.sent_ms) / oldest.usual_ms
+            if overdue > OVERDUE_RATIO:
+                slowness = max(slowness, min(MAX_SLOWNESS, overdue))
+        return slowness
 
     def failure_rate(self, now_ms: float) -> float:
         """Return the recent share of failed attempts."""
@@ -114,10 +140,25 @@
             return False
         return fleet_age_ms > STALE_FLEET_MS or self._broken_ms > self.told_ms
 
-    def note_sent(self, now_ms: float) -> None:
-        """Count an attempt in progress."""
-        self.in_flight += 1
+    def note_sent(self, now_ms: float, usual_ms: float) -> int:
+        """Count an attempt in progress.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time of the attempt.
+        usual_ms : float
+            Time within which its answer is expected.
+
+        Returns
+        -------
+        int
+            Number of the attempt, for ``note_outcome``.
+        """
         self._next_probe_ms = now_ms + PROBE_INTERVAL_MS
+        self._attempt_count += 1
+        self._attempts[self._attempt_count] = _Attempt(now_ms, max(1.0, usual_ms))
+        return self._attempt_count
 
     def note_load(self, load: float, now_ms: float) -> None:
         """Take the load that the server reported, this host's part included."""
@@ -134,9 +175,14 @@
         self._slowness = known + SPEED_WEIGHT * (ratio - known)
         self._slowness_ms = now_ms
 
-    def note_outcome(self, outcome: Outcome, now_ms: float) -> None:
+    def note_outcome(self, outcome: Outcome, now_ms: float, attempt: int) -> None:
         """Take the end of an attempt."""
-        self.in_flight = max(0, self.in_flight - 1)
+        ended = self._attempts.pop(attempt)
+        ratio = (now_ms - ended.sent_ms) / ended.usual_ms
+        if outcome is Outcome.ANSWERED or (
+            ratio > OVERDUE_RATIO and outcome not in _SAYS_NOTHING_OF_SPEED
+        ):
+            self.note_duration(ratio, now_ms)
         if outcome is Outcome.ABANDONED:
             return
         if outcome is Outcome.REFUSED:
--- a/bulrushlead/dispatch/tests/model.py
+++ b/bulrushlead/dispatch/tests/model.py
@@ -47,6 +47,7 @@
     arrived_ms: float
     placement: Placement | None = None
     work: Work | None = None
+    attempt: int = 0
 
 
 @attrs.define(eq=False)
@@ -219,7 +220,7 @@
             self.result.by_route[job.route].append(None)
             return
         job.placement, job.work = placement, work
-        host.note_sent(placement)
+        job.attempt = host.note_sent(placement)
         server = self.servers[placement.server.server_id]
         self.at(
             self.clock.now_ms() + self._way_ms(host, server),
@@ -260,15 +261,13 @@
         stats = job.placement.server
         latency_ms = now_ms - job.arrived_ms
         stats.note_load(server.load(), now_ms)
-        stats.note_outcome(outcome, now_ms)
+        stats.note_outcome(outcome, now_ms, job.attempt)
         if outcome is not Outcome.ANSWERED:
             self.result.failed += 1
             self.result.by_route[job.route].append(None)
             return
         work_ms = max(latency_ms - job.placement.wait_ms, 0.2 * latency_ms)
         host.estimates.note(job.route, "stock", job.placement.rank == 0, work_ms)
-        usual_ms = job.placement.wait_ms + job.placement.fresh_ms
-        stats.note_duration(latency_ms / max(1.0, usual_ms), now_ms)
         self.result.latencies_ms.append(latency_ms)
         self.result.by_route[job.route].append(latency_ms)
         if latency_ms <= job.target_ms:
--- a/bulrushlead/dispatch/tests/test_load_patterns.py
+++ b/bulrushlead/dispatch/tests/test_load_patterns.py
@@ -155,3 +155,23 @@
     world.offer(KINDS, 60, 20_000)
     result = world.run(23_000)
     assert result.worth > 0.8
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_servers_that_turn_very_slow_are_found_before_they_answer(seed):
+    def play_turning(policy=None):
+        servers = build_servers(ZONES, EVEN)
+        world = World(seed, ZONES, servers, policy=policy)
+        world.offer(KINDS, 120, 20_000)
+
+        def turn_slow():
+            for server in servers[::3]:
+                server.speed = 12.0
+
+        world.at(8_000, turn_slow)
+        return world.run(26_000)
+
+    ours, other = play_turning(), play_turning(two_choices)
+    assert ours.worth > 1.5 * other.worth
+    # Each host may lose what it has at a slow server when it turns slow, no more.
+    assert ours.in_target > 0.6 * ours.total
--- a/bulrushlead/dispatch/tests/test_parts.py
+++ b/bulrushlead/dispatch/tests/test_parts.py
@@ -127,8 +127,8 @@
 def test_an_unreachable_server_is_tried_again_later():
     dispatcher = world({"a": 1, "b": 0}).hosts[0]
     placement = dispatcher.place(WORK)
-    dispatcher.note_sent(placement)
-    placement.server.note_outcome(Outcome.UNREACHABLE, 0.0)
+    attempt = dispatcher.note_sent(placement)
+    placement.server.note_outcome(Outcome.UNREACHABLE, 0.0, attempt)
     assert isinstance(dispatcher.place(WORK), Refusal)
     dispatcher.clock._now_ms = 400.0
     assert isinstance(dispatcher.place(WORK), Placement)
@@ -159,7 +159,7 @@
     clock = ManualClock(10_000.0)
     server = stats(clock, "s1")
     server.told_ms = 9_000.0
-    server.note_outcome(Outcome.LOST, 10_000.0)
+    server.note_outcome(Outcome.LOST, 10_000.0, server.note_sent(10_000.0, 100.0))
     assert server.may_be_cold(10_000.0, fleet_age_ms=100.0)
     server.told_ms = 10_500.0
     assert not server.may_be_cold(10_600.0, fleet_age_ms=100.0)
@@ -170,5 +170,25 @@
     server = stats(clock, "s1")
     server.told_ms = 9_000.0
     assert server.may_be_cold(10_000.0, fleet_age_ms=5_000.0)
-    server.note_outcome(Outcome.ANSWERED, 10_000.0)
+    attempt = server.note_sent(10_000.0, 100.0)
+    server.note_outcome(Outcome.ANSWERED, 10_000.0, attempt)
     assert not server.may_be_cold(10_100.0, fleet_age_ms=5_000.0)
+
+
+def test_an_overdue_request_shows_a_slow_server_before_its_answer():
+    clock = ManualClock(0.0)
+    server = stats(clock, "s1")
+    attempt = server.note_sent(0.0, 100.0)
+    assert server.slowness(140.0) == 1.0
+    assert server.slowness(600.0) == 6.0
+    server.note_outcome(Outcome.OVERDUE, 1_200.0, attempt)
+    assert server.slowness(1_200.0) > 2.0
+    assert server.slowness(60_000.0) < 1.1
+
+
+def test_an_unreachable_server_is_not_called_slow():
+    clock = ManualClock(0.0)
+    server = stats(clock, "s1")
+    attempt = server.note_sent(0.0, 10.0)
+    server.note_outcome(Outcome.UNREACHABLE, 400.0, attempt)
+    assert server.slowness(400.0) == 1.0
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -124,7 +124,7 @@
     ) -> AttemptResult:
         """Send a request to a server and return how that ended."""
         server = placement.server
-        self.dispatcher.note_sent(placement)
+        attempt = self.dispatcher.note_sent(placement)
         begun_ms = self.clock.now_ms()
         result = AttemptResult(Outcome.ABANDONED, was_run=True)
         try:
@@ -132,14 +132,14 @@
         finally:
             now_ms = self.clock.now_ms()
             elapsed_ms = now_ms - begun_ms
-            server.note_outcome(result.outcome, now_ms)
+            server.note_outcome(result.outcome, now_ms, attempt)
             self.meters.count(
                 Metric.ATTEMPTS_TOTAL,
                 service=server.service,
                 outcome=result.outcome.value,
             )
             if result.outcome is Outcome.ANSWERED:
-                self._learn(work, placement, elapsed_ms, now_ms)
+                self._learn(work, placement, elapsed_ms)
             trace.may_have_run = trace.may_have_run or result.was_run
             trace.attempts.append(
                 f"{server.server_id} rank={placement.rank} load={placement.load:.1f} "
@@ -148,14 +148,10 @@
             )
         return result
 
-    def _learn(
-        self, work: Work, placement: Placement, elapsed_ms: float, now_ms: float
-    ) -> None:
+    def _learn(self, work: Work, placement: Placement, elapsed_ms: float) -> None:
         work_ms = max(elapsed_ms - placement.wait_ms, MIN_WORK_SHARE * elapsed_ms)
         is_first = work.sticky and placement.rank == 0
         self.dispatcher.estimates.note(work.route, work.service, is_first, work_ms)
-        usual_ms = max(1.0, placement.wait_ms + placement.fresh_ms)
-        placement.server.note_duration(elapsed_ms / usual_ms, now_ms)
 
     async def _exchange(self, trace: Trace, server: ServerStats) -> AttemptResult:
         request, idempotent = trace.request, trace.route.idempotent
