--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -103,7 +103,7 @@
             rng,
         )
         host, _, port = settings.peer_address.rpartition(":")
-        self.messages = MessageServer(host, int(port))
+        self.messages = MessageServer(settings.listen_ip or host, int(port))
         self._pending: dict[str, tuple[Announcement, float]] = {}
         self._news = asyncio.Event()
         self._told_revisions = (0, 0)
--- a/bulrushlead/coordinator/_settings.py
+++ b/bulrushlead/coordinator/_settings.py
@@ -34,6 +34,8 @@
         Whether the seeds may form a new cluster.
     heartbeat_ms : float
         Usual time between two heartbeats of a backend server, in milliseconds.
+    listen_ip : str
+        Address on which to listen for other hosts, if not that of ``peer_address``.
     """
 
     host_id: str
@@ -44,3 +46,4 @@
     data_folder: str
     bootstrap: bool
     heartbeat_ms: float = 1_500.0
+    listen_ip: str = ""
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -1,5 +1,6 @@
 """The process of one host on the platform."""
 
+import argparse
 import asyncio
 import contextlib
 import os
@@ -7,6 +8,7 @@
 import signal
 import sys
 
+import attrs
 import uvloop
 
 from bulrushlead.clock import MonotonicClock
@@ -30,10 +32,19 @@
 
 
 def main() -> None:
-    """Run until SIGTERM."""
+    """Run until SIGTERM.
+
+    With ``--listen-peers IP`` other hosts are awaited on that address instead of the
+    one in the settings, for a host behind a forwarder.
+    """
     path = os.environ.get(SETTINGS_VARIABLE, "")
+    parser = argparse.ArgumentParser(prog="bulrushlead.platform")
+    parser.add_argument("--listen-peers", default="", metavar="IP")
+    arguments = parser.parse_args()
     try:
-        settings = load_host_settings(path)
+        settings = attrs.evolve(
+            load_host_settings(path), peer_listen_ip=arguments.listen_peers
+        )
     except BulrushleadError as error:
         print(f"{SETTINGS_VARIABLE}={path}: {error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -47,6 +47,8 @@
         See ``DispatchSettings``.
     warmup_overshoot, warmup_slack
         See ``DispatchSettings``.
+    peer_listen_ip : str
+        Address on which to await other hosts, if not the one that they use.
     """
 
     host_id: str
@@ -73,6 +75,7 @@
     retry_window_ms: float
     warmup_overshoot: float
     warmup_slack: int
+    peer_listen_ip: str = ""
 
     @property
     def peer_address(self) -> str:
@@ -113,6 +116,7 @@
             data_folder=self.data_folder,
             bootstrap=self.is_first_start,
             heartbeat_ms=self.heartbeat_ms,
+            listen_ip=self.peer_listen_ip,
         )
 
 
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,138 @@
+"""Starts the real programs and injects faults by signals."""
+
+import asyncio
+import contextlib
+import os
+import shutil
+import signal
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+PEER_PORT = 7720
+CONTROL_PORT = 8166
+DIRECTORY_PORT = 8164
+FRONT_PORT = 8161
+READY_PORT = 8167
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
+GRACE_S = 6.0
+
+
+class Host:
+    """One process of the system under test.
+
+    Parameters
+    ----------
+    world : World
+        Addresses and folders.
+    kind : str
+        ``edge`` or ``core``.
+    number : int
+        Number within the kind.
+    """
+
+    def __init__(self, world, kind, number):
+        self.world = world
+        self.kind = kind
+        self.name = f"{kind}-{number}"
+        self.zone = list(ZONES)[number % len(ZONES)]
+        group = 1 if kind == "core" else 2
+        self.ip = world.ip(group, number)
+        self.real_ip = world.ip(group + 4, number) if kind == "core" else self.ip
+        self.folder = world.folder / self.name
+        self.data = self.folder / "data"
+        self.process = None
+        self.paused = False
+        self.first_start = True
+        self.starts = 0
+
+    @property
+    def alive(self):
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self):
+        if self.alive:
+            return
+        self.data.mkdir(parents=True, exist_ok=True)
+        settings = self.folder / "boot.toml"
+        settings.write_text(self._settings())
+        self.first_start = False
+        self.starts += 1
+        command = [sys.executable, "-m", "bulrushlead.platform"]
+        if self.real_ip != self.ip:
+            command += ["--listen-peers", self.real_ip]
+        with (self.folder / f"log-{self.starts}.txt").open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *command,
+                cwd=ROOT,
+                env={"BULRUSHLEAD_BOOT": str(settings), "PATH": os.environ["PATH"]},
+                stdout=log,
+                stderr=log,
+            )
+        self.paused = False
+
+    def signal(self, number):
+        if self.alive:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def kill(self):
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    def pause(self):
+        self.paused = True
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.paused = False
+        self.signal(signal.SIGCONT)
+
+    async def stop(self):
+        """Ask for a planned stop; kill the process after its grace."""
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await self.process.wait()
+        except TimeoutError:
+            await self.kill()
+
+    def wipe(self):
+        shutil.rmtree(self.data, ignore_errors=True)
+
+    def tear_log_tail(self, rng):
+        """Cut some bytes off the journal, as a torn last write would."""
+        for path in sorted(self.data.glob("journal-*")):
+            size = path.stat().st_size
+            lost = rng.randrange(1, 64)
+            if size > 4096:
+                os.truncate(path, size - lost)
+
+    def _settings(self):
+        is_core = self.kind == "core"
+        serves = '["control", "directory"]' if is_core else '["edge"]'
+        if is_core:
+            listen = (
+                f'control = "{self.ip}:{CONTROL_PORT}"\n'
+                f'directory = "{self.ip}:{DIRECTORY_PORT}"\n'
+            )
+        else:
+            listen = (
+                f'front = "{self.ip}:{FRONT_PORT}"\n'
+                f'readinessAddr = "{self.ip}:{READY_PORT}"\n'
+            )
+        seeds = ", ".join(f'"{ip}:{CONTROL_PORT}"' for ip in self.world.seed_ips())
+        zones = "\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items())
+        data = f'dataDir = "{self.data}"\n' if is_core else ""
+        first = "true" if self.first_start else "false"
+        return (
+            f'nodeName = "{self.name}"\nserves = {serves}\nip = "{self.ip}"\n'
+            f'zone = "{self.zone}"\nregion = "{ZONES[self.zone]}"\n'
+            f"internalPortRange = [{PEER_PORT}, {PEER_PORT + 9}]\n"
+            f'seeds = [{seeds}]\nbootstrap = {first}\n{data}heartbeat = "500ms"\n'
+            f"[zones]\n{zones}\n[listen]\n{listen}[bounds]\n"
+            f'grace = "{GRACE_S:.0f}s"\nretryBudgetRatio = 0.2\nbudgetWindow = "10s"\n'
+            "retryBudgetSlack = 60\nwarmupOvershoot = 1.5\nwarmupSlack = 5\n"
+            'ttl_max = "5s"\n'
+        )
