Search for the leader at several coordinators at once

Ruled out: a late acknowledgement (the leader had it at 7.84 s). Change: four coordinators are asked together, the first that leads wins, the others' hints come next; a replica that has not heard from its leader names none.

--- a/bulrushlead/fleet/_session.py
+++ b/bulrushlead/fleet/_session.py
@@ -17,6 +17,8 @@
 RETRY_PAUSE_MS = 60  # before the next address is asked
 RETRY_PAUSE_MAX_MS = 400
 LOST_AFTER_MS = 1_500
+HINT_PATIENCE_MS = 100  # a round trip between regions
+SEARCH_WIDTH = 4  # coordinators asked at once while the leader is unknown
 
 
 class LeaderSession:
@@ -120,49 +122,104 @@
         return self._links[address]
 
     async def _run(self) -> None:
-        address = self._next_address(None)
         pause_ms = RETRY_PAUSE_MS
         while True:
-            hint = None
             try:
-                update = await self._sync(address)
-                self.leader = address
-                pause_ms = RETRY_PAUSE_MS
-                if self.view.apply(update):
-                    self.on_update(update)
-                self._note_connected(address)
-                continue
+                if self.leader is not None:
+                    update = await self._sync(self.leader, WAIT_FOR_NEWS_MS)
+                else:
+                    update = await self._find_leader()
             except BulrushleadError as error:
-                hint = _hint(error)
-                reason = error.detail
-            except Exception as error:
-                self._log.write(Event.UNEXPECTED_ERROR, error=repr(error))
-                reason = repr(error)
-            if self.leader == address:
+                was_searching = self.leader is None
                 self.leader = None
-            self._note_failed(reason)
-            await self.clock.sleep_ms(pause_ms)
-            pause_ms = min(2 * pause_ms, RETRY_PAUSE_MAX_MS)
-            address = hint if hint and hint != address else self._next_address(address)
-
-    async def _sync(self, address: str) -> FleetUpdate:
-        # The first request of a connection is answered at once: it shows early
-        # whether the address is that of the leader.
-        wait_ms = WAIT_FOR_NEWS_MS if self.leader == address else 0.0
+                self._note_failed(error.detail)
+                if was_searching:
+                    await self.clock.sleep_ms(pause_ms)
+                    pause_ms = min(2 * pause_ms, RETRY_PAUSE_MAX_MS)
+                continue
+            pause_ms = RETRY_PAUSE_MS
+            self._take(update)
+
+    def _take(self, update: FleetUpdate) -> None:
+        try:
+            if self.view.apply(update):
+                self.on_update(update)
+        except Exception as error:
+            # One bad update must not end the way of all later ones.
+            self._log.write(Event.UNEXPECTED_ERROR, error=repr(error))
+        self._note_connected()
+
+    async def _sync(self, address: str, wait_ms: float) -> FleetUpdate:
         request = SyncRequest(self.view.position, self.report(), wait_ms)
         return await self.link_to(address).call(request, CALL_TIMEOUT_MS + wait_ms)
 
+    async def _find_leader(self) -> FleetUpdate:
+        """Ask several coordinators at once until one answers as the leader.
+
+        In a partition, those on the other side answer too, and some do not answer
+        at all: asking one after the other would take seconds.
+        """
+        left = sorted({*self.seeds, *self.view.control_addresses})
+        self.rng.shuffle(left)
+        asked: set[str] = set()
+        hints: set[str] = set()
+        while left or hints:
+            batch = sorted(hints) or left[:SEARCH_WIDTH]
+            asked.update(batch)
+            found, hints = await self._ask_together(batch)
+            if found is not None:
+                return found
+            hints -= asked
+            left = [address for address in left if address not in asked]
+        raise BulrushleadError(
+            ResultCode.CONTROL_UNREACHABLE,
+            f"none of {len(asked)} coordinators leads; the next search follows",
+        )
+
+    async def _ask_together(
+        self, addresses: list[str]
+    ) -> tuple[FleetUpdate | None, set[str]]:
+        """Return the leader's update, or None and the leaders that others named."""
+        tasks = {asyncio.ensure_future(self._sync(a, 0.0)): a for a in addresses}
+        pending = set(tasks)
+        hints: set[str] = set()
+        try:
+            while pending:
+                # Others may name a leader that is none any more, so the leader
+                # itself gets the chance to answer.
+                timeout_s = HINT_PATIENCE_MS / 1000.0 if hints else None
+                done, pending = await asyncio.wait(
+                    pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not done:
+                    break
+                for task in done:
+                    error = task.exception()
+                    if error is None:
+                        self.leader = tasks[task]
+                        return task.result(), hints
+                    if not isinstance(error, BulrushleadError):
+                        raise error
+                    if (hint := _hint(error)) is not None:
+                        hints.add(hint)
+        finally:
+            for task in pending:
+                task.cancel()
+            # Those that failed meanwhile have nothing more to say.
+            await asyncio.gather(*tasks, return_exceptions=True)
+        return None, hints
+
     def _next_address(self, last: str | None) -> str | None:
         addresses = sorted({*self.seeds, *self.view.control_addresses})
         others = [address for address in addresses if address != last]
         return self.rng.choice(others or addresses)
 
-    def _note_connected(self, address: str) -> None:
+    def _note_connected(self) -> None:
         if not self._connected:
             self._connected = True
             self._log.write(
                 Event.SESSION_OPENED,
-                leader=address,
+                leader=self.leader,
                 plan_version=self.view.position.plan_version,
                 servers=len(self.view.servers),
             )
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -262,8 +262,11 @@
 
     @property
     def leader_hint(self) -> str | None:
-        """Address of the last known leader, or None."""
-        return self._replica.leader_address
+        """Address of the leader, or None if it was not heard from lately."""
+        replica = self._replica
+        if replica.leadership is None and not replica.heard_recently():
+            return None
+        return replica.leader_address
 
     @property
     def last_applied(self) -> int:
