--- a/bulrushlead/wire/tests/test_wire.py
+++ b/bulrushlead/wire/tests/test_wire.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 
 import pytest
 import websockets.asyncio.client
@@ -8,6 +9,7 @@
 from bulrushlead.clock import MonotonicClock
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire import MessageClient, MessageServer, codec, message
+from bulrushlead.wire._frame import pack_frame, unpack_frame
 
 
 @message("test.echo")
@@ -131,3 +133,31 @@
     assert caught.value.code is ResultCode.PEER_TIMEOUT
     assert client._connection is not silent
     assert (await client.call(Echo("again"), 5000)).text == "again"
+
+
+def test_a_large_payload_travels_compressed():
+    payload = b"record of a server " * 1_000
+    frame = pack_frame(7, payload)
+    assert len(frame) < len(payload) / 6
+    assert unpack_frame(frame) == (7, payload)
+
+
+@pytest.mark.parametrize("size", [0, 1, 1_023, 1_024, 100_000])
+def test_payloads_of_any_size_come_back(size):
+    for payload in (bytes(size), random.Random(size).randbytes(size)):
+        assert unpack_frame(pack_frame(2**62, payload)) == (2**62, payload)
+
+
+def test_a_compressed_payload_that_grows_too_large_is_refused():
+    frame = pack_frame(1, bytes(5 * 1024 * 1024))
+    with pytest.raises(BulrushleadError) as caught:
+        unpack_frame(frame)
+    assert caught.value.code is ResultCode.MESSAGE_TOO_LARGE
+
+
+@pytest.mark.parametrize("cut", [9, 12, -1])
+def test_a_damaged_compressed_payload_is_refused(cut):
+    frame = pack_frame(1, b"record of a server " * 1_000)
+    with pytest.raises(BulrushleadError) as caught:
+        unpack_frame(frame[:cut])
+    assert caught.value.code is ResultCode.MESSAGE_MALFORMED
