--- a/bulrushlead/http1/_pool.py
+++ b/bulrushlead/http1/_pool.py
@@ -9,6 +9,7 @@
 MAX_IDLE_MS = 8_000  # below the usual idle time-out of ten seconds
 MIN_IDLE_MS = 200  # shorter pauses are part of one burst of requests
 FORGOTTEN_SHARE = 0.5  # of the pause after which a connection was found forgotten
+MAX_DOUBLINGS = 8  # from the shortest pause to beyond the longest
 RECOVERY_MS = 5_000  # without another one, the longest pause doubles
 KEEP_ALIVE_SHARE = 0.7  # of an announced idle time; the rest covers the way there
 MAX_IDLE_PER_ADDRESS = 16
@@ -91,8 +92,10 @@
 
     def idle_limit_ms(self) -> float:
         """Return the longest pause after which a connection is used again."""
-        since_ms = self.clock.now_ms() - self._limited_ms
-        return min(MAX_IDLE_MS, self._limit_ms * 2 ** (since_ms / RECOVERY_MS))
+        if self._limit_ms >= MAX_IDLE_MS:
+            return MAX_IDLE_MS
+        doublings = (self.clock.now_ms() - self._limited_ms) / RECOVERY_MS
+        return min(MAX_IDLE_MS, self._limit_ms * 2 ** min(doublings, MAX_DOUBLINGS))
 
     def note_forgotten(self, idle_ms: float) -> None:
         """Learn that a connection was reset by its first bytes after a pause.
--- a/bulrushlead/http1/tests/test_client.py
+++ b/bulrushlead/http1/tests/test_client.py
@@ -163,3 +163,12 @@
     assert pool.idle_limit_ms() == 200.0
     await clock.advance_ms(60_000)
     assert pool.idle_limit_ms() == longest_ms
+
+
+@pytest.mark.parametrize("now_ms", [0.0, 1e9, 1e15])
+async def test_the_longest_pause_is_known_at_any_reading_of_the_clock(pool, now_ms):
+    clock = pool.clock = ManualClock(now_ms)
+    longest_ms = pool.idle_limit_ms()
+    pool.note_forgotten(600.0)
+    await clock.advance_ms(1e13)
+    assert pool.idle_limit_ms() == longest_ms
