Go on after a disk refused writes; elect faster; load only one program

Cause: a coordinator whose disk was full for seconds stayed silent until somebody restarted it; after a loss of power all callers waited for an election of 0.6 to 1 s; the settings module loaded both programs into every process.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -47,6 +47,14 @@
 # A new leader has heard every living server after this many heartbeats.
 COLLECT_HEARTBEATS = 4
 RETIRE_TIMEOUT_MS = 500
+STORAGE_RETRY_MS = 500  # a full disk stays so for seconds
+# An election follows a lost leader; callers of a system that was powered off wait for
+# it. The shortest time still covers a stall of 100 ms on top of three round trips
+# between regions.
+HEARTBEAT_MS = 100
+LEASE_MS = 400
+ELECTION_MIN_MS = 450
+ELECTION_MAX_MS = 750
 UNKNOWN_BIRTH = -1  # the leader fills in the incarnation
 
 
@@ -79,20 +87,13 @@
     ):
         self.settings = settings
         self.clock = clock
+        self.links = links
+        self.rng = rng
         self.meters = CompactMeters()
-        self.state = OrderState()
-        self.state.on_change = self._on_order
         self.view = FleetView(clock)
         self.registry = FleetRegistry(clock, settings.heartbeat_ms)
-        self.log = ReplicatedLog(
-            self._replica_settings(),
-            clock,
-            FileStorage(settings.data_folder),
-            links,
-            self.state,
-            rng,
-        )
-        self.log.watch_leadership(self._on_leadership)
+        self.state, self.log = self._build_log()
+        self._log_started = False
         self.session = LeaderSession(
             clock,
             (settings.peer_address, *settings.seeds),
@@ -117,13 +118,12 @@
 
     async def start(self) -> None:
         """Listen for other hosts and take part in the log."""
-        self.log.register(self.messages)
         self.messages.handle(SyncRequest, self._answer_sync)
         self.messages.handle(AnnounceBatch, self._answer_announce)
         self.messages.handle(OrderRequest, self._answer_order)
         self.messages.handle(PlanRequest, self._answer_plan)
         await self.messages.start()
-        await self.log.start()
+        await self._start_log()
         await self.session.start()
         for run in (self._forward_heartbeats, self._tick):
             self._tasks.append(asyncio.create_task(run()))
@@ -137,6 +137,45 @@
         await self.log.close()
         await self.messages.close()
 
+    def _build_log(self) -> tuple[OrderState, ReplicatedLog]:
+        state = OrderState()
+        state.on_change = self._on_order
+        log = ReplicatedLog(
+            self._replica_settings(),
+            self.clock,
+            FileStorage(self.settings.data_folder),
+            self.links,
+            state,
+            self.rng,
+        )
+        log.watch_leadership(self._on_leadership)
+        return state, log
+
+    async def _start_log(self) -> None:
+        """Start the log; a disk that refuses writes is tried again later."""
+        self.log.register(self.messages)
+        try:
+            await self.log.start()
+        except BulrushleadError as error:
+            if error.code is not ResultCode.STORAGE_FAILED:
+                raise
+            self._events.write(
+                Event.STORAGE_FAILED, code=error.code.value, error=error.detail
+            )
+            return
+        self._log_started = True
+
+    async def _restart_log(self) -> None:
+        """Begin anew with what the disk holds, after it refused a write.
+
+        A replica stops for good after a failed sync, because the system's cache
+        may show bytes that the disk does not hold.
+        """
+        await self.log.close()
+        self._log_started = False
+        self.state, self.log = self._build_log()
+        await self._start_log()
+
     async def accept_plan(self, plan: TrafficPlan, document: bytes) -> bool:
         """Put a plan in force unless a higher or equal version holds.
 
@@ -217,6 +256,10 @@
             data_folder=settings.data_folder,
             bootstrap=settings.bootstrap and is_seed,
             admit_newcomers=True,
+            heartbeat_ms=HEARTBEAT_MS,
+            lease_ms=LEASE_MS,
+            election_min_ms=ELECTION_MIN_MS,
+            election_max_ms=ELECTION_MAX_MS,
         )
 
     async def _order(self, command) -> bool:
@@ -414,6 +457,10 @@
     async def _tick(self) -> None:
         while True:
             await self.clock.sleep_ms(TICK_MS)
+            if not self._log_started or self.log.failure is not None:
+                await self.clock.sleep_ms(STORAGE_RETRY_MS)
+                await self._restart_log()
+                continue
             if not self.log.is_leader():
                 continue
             self.registry.check_silence()
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -153,3 +153,27 @@
     await until(lambda: host.position.epoch.startswith(successor.log.replica_id))
     assert "b9" in host.servers
     assert host.plan.version == 7
+
+
+async def test_a_disk_that_refuses_writes_is_used_again_once_it_takes_them(
+    coordinators, monkeypatch
+):
+    await until(lambda: all(c.log.last_applied for c in coordinators))
+    broken = followers(coordinators)[0]
+    storage = broken.log.storage
+    refuses = True
+
+    def run(*arguments):
+        if refuses:
+            raise OSError(28, "No space left on device")
+        return original(*arguments)
+
+    original = type(storage).run
+    monkeypatch.setattr(storage, "run", run, raising=False)
+    await until(lambda: any(c.log.is_leader() for c in coordinators))
+    others = [c for c in coordinators if c is not broken]
+    await others[0].accept_plan(TrafficPlan(7), b"document")
+    await until(lambda: broken.log.storage is not storage)
+    refuses = False
+    await until(lambda: broken.log.failure is None and broken.state.plan is not None)
+    assert broken.state.plan.version == 7
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -172,7 +172,7 @@
 
 
 def _build_gateway(settings: HostSettings, clock: MonotonicClock, rng: random.Random):
-    # Imported here: a control host must not pay for what it does not run.
+    # Imported here: a host must not pay for a program that it does not run.
     from bulrushlead.gateway import Gateway
     from bulrushlead.platform._dialect import DIALECT
 
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -2,16 +2,17 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
-from bulrushlead.coordinator import CoordinatorSettings
-from bulrushlead.dispatch import DispatchSettings
-from bulrushlead.gateway import GatewaySettings
 from bulrushlead.platform._units import parse_duration_ms
 from bulrushlead.results import BulrushleadError, Fault, FaultsError, ResultCode
 
+if TYPE_CHECKING:
+    from bulrushlead.coordinator import CoordinatorSettings
+    from bulrushlead.gateway import GatewaySettings
+
 DRAIN_SHARE = 0.96  # of the time granted to a planned stop; the rest is for closing
 
 
@@ -82,8 +83,12 @@
         """Address for messages between hosts."""
         return f"{self.ip}:{self.peer_port}"
 
-    def for_gateway(self) -> GatewaySettings:
+    def for_gateway(self) -> "GatewaySettings":
         """Return the settings of a gateway on this host."""
+        # Imported here: a host must not pay for a program that it does not run.
+        from bulrushlead.dispatch import DispatchSettings
+        from bulrushlead.gateway import GatewaySettings
+
         return GatewaySettings(
             host_id=self.host_id,
             zone=self.zone,
@@ -105,8 +110,10 @@
             ),
         )
 
-    def for_coordinator(self) -> CoordinatorSettings:
+    def for_coordinator(self) -> "CoordinatorSettings":
         """Return the settings of a coordinator on this host."""
+        from bulrushlead.coordinator import CoordinatorSettings
+
         return CoordinatorSettings(
             host_id=self.host_id,
             zone=self.zone,
