--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -13,6 +13,7 @@
     PlanRequest,
     StatusReply,
 )
+from bulrushlead.coordinator._publisher import FleetPublisher
 from bulrushlead.coordinator._settings import CoordinatorSettings
 from bulrushlead.coordinator._state import (
     AcceptPlan,
@@ -23,13 +24,10 @@
 )
 from bulrushlead.fleet import (
     Announcement,
-    FleetRegistry,
-    FleetUpdate,
     FleetView,
     HostReport,
     LeaderSession,
     ServerState,
-    SyncPosition,
     SyncRequest,
 )
 from bulrushlead.logs import Event, EventLogger
@@ -44,8 +42,6 @@
 ORDER_TIMEOUT_MS = 900  # operators move on after a second
 PROPOSE_TIMEOUT_MS = 850
 READ_TIMEOUT_MS = 800
-# A new leader has heard every living server after this many heartbeats.
-COLLECT_HEARTBEATS = 4
 RETIRE_TIMEOUT_MS = 500
 STORAGE_RETRY_MS = 500  # a full disk stays so for seconds
 # An election follows a lost leader; callers of a system that was powered off wait for
@@ -91,7 +87,7 @@
         self.rng = rng
         self.meters = CompactMeters()
         self.view = FleetView(clock)
-        self.registry = FleetRegistry(clock, settings.heartbeat_ms)
+        self.publisher = FleetPublisher(settings, clock, self.view, self.meters)
         self.state, self.log = self._build_log()
         self._log_started = False
         self.session = LeaderSession(
@@ -106,9 +102,6 @@
         host, _, port = settings.peer_address.rpartition(":")
         self.messages = MessageServer(settings.listen_ip or host, int(port))
         self._pending: dict[str, tuple[Announcement, float]] = {}
-        self._news = asyncio.Event()
-        self._told_revisions = (0, 0)
-        self._leading_since_ms: float | None = None
         self._tasks: list[asyncio.Task] = []
         self.meters.watch(Metric.IS_LEADER, lambda: float(self.log.is_leader()))
         self.meters.watch(Metric.TERM, lambda: self.log.term)
@@ -118,8 +111,8 @@
 
     async def start(self) -> None:
         """Listen for other hosts and take part in the log."""
-        self.messages.handle(SyncRequest, self._answer_sync)
-        self.messages.handle(AnnounceBatch, self._answer_announce)
+        self.messages.handle(SyncRequest, self.publisher.answer_sync)
+        self.messages.handle(AnnounceBatch, self.publisher.answer_announce)
         self.messages.handle(OrderRequest, self._answer_order)
         self.messages.handle(PlanRequest, self._answer_plan)
         await self.messages.start()
@@ -139,7 +132,6 @@
 
     def _build_log(self) -> tuple[OrderState, ReplicatedLog]:
         state = OrderState()
-        state.on_change = self._on_order
         log = ReplicatedLog(
             self._replica_settings(),
             self.clock,
@@ -148,7 +140,7 @@
             state,
             self.rng,
         )
-        log.watch_leadership(self._on_leadership)
+        self.publisher.attach(log, state)
         return state, log
 
     async def _start_log(self) -> None:
@@ -284,7 +276,7 @@
         return reply.changed
 
     async def _answer_order(self, request: OrderRequest) -> StatusReply:
-        self._require_leader()
+        self.publisher.require_leader()
         command = self._with_birth(codec.decode(request.command))
         reply = await self.log.propose(codec.encode(command), PROPOSE_TIMEOUT_MS)
         return codec.decode(reply)
@@ -295,7 +287,7 @@
             return command
         if command.born_ms != UNKNOWN_BIRTH:
             return command
-        born_ms = self.registry.born_ms_of(command.server_id)
+        born_ms = self.publisher.registry.born_ms_of(command.server_id)
         if born_ms is None:
             raise BulrushleadError(
                 ResultCode.CONTROL_UNREACHABLE,
@@ -310,122 +302,6 @@
             return PlanReply(-1)
         return PlanReply(plan.version, self.state.document)
 
-    async def _answer_announce(self, request: AnnounceBatch) -> StatusReply:
-        self._require_leader()
-        for heartbeat in request.heartbeats:
-            self._take_heartbeat(heartbeat)
-        self._notify_if_changed()
-        return StatusReply(True)
-
-    def _take_heartbeat(self, heartbeat: Announcement) -> None:
-        if self.state.has_departed(heartbeat.server_id, heartbeat.born_ms):
-            heartbeat = attrs.evolve(heartbeat, state=ServerState.DRAINING)
-        if self.registry.announce(heartbeat):
-            self.meters.count(Metric.ANNOUNCEMENTS_TOTAL, service=heartbeat.service)
-
-    async def _answer_sync(self, request: SyncRequest) -> FleetUpdate:
-        self._require_leader()
-        self.registry.report_host(request.report)
-        self._notify_if_changed()
-        deadline_ms = self.clock.now_ms() + request.wait_ms
-        while not self._has_news(request.position):
-            left_ms = deadline_ms - self.clock.now_ms()
-            if left_ms <= 0:
-                break
-            try:
-                await self.clock.wait_for(self._news.wait(), left_ms)
-            except TimeoutError:
-                break
-        self._require_leader()
-        return self._update_for(request.position)
-
-    def _update_for(self, known: SyncPosition) -> FleetUpdate:
-        epoch = self._epoch()
-        is_same = known.epoch == epoch
-        state, registry = self.state, self.registry
-        plan = state.plan
-        if plan is not None and plan.version <= known.plan_version:
-            plan = None
-        hosts = None
-        if not is_same or known.host_revision < registry.host_revision:
-            hosts = registry.hosts()
-        return FleetUpdate(
-            term=self.log.term,
-            position=SyncPosition(
-                epoch=epoch,
-                server_revision=registry.server_revision,
-                order_index=state.order_index,
-                host_revision=registry.host_revision,
-            ),
-            servers=registry.servers_after(known.server_revision if is_same else 0),
-            is_full=not is_same and self._has_collected(),
-            plan=plan,
-            evacuated_zones=tuple(sorted(state.evacuated_zones)),
-            hosts=hosts,
-            control_addresses=tuple(sorted(m.address for m in self.log.members)),
-        )
-
-    def _has_news(self, known: SyncPosition) -> bool:
-        plan = self.state.plan
-        return (
-            known.epoch != self._epoch()
-            or known.server_revision < self.registry.server_revision
-            or known.host_revision < self.registry.host_revision
-            or known.order_index < self.state.order_index
-            or (plan is not None and known.plan_version < plan.version)
-        )
-
-    def _epoch(self) -> str:
-        # Once all living servers have been heard, everybody gets a full list.
-        phase = "full" if self._has_collected() else "partial"
-        return f"{self.log.replica_id}/{self.log.term}/{phase}"
-
-    def _has_collected(self) -> bool:
-        if self._leading_since_ms is None:
-            return False
-        led_ms = self.clock.now_ms() - self._leading_since_ms
-        return led_ms > COLLECT_HEARTBEATS * self.settings.heartbeat_ms
-
-    def _require_leader(self) -> None:
-        if not self.log.is_leader():
-            hint = self.log.leader_hint or "unknown"
-            raise BulrushleadError(
-                ResultCode.NOT_LEADER,
-                f"{self.settings.peer_address} is not the leader; ask {hint}",
-            )
-
-    def _on_leadership(self, leads: bool) -> None:
-        if leads:
-            self._leading_since_ms = self.clock.now_ms()
-            self.registry = FleetRegistry(self.clock, self.settings.heartbeat_ms)
-            self.registry.seed(self.view.records(), list(self.view.hosts))
-            self._mark_departures()
-        else:
-            self._leading_since_ms = None
-        self._notify()
-
-    def _notify(self) -> None:
-        news, self._news = self._news, asyncio.Event()
-        news.set()
-
-    def _on_order(self) -> None:
-        """Take a committed order into the registry and tell everybody."""
-        if self._leading_since_ms is not None:
-            self._mark_departures()
-        self._notify()
-
-    def _mark_departures(self) -> None:
-        for server_id in self.registry.ready_servers():
-            born_ms = self.registry.born_ms_of(server_id)
-            if self.state.has_departed(server_id, born_ms):
-                self.registry.mark_draining(server_id, born_ms)
-
-    def _notify_if_changed(self) -> None:
-        revisions = (self.registry.server_revision, self.registry.host_revision)
-        if revisions != self._told_revisions:
-            self._told_revisions = revisions
-            self._notify()
-
     async def _forward_heartbeats(self) -> None:
         while True:
             await self.clock.sleep_ms(FORWARD_INTERVAL_MS)
@@ -441,7 +317,7 @@
             )
             try:
                 if self.log.is_leader():
-                    await self._answer_announce(batch)
+                    await self.publisher.answer_announce(batch)
                 else:
                     await self.session.call_leader(batch, ORDER_TIMEOUT_MS)
             except BulrushleadError as error:
@@ -463,8 +339,7 @@
                 continue
             if not self.log.is_leader():
                 continue
-            self.registry.check_silence()
-            self._notify_if_changed()
+            self.publisher.check_silence()
             try:
                 await self.log.retire_silent_voter(RETIRE_TIMEOUT_MS)
             except BulrushleadError as error:
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -149,7 +149,7 @@
     others = [c for c in coordinators if c is not leader]
     await until(lambda: any(c.log.is_leader() for c in others))
     successor = next(c for c in others if c.log.is_leader())
-    assert successor.registry.born_ms_of("b9") is not None
+    assert successor.publisher.registry.born_ms_of("b9") is not None
     await until(lambda: host.position.epoch.startswith(successor.log.replica_id))
     assert "b9" in host.servers
     assert host.plan.version == 7
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -34,6 +34,7 @@
         self.runs = collections.defaultdict(list)
         self.departed_s = {}
         self.versions = collections.defaultdict(list)
+        self.first_read = {}
         self.acked = []
         self.disturbed_s = 0.0
         self.breaks = []
@@ -130,6 +131,9 @@
             self.break_promise("CONFIG", f"read {version}, {max(due)} was accepted")
         if document not in self.versions[version]:
             self.break_promise("CONFIG", f"read {version} with other content")
+        first = self.first_read.setdefault(version, document)
+        if document != first:
+            self.break_promise("CONFIG", f"the content of {version} has changed")
 
     def note_plan_sent(self, version, document):
         self.versions[version].append(document)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
 # Each seed that ever failed stays here, with a line on its cause.
 SEEDS = [
     1,  # the first seed that was played; it never failed
+    4,  # planned work only
 ]
 FAULT_S = 6.0
 
@@ -109,6 +110,15 @@
     assert "LOST" in promises(ledger)
 
 
+def test_changed_content_of_a_version_is_seen(ledger, clock):
+    for mark in (1, 2):
+        ledger.note_plan_sent(4, {"version": 4, "mark": mark})
+    ledger.note_plan_read(clock.now_s, {"version": 4, "mark": 1})
+    assert promises(ledger) == []
+    ledger.note_plan_read(clock.now_s, {"version": 4, "mark": 2})
+    assert promises(ledger) == ["CONFIG"]
+
+
 def test_a_cut_request_is_seen_on_a_calm_day(ledger):
     ledger.note_run("s1", "r1")
     ledger.note_no_answer(ledger.asked["r1"], "ServerDisconnectedError")
