Spill instead of refusing, share regions fairly, hand on objects of busy servers

A gateway of 71 hears of one server every few seconds and knows nothing of its queue. Change: a region keeps its fair share; a server of the next region is taken when the own one would mean a refusal; hosts report loads, the leader tells the busy ones, and a server above 1.4 times its slots leaves a part of its objects to the next.

--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -146,6 +146,7 @@
             evacuated_zones=tuple(sorted(state.evacuated_zones)),
             hosts=hosts,
             control_addresses=tuple(sorted(m.address for m in self._log.members)),
+            pressures=registry.pressures(),
         )
 
     def _has_news(self, known: SyncPosition) -> bool:
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -8,7 +8,7 @@
 from bulrushlead.clock import Clock
 from bulrushlead.dispatch._budget import RetryBudget
 from bulrushlead.dispatch._estimates import DurationEstimates
-from bulrushlead.dispatch._ranking import Ranking
+from bulrushlead.dispatch._ranking import Ranking, passes_over
 from bulrushlead.dispatch._server import ServerStats
 from bulrushlead.dispatch._settings import DispatchSettings
 from bulrushlead.dispatch._warmup import WarmupLimiter
@@ -173,6 +173,7 @@
             stats.silent = record.silent
             stats.cold_until_ms = known.cold_until_ms
             stats.told_ms = known.received_ms
+            stats.pressure = view.pressures.get(server_id, 0.0)
             servers[server_id] = stats
         changed |= {
             stats.service
@@ -194,6 +195,15 @@
         """Return what is known of a server, or None."""
         return self._servers.get(server_id)
 
+    def take_loads(self) -> dict[str, float]:
+        """Return what servers reported since the last call, for the other hosts."""
+        loads = {}
+        for server_id, stats in self._servers.items():
+            load = stats.take_mean_load()
+            if load is not None:
+                loads[server_id] = load
+        return loads
+
     def place(self, work: Work) -> Placement | Refusal:
         """Return the server that should finish a request first.
 
@@ -212,8 +222,13 @@
         for members in ranking.order(work.key):
             if work.allowed_regions and members[0].region not in work.allowed_regions:
                 continue
-            best = self._best_of(members, work, now_ms)
-            if best is not None:
+            found = self._best_of(members, work, now_ms)
+            if found is None:
+                continue
+            if best is None or found.wait_ms + REMOTE_ROUND_TRIP_MS < best.wait_ms:
+                best = found
+            # A free slot far away beats a refusal, but not a short queue.
+            if best.wait_ms <= self._longest_wait_ms(work):
                 break
         if best is None:
             return Refusal(
@@ -241,8 +256,7 @@
         return attempt
 
     def _admit(self, best: Placement, work: Work) -> Placement | Refusal:
-        share = URGENT_WAIT_OVER_TARGET if work.urgent else WAIT_OVER_TARGET
-        longest_wait_ms = share * work.target_ms
+        longest_wait_ms = self._longest_wait_ms(work)
         expected_ms = best.wait_ms + best.work_ms
         if best.wait_ms > longest_wait_ms:
             over_ms = best.wait_ms - longest_wait_ms
@@ -260,23 +274,30 @@
             f"and {best.work_ms:.0f} ms of work",
         )
 
+    def _longest_wait_ms(self, work: Work) -> float:
+        share = URGENT_WAIT_OVER_TARGET if work.urgent else WAIT_OVER_TARGET
+        return share * work.target_ms
+
     def _best_of(
         self, members: list[ServerStats], work: Work, now_ms: float
     ) -> Placement | None:
         fleet_age_ms = self._view.age_ms()
         estimate = self.estimates.of(work.route, work.target_ms)
         mean_ms = self.estimates.mean_of(work.service, work.target_ms)
+        candidates = [
+            (server, cold)
+            for server in members
+            if (cold := self._coldness(server, work, now_ms, fleet_age_ms)) is not None
+        ]
+        if work.sticky:
+            candidates = [
+                (server, cold)
+                for server, cold in candidates
+                if not passes_over(server, work.key)
+            ] or candidates
         best: Placement | None = None
         best_cost = math.inf
-        rank = 0
-        for server in members:
-            if server.server_id in work.excluded or not server.is_available(now_ms):
-                continue
-            cold = server.may_be_cold(now_ms, fleet_age_ms)
-            if cold and not self.warmup.allows(
-                server.server_id, server.region, self._warmup_rate(work.service)
-            ):
-                continue
+        for rank, (server, cold) in enumerate(candidates):
             load = server.load(now_ms)
             slowness = server.slowness(now_ms)
             is_first = rank == 0 and work.sticky
@@ -294,9 +315,21 @@
                 best = Placement(
                     server, rank, wait_ms, work_ms, estimate.fresh_ms, cold, load
                 )
-            rank += 1
         return best
 
+    def _coldness(
+        self, server: ServerStats, work: Work, now_ms: float, fleet_age_ms: float
+    ) -> bool | None:
+        """Return whether a server counts as cold, or None if it can get nothing."""
+        if server.server_id in work.excluded or not server.is_available(now_ms):
+            return None
+        cold = server.may_be_cold(now_ms, fleet_age_ms)
+        if cold and not self.warmup.allows(
+            server.server_id, server.region, self._warmup_rate(work.service)
+        ):
+            return None
+        return cold
+
     def _warmup_rate(self, service: str) -> float:
         policy = self._policies.get(service)
         return policy.warmup_per_s if policy is not None else 0.0
--- a/bulrushlead/dispatch/_ranking.py
+++ b/bulrushlead/dispatch/_ranking.py
@@ -7,10 +7,14 @@
 from bulrushlead.dispatch._server import ServerStats
 
 # A region keeps its own requests up to this multiple of its fair share of the
-# slots: a little above one, because remote answers cost time and bytes.
-LOCAL_HEADROOM = 1.25
+# slots: with more, its servers would be fuller than all others.
+LOCAL_HEADROOM = 1.0
+# Above this load, a server hands a part of its objects to the next in their order.
+FULL_PRESSURE = 1.4
+MAX_PASSED_SHARE = 0.7  # what it knows best stays
 MAX_CACHED_KEYS = 20_000  # about 10 MB of lists of references
 _HASH_RANGE = float(2**64)
+_SEED_MASK = 2**32 - 1
 
 
 class Ranking:
@@ -74,6 +78,18 @@
         return -math.log(uniform) / max(self._weights[name], 1e-9)
 
 
+def passes_over(server: ServerStats, key: bytes) -> bool:
+    """Return whether a busy server leaves an object to the next one.
+
+    Hashing gives some servers twice as many objects as others. All hosts hear the
+    same load, so they agree on the objects that move, without a call.
+    """
+    if server.pressure <= FULL_PRESSURE:
+        return False
+    share = min(MAX_PASSED_SHARE, 1.0 - FULL_PRESSURE / server.pressure)
+    return _uniform(xxhash.xxh64_intdigest(key, ~server.hash & _SEED_MASK)) < share
+
+
 def _uniform(digest: int) -> float:
     """Return a hash as a number between 0 and 1, both excluded."""
     return (digest + 1) / (_HASH_RANGE + 2)
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -59,6 +59,8 @@
         Incarnation.
     slots : int
         Requests that it works on at the same time.
+    pressure : float
+        Load that all hosts together have seen, as a multiple of its slots.
     """
 
     clock: Clock
@@ -74,6 +76,9 @@
     cold_until_ms: float = 0.0
     told_ms: float = 0.0
     reported_load: float = 0.0
+    pressure: float = 0.0
+    _load_sum: float = 0.0
+    _load_count: int = 0
     hash: int = 0
     _attempts: dict[int, "_Attempt"] = attrs.field(factory=dict)
     _attempt_count: int = 0
@@ -165,12 +170,22 @@
     def note_load(self, load: float, now_ms: float) -> None:
         """Take the load that the server reported, this host's part included."""
         self.reported_load = load
+        self._load_sum += load
+        self._load_count += 1
         others = max(0.0, load - self.in_flight)
         fade = 0.5 ** ((now_ms - self._others_ms) / LOAD_HALF_LIFE_MS)
         known = self._others * fade
         self._others = known + LOAD_WEIGHT * (others - known)
         self._others_ms = now_ms
 
+    def take_mean_load(self) -> float | None:
+        """Return the mean of the reports since the last call, in slots, or None."""
+        if not self._load_count:
+            return None
+        mean = self._load_sum / self._load_count / self.slots
+        self._load_sum, self._load_count = 0.0, 0
+        return round(mean, 1)
+
     def note_duration(self, ratio: float, now_ms: float) -> None:
         """Take an answer's time against the usual one, as a factor."""
         known = self.slowness(now_ms)
--- a/bulrushlead/dispatch/tests/model.py
+++ b/bulrushlead/dispatch/tests/model.py
@@ -68,10 +68,16 @@
     arrivals: list = attrs.field(factory=list)
     most_cold_arrivals: int = 0
     hits: int = 0
+    smooth_load: float = 0.0
 
     def load(self):
         return self.running + len(self.waiting)
 
+    def mean_load(self):
+        """Return the load over the last seconds, as the leader would know it."""
+        self.smooth_load += 0.3 * (self.load() - self.smooth_load)
+        return self.smooth_load
+
     def note_arrival(self, now_ms):
         if now_ms >= self.cold_until_ms:
             return
@@ -163,6 +169,10 @@
                 ),
             ),
             hosts=self.records,
+            pressures={
+                server_id: round(s.mean_load() / s.record.slots, 1)
+                for server_id, s in self.servers.items()
+            },
         )
         self.view.apply(update)
         for host in self.hosts:
--- a/bulrushlead/dispatch/tests/test_parts.py
+++ b/bulrushlead/dispatch/tests/test_parts.py
@@ -192,3 +192,37 @@
     attempt = server.note_sent(0.0, 10.0)
     server.note_outcome(Outcome.UNREACHABLE, 400.0, attempt)
     assert server.slowness(400.0) == 1.0
+
+
+def test_a_server_that_all_hosts_find_busy_hands_some_objects_on():
+    one = world({"a": 4, "b": 0})
+    hosts = one.hosts
+    keys = [b"%d" % i for i in range(400)]
+    before = {key: first_choice(hosts[0], key) for key in keys}
+    one.view.pressures = {before[keys[0]]: 1.8}
+    for host in hosts:
+        host.update(one.view)
+    after = [{key: first_choice(host, key) for key in keys} for host in hosts[:2]]
+    assert after[0] == after[1]
+    moved = [key for key in keys if after[0][key] != before[key]]
+    assert {before[key] for key in moved} == {before[keys[0]]}
+    own = sum(before[key] == before[keys[0]] for key in keys)
+    assert 0.3 * own < len(moved) < 0.7 * own + 1
+
+
+def test_a_free_slot_far_away_beats_a_refusal():
+    dispatcher = world({"a": 1, "b": 1}).hosts[0]
+    servers = set()
+    while isinstance(placement := dispatcher.place(WORK), Placement):
+        servers.add(placement.server.region)
+        dispatcher.note_sent(placement)
+    assert servers == {"north", "south"}
+
+
+def test_what_servers_report_is_told_once():
+    dispatcher = world().hosts[0]
+    placement = dispatcher.place(WORK)
+    placement.server.note_load(6.0, 0.0)
+    placement.server.note_load(2.0, 0.0)
+    assert dispatcher.take_loads() == {placement.server.server_id: 1.0}
+    assert dispatcher.take_loads() == {}
--- a/bulrushlead/fleet/_messages.py
+++ b/bulrushlead/fleet/_messages.py
@@ -2,6 +2,8 @@
 
 from enum import Enum
 
+import attrs
+
 from bulrushlead.traffic import TrafficPlan
 from bulrushlead.wire import message
 
@@ -96,6 +98,9 @@
         Where it is.
     accepting : bool
         Whether callers may be sent to it.
+    loads : dict of str to float
+        Mean load that servers reported to it since its last report, as a multiple
+        of their slots.
     """
 
     host_id: str
@@ -104,6 +109,7 @@
     zone: str
     region: str
     accepting: bool
+    loads: dict[str, float] = attrs.field(factory=dict)
 
 
 @message("fleet.host")
@@ -191,6 +197,8 @@
         Entry hosts, if the list has changed.
     control_addresses : tuple of str
         Where the control hosts answer other hosts.
+    pressures : dict of str to float
+        Load of busy servers over all hosts, as a multiple of their slots.
     """
 
     term: int
@@ -201,3 +209,4 @@
     evacuated_zones: tuple[str, ...] = ()
     hosts: tuple[HostRecord, ...] | None = None
     control_addresses: tuple[str, ...] = ()
+    pressures: dict[str, float] = attrs.field(factory=dict)
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -16,6 +16,9 @@
 
 SILENT_AFTER_HEARTBEATS = 3.0  # late heartbeats are usual, three in a row are not
 GONE_AFTER_HEARTBEATS = 20.0  # a partition of the heartbeats' way heals before
+PRESSURE_HALF_LIFE_MS = 2_000  # a queue of a few requests lasts about that long
+PRESSURE_WEIGHT = 0.3  # of the newest report of one host
+MIN_PRESSURE = 0.5  # less is not worth telling
 HOST_SILENT_MS = 1_500  # three missed reports of a host
 HOST_FORGOTTEN_MS = 60_000
 COLD_CHANGE_MS = 500  # smaller differences of an announced cold time are jitter
@@ -28,6 +31,12 @@
     cold_until_ms: float
     revision: int
     silent: bool = False
+    pressure: float = 0.0
+    pressure_ms: float = 0.0
+
+    def pressure_at(self, now_ms: float) -> float:
+        fade = 0.5 ** ((now_ms - self.pressure_ms) / PRESSURE_HALF_LIFE_MS)
+        return self.pressure * fade
 
 
 @attrs.define(eq=False)
@@ -109,9 +118,11 @@
             known.heard_ms = max(known.heard_ms, heard_ms)
             return True
         self._removed.pop(heartbeat.server_id, None)
-        self._servers[heartbeat.server_id] = _Server(
-            heartbeat, heard_ms, cold_until_ms, self._next_revision()
-        )
+        server = _Server(heartbeat, heard_ms, cold_until_ms, self._next_revision())
+        if known is not None and known.heartbeat.born_ms == heartbeat.born_ms:
+            server.pressure = known.pressure
+            server.pressure_ms = known.pressure_ms
+        self._servers[heartbeat.server_id] = server
         self._log.write(
             Event.BACKEND_LEAVING
             if heartbeat.state is ServerState.DRAINING
@@ -188,6 +199,7 @@
 
     def report_host(self, report: HostReport) -> None:
         """Take what a host says of itself."""
+        self._note_loads(report.loads)
         if not report.address:
             return
         known = self._hosts.get(report.host_id)
@@ -211,6 +223,25 @@
         records += [r for r in self._removed.values() if r.revision > revision]
         return tuple(records)
 
+    def pressures(self) -> dict[str, float]:
+        """Return the load of the busy servers, as a multiple of their slots."""
+        now_ms = self.clock.now_ms()
+        found = {}
+        for server_id, server in self._servers.items():
+            pressure = server.pressure_at(now_ms)
+            if pressure >= MIN_PRESSURE:
+                found[server_id] = round(pressure, 1)
+        return found
+
+    def _note_loads(self, loads: dict[str, float]) -> None:
+        now_ms = self.clock.now_ms()
+        for server_id, load in loads.items():
+            server = self._servers.get(server_id)
+            if server is not None:
+                known = server.pressure_at(now_ms)
+                server.pressure = known + PRESSURE_WEIGHT * (load - known)
+                server.pressure_ms = now_ms
+
     def hosts(self) -> tuple[HostRecord, ...]:
         """Return all entry hosts."""
         return tuple(
--- a/bulrushlead/fleet/_view.py
+++ b/bulrushlead/fleet/_view.py
@@ -57,6 +57,7 @@
         self.plan = None
         self.position = SyncPosition()
         self.control_addresses: tuple[str, ...] = ()
+        self.pressures: dict[str, float] = {}
         self.updated_ms: float | None = None
         self._term = 0
 
@@ -86,6 +87,7 @@
             self.hosts = update.hosts
         if update.control_addresses:
             self.control_addresses = update.control_addresses
+        self.pressures = update.pressures
         plan_version = -1 if self.plan is None else self.plan.version
         self.position = attrs.evolve(update.position, plan_version=plan_version)
         self.updated_ms = now_ms
--- a/bulrushlead/fleet/tests/test_registry.py
+++ b/bulrushlead/fleet/tests/test_registry.py
@@ -1,3 +1,4 @@
+import attrs
 import pytest
 
 from bulrushlead.clock import ManualClock
@@ -107,3 +108,14 @@
     successor.seed(list(registry.servers_after(0)), list(registry.hosts()))
     assert record_of(successor).cold_left_ms == 500.0
     assert successor.announce(heartbeat(sequence=2))
+
+
+async def test_the_load_that_hosts_report_is_told_while_it_is_fresh(registry, clock):
+    registry.announce(heartbeat())
+    for _ in range(20):
+        registry.report_host(attrs.evolve(report(), loads={"b1": 2.0, "gone": 9.0}))
+    assert registry.pressures() == {"b1": 2.0}
+    registry.announce(heartbeat(sequence=2, cold_left_ms=900.0))
+    assert registry.pressures() == {"b1": 2.0}
+    await clock.advance_ms(10_000)
+    assert registry.pressures() == {}
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -123,6 +123,7 @@
             settings.zone,
             settings.region,
             self.is_ready,
+            self.dispatcher.take_loads(),
         )
 
     def _on_update(self, update: FleetUpdate) -> None:
