--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -21,7 +21,6 @@
 DEADLINE_SHARE = 0.9  # an answer needs the rest of the time for its way back
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 2_000
-REMOTE_ROUND_TRIP_MS = 50  # usual extra time to another region
 
 
 @attrs.frozen
@@ -222,13 +221,10 @@
         for members in ranking.order(work.key):
             if work.allowed_regions and members[0].region not in work.allowed_regions:
                 continue
-            found = self._best_of(members, work, now_ms)
-            if found is None:
-                continue
-            if best is None or found.wait_ms + REMOTE_ROUND_TRIP_MS < best.wait_ms:
-                best = found
-            # A free slot far away beats a refusal, but not a short queue.
-            if best.wait_ms <= self._longest_wait_ms(work):
+            best = self._best_of(members, work, now_ms)
+            # Queues are no reason to go elsewhere: under overload, objects would
+            # spread over servers that do not know them, and the work would grow.
+            if best is not None:
                 break
         if best is None:
             return Refusal(
--- a/bulrushlead/dispatch/tests/test_load_patterns.py
+++ b/bulrushlead/dispatch/tests/test_load_patterns.py
@@ -175,3 +175,16 @@
     assert ours.worth > 1.5 * other.worth
     # Each host may lose what it has at a slow server when it turns slow, no more.
     assert ours.in_target > 0.6 * ours.total
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_rush_beyond_all_slots_does_not_make_servers_forget(seed):
+    """Congestion collapse: moved objects cost more work, which moves more objects."""
+    calm_world, _ = play(seed, rate_per_s=100)
+    rush_world, _ = play(seed, rate_per_s=900, memory=24)
+
+    def hit_share(world):
+        hits = sum(server.hits for server in world.servers.values())
+        return hits / (world.result.in_target + world.result.late)
+
+    assert hit_share(rush_world) > 0.75 * hit_share(calm_world)
