Two homes for an object; overdue requests no longer count as evidence

Change: a rush about an object stays on two servers, a server three times slower than usual is no home; only answers count for the slowness.

--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -18,6 +18,10 @@
 
 WAIT_OVER_TARGET = 0.5  # longest queueing, in target latencies
 URGENT_WAIT_OVER_TARGET = 1.0  # the same for the most urgent kind of a service
+# Servers that share the requests about one object. With more, a rush spreads objects
+# over servers that do not know them, and the work grows until nothing is in time.
+HOME_SERVERS = 2
+SLOW_RATIO = 3.0  # of the usual time; such a server is no home for any object
 DEADLINE_SHARE = 0.9  # an answer needs the rest of the time for its way back
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 2_000
@@ -291,6 +295,12 @@
                 for server, cold in candidates
                 if not passes_over(server, work.key)
             ] or candidates
+            usual = [
+                (server, cold)
+                for server, cold in candidates
+                if server.slowness(now_ms) < SLOW_RATIO
+            ]
+            candidates = (usual or candidates)[:HOME_SERVERS]
         best: Placement | None = None
         best_cost = math.inf
         for rank, (server, cold) in enumerate(candidates):
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -11,7 +11,6 @@
 FAILURE_HALF_LIFE_MS = 3_000  # without outcomes the failure rate fades
 SPEED_WEIGHT = 0.2  # of the newest answer in the slowness
 SPEED_HALF_LIFE_MS = 5_000
-OVERDUE_RATIO = 1.5  # of the usual time; work varies by about that much
 MAX_SLOWNESS = 10.0  # one lost answer must not ban a server for long
 LOAD_WEIGHT = 0.4  # of the newest report in the load that others cause
 LOAD_HALF_LIFE_MS = 1_000  # an old report says little
@@ -38,9 +37,6 @@
     ABANDONED = "abandoned"
 
 
-_SAYS_NOTHING_OF_SPEED = frozenset({Outcome.UNREACHABLE, Outcome.MISDIRECTED})
-
-
 @attrs.frozen
 class _Attempt:
     sent_ms: float
@@ -114,17 +110,11 @@
     def slowness(self, now_ms: float) -> float:
         """Return how much longer it takes than usual, as a factor.
 
-        A request that is overdue counts before its answer comes: a server that
-        has turned slow says so last of all.
+        Only answers count. Counting requests that are overdue moved objects away
+        from slow servers sooner, and the servers that did not know them collapsed.
         """
         fade = 0.5 ** ((now_ms - self._slowness_ms) / SPEED_HALF_LIFE_MS)
-        slowness = 1.0 + (self._slowness - 1.0) * fade
-        if self._attempts:
-            oldest = next(iter(self._attempts.values()))
-            overdue = (now_ms - oldest.sent_ms) / oldest.usual_ms
-            if overdue > OVERDUE_RATIO:
-                slowness = max(slowness, min(MAX_SLOWNESS, overdue))
-        return slowness
+        return 1.0 + (self._slowness - 1.0) * fade
 
     def failure_rate(self, now_ms: float) -> float:
         """Return the recent share of failed attempts."""
@@ -196,11 +186,8 @@
     def note_outcome(self, outcome: Outcome, now_ms: float, attempt: int) -> None:
         """Take the end of an attempt."""
         ended = self._attempts.pop(attempt)
-        ratio = (now_ms - ended.sent_ms) / ended.usual_ms
-        if outcome is Outcome.ANSWERED or (
-            ratio > OVERDUE_RATIO and outcome not in _SAYS_NOTHING_OF_SPEED
-        ):
-            self.note_duration(ratio, now_ms)
+        if outcome is Outcome.ANSWERED:
+            self.note_duration((now_ms - ended.sent_ms) / ended.usual_ms, now_ms)
         if outcome is Outcome.ABANDONED:
             return
         if outcome in (Outcome.REFUSED, Outcome.SHED):
