Give the ceiling of log lines to the handler

Ruled out: the router (its decision was made); load (400 lines of event 210 within a second are written by the tests before it). Change: the ceiling belongs to the handler that writes; only the platform's programs ask for one. test_a_ceiling_belongs_to_one_handler fails before and passes now.

--- a/bulrushlead/logs/__init__.py
+++ b/bulrushlead/logs/__init__.py
@@ -3,11 +3,12 @@
 from bulrushlead.logs._buffer import BufferedStream
 from bulrushlead.logs._ceiling import LineCeiling
 from bulrushlead.logs._events import EVENTS, Event, EventInfo, render_catalogue
-from bulrushlead.logs._handlers import LogFormat, build_handler
+from bulrushlead.logs._handlers import MAX_LINES_PER_S, LogFormat, build_handler
 from bulrushlead.logs._logger import EventLogger
 
 __all__ = [
     "EVENTS",
+    "MAX_LINES_PER_S",
     "BufferedStream",
     "Event",
     "EventInfo",
--- a/bulrushlead/logs/_handlers.py
+++ b/bulrushlead/logs/_handlers.py
@@ -6,6 +6,10 @@
 
 import logbook
 
+from bulrushlead.logs._ceiling import LineCeiling
+
+MAX_LINES_PER_S = 400  # of one event in a process; a busy host answers about 300/s
+
 
 class LogFormat(Enum):
     """How log lines are written."""
@@ -14,7 +18,28 @@
     JSON = "json"
 
 
-def build_handler(log_format: LogFormat, stream: TextIO, level: str = "INFO"):
+class _CappedHandler(logbook.StreamHandler):
+    """Leaves out lines of an event beyond a number a second."""
+
+    def __init__(self, stream: TextIO, level: str, ceiling: LineCeiling):
+        super().__init__(stream, level=level)
+        self.ceiling = ceiling
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        suppressed = self.ceiling.admit(record.extra["event"] or 0)
+        if suppressed is None:
+            return
+        if suppressed:
+            record.extra["fields"]["suppressed"] = suppressed
+        super().emit(record)
+
+
+def build_handler(
+    log_format: LogFormat,
+    stream: TextIO,
+    level: str = "INFO",
+    max_lines_per_s: int | None = None,
+):
     """Return a handler that writes events to a stream.
 
     Parameters
@@ -25,13 +50,19 @@
         Where lines go.
     level : str, default="INFO"
         Lowest level that is written.
+    max_lines_per_s : int, optional
+        Lines of one event that are written in a second; the next line of the event
+        says how many were left out. Without it, none are.
 
     Returns
     -------
     logbook.StreamHandler
         Handler to push with ``push_application()``.
     """
-    handler = logbook.StreamHandler(stream, level=level)
+    if max_lines_per_s is None:
+        handler = logbook.StreamHandler(stream, level=level)
+    else:
+        handler = _CappedHandler(stream, level, LineCeiling(max_lines_per_s))
     formatter = _format_json if log_format is LogFormat.JSON else _format_human
     handler.formatter = formatter
     return handler
--- a/bulrushlead/logs/_logger.py
+++ b/bulrushlead/logs/_logger.py
@@ -2,12 +2,8 @@
 
 import logbook
 
-from bulrushlead.logs._ceiling import LineCeiling
 from bulrushlead.logs._events import EVENTS, Event
 
-MAX_LINES_PER_S = 400  # of one event in a process; a busy host answers about 300/s
-_ceiling = LineCeiling(MAX_LINES_PER_S)
-
 
 class EventLogger:
     """Writes numbered events with their fields.
@@ -23,9 +19,7 @@
         self._logger = logbook.Logger(slice_name)
 
     def write(self, event: Event, **fields: object) -> None:
-        """Write one event, unless too many of its kind were written this second.
-
-        The next line of the kind says how many were left out.
+        """Write one event.
 
         Parameters
         ----------
@@ -37,11 +31,6 @@
         level = logbook.lookup_level(EVENTS[event].level)
         if level < self._logger.level:
             return
-        suppressed = _ceiling.admit(event)
-        if suppressed is None:
-            return
-        if suppressed:
-            fields["suppressed"] = suppressed
         self._logger.log(
             level, event.name, extra={"event": event.value, "fields": fields}
         )
--- a/bulrushlead/logs/tests/test_bounds.py
+++ b/bulrushlead/logs/tests/test_bounds.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bulrushlead.logs import (
+    MAX_LINES_PER_S,
     BufferedStream,
     Event,
     EventLogger,
@@ -14,7 +15,6 @@
     LogFormat,
     build_handler,
 )
-from bulrushlead.logs._logger import MAX_LINES_PER_S
 
 LINE = "x" * 99 + "\n"
 
@@ -103,23 +103,33 @@
     assert ceiling.admit(211) is None
 
 
-def test_a_storm_of_refusals_writes_a_bounded_number_of_lines(monkeypatch):
-    ceiling = LineCeiling(MAX_LINES_PER_S)
-    monkeypatch.setattr("bulrushlead.logs._ceiling.time.monotonic", lambda: 1.0)
-    monkeypatch.setattr("bulrushlead.logs._logger._ceiling", ceiling)
+class Counter:
+    lines = 0
 
-    class Counter:
-        lines = 0
+    def write(self, text):
+        self.lines += text.count("\n")
 
-        def write(self, text):
-            self.lines += text.count("\n")
+    def flush(self):
+        pass
 
-        def flush(self):
-            pass
 
-    counter = Counter()
-    with build_handler(LogFormat.JSON, counter).applicationbound():
+def write_storm(counter, **options):
+    with build_handler(LogFormat.JSON, counter, **options).applicationbound():
         logger = EventLogger("gateway")
         for number in range(5_000):
             logger.write(Event.REQUEST_REFUSED, request_id=number)
-    assert counter.lines <= MAX_LINES_PER_S
+
+
+def test_a_storm_of_refusals_writes_a_bounded_number_of_lines(monkeypatch):
+    monkeypatch.setattr("bulrushlead.logs._ceiling.time.monotonic", lambda: 1.0)
+    counter = Counter()
+    write_storm(counter, max_lines_per_s=MAX_LINES_PER_S)
+    assert counter.lines == MAX_LINES_PER_S
+
+
+def test_a_ceiling_belongs_to_one_handler():
+    """Lines of one place must not use up those of another."""
+    capped, free = Counter(), Counter()
+    write_storm(capped, max_lines_per_s=1)
+    write_storm(free)
+    assert free.lines == 5_000
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -14,6 +14,7 @@
 from bulrushlead.clock import MonotonicClock
 from bulrushlead.http1 import Answer, HttpServer, Request
 from bulrushlead.logs import (
+    MAX_LINES_PER_S,
     BufferedStream,
     Event,
     EventLogger,
@@ -51,7 +52,8 @@
     stream = BufferedStream(sys.stdout.fileno())
     stream.start()
     try:
-        with build_handler(LogFormat.JSON, stream).applicationbound():
+        handler = build_handler(LogFormat.JSON, stream, max_lines_per_s=MAX_LINES_PER_S)
+        with handler.applicationbound():
             uvloop.run(Process(settings, path, stream).run())
     finally:
         stream.close()
