--- a/bulrushlead/clock/_clock.py
+++ b/bulrushlead/clock/_clock.py
@@ -10,6 +10,19 @@
 T = TypeVar("T")
 
 
+def faded(value: float, age_ms: float, half_life_ms: float) -> float:
+    """Return what is left of a value that halves with its age.
+
+    Parameters
+    ----------
+    value : float
+        Value when it was new.
+    age_ms, half_life_ms : float
+        Its age, and the time in which it halves, in milliseconds.
+    """
+    return value * 0.5 ** (age_ms / half_life_ms)
+
+
 class Clock(Protocol):
     """Monotonic time of one process.
 
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -1,7 +1,6 @@
 """Places requests on backend servers, or refuses them at once."""
 
 import math
-import random
 
 import attrs
 
@@ -111,6 +110,12 @@
     detail: str
 
 
+@attrs.frozen
+class _Candidate:
+    server: ServerStats
+    cold: bool
+
+
 class Dispatcher:
     """Chooses servers from what this host has seen and was told.
 
@@ -120,8 +125,6 @@
         Source of time.
     settings : DispatchSettings
         Place of this host and limits shared by all hosts.
-    rng : random.Random
-        Breaks ties.
 
     Attributes
     ----------
@@ -129,10 +132,9 @@
         Repeats that are left.
     """
 
-    def __init__(self, clock: Clock, settings: DispatchSettings, rng: random.Random):
+    def __init__(self, clock: Clock, settings: DispatchSettings):
         self.clock = clock
         self.settings = settings
-        self.rng = rng
         self.budget = RetryBudget(
             clock,
             settings.retry_ratio,
@@ -281,29 +283,13 @@
     def _best_of(
         self, members: list[ServerStats], work: Work, now_ms: float
     ) -> Placement | None:
-        fleet_age_ms = self._view.age_ms()
         estimate = self.estimates.of(work.route, work.target_ms)
         mean_ms = self.estimates.mean_of(work.service, work.target_ms)
-        candidates = [
-            (server, cold)
-            for server in members
-            if (cold := self._coldness(server, work, now_ms, fleet_age_ms)) is not None
-        ]
-        if work.sticky:
-            candidates = [
-                (server, cold)
-                for server, cold in candidates
-                if not passes_over(server, work.key)
-            ] or candidates
-            usual = [
-                (server, cold)
-                for server, cold in candidates
-                if server.slowness(now_ms) < SLOW_RATIO
-            ]
-            candidates = (usual or candidates)[:HOME_SERVERS]
+        candidates = self._candidates(members, work, now_ms)
         best: Placement | None = None
         best_cost = math.inf
-        for rank, (server, cold) in enumerate(candidates):
+        for rank, candidate in enumerate(candidates):
+            server = candidate.server
             load = server.load(now_ms)
             slowness = server.slowness(now_ms)
             is_first = rank == 0 and work.sticky
@@ -319,10 +305,47 @@
             if cost < best_cost:
                 best_cost = cost
                 best = Placement(
-                    server, rank, wait_ms, work_ms, estimate.fresh_ms, cold, load
+                    server,
+                    rank,
+                    wait_ms,
+                    work_ms,
+                    estimate.fresh_ms,
+                    candidate.cold,
+                    load,
                 )
         return best
 
+    def _candidates(
+        self, members: list[ServerStats], work: Work, now_ms: float
+    ) -> list[_Candidate]:
+        """Return the servers to compare: all that are usable, or the object's homes.
+
+        The homes are the first ones that are neither too busy nor slow; if there are
+        none, the first slow ones, and if all are too busy, the first of those.
+        """
+        fleet_age_ms = self._view.age_ms()
+        usable: list[_Candidate] = []
+        willing: list[_Candidate] = []
+        homes: list[_Candidate] = []
+        for server in members:
+            cold = self._coldness(server, work, now_ms, fleet_age_ms)
+            if cold is None:
+                continue
+            candidate = _Candidate(server, cold)
+            usable.append(candidate)
+            if not work.sticky or passes_over(server, work.key):
+                continue
+            willing.append(candidate)
+            if server.slowness(now_ms) < SLOW_RATIO:
+                homes.append(candidate)
+            if len(homes) == HOME_SERVERS:
+                return homes
+        if not work.sticky:
+            return usable
+        if not willing:
+            homes = [c for c in usable if c.server.slowness(now_ms) < SLOW_RATIO]
+        return (homes or willing or usable)[:HOME_SERVERS]
+
     def _coldness(
         self, server: ServerStats, work: Work, now_ms: float, fleet_age_ms: float
     ) -> bool | None:
@@ -343,7 +366,6 @@
     def _new_stats(self, record) -> ServerStats:
         region = self.settings.zone_regions.get(record.zone, "")
         return ServerStats(
-            self.clock,
             record.server_id,
             record.born_ms,
             record.address,
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -5,7 +5,7 @@
 import attrs
 import xxhash
 
-from bulrushlead.clock import Clock
+from bulrushlead.clock import faded
 
 FAILURE_WEIGHT = 0.2  # of the newest outcome in the failure rate
 FAILURE_HALF_LIFE_MS = 3_000  # without outcomes the failure rate fades
@@ -59,7 +59,6 @@
         Load that all hosts together have seen, as a multiple of its slots.
     """
 
-    clock: Clock
     server_id: str
     born_ms: int
     address: str
@@ -101,8 +100,7 @@
 
     def load(self, now_ms: float) -> float:
         """Return the estimated requests at the server, waiting ones included."""
-        fade = 0.5 ** ((now_ms - self._others_ms) / LOAD_HALF_LIFE_MS)
-        load = self.in_flight + self._others * fade
+        load = self.in_flight + self._others_at(now_ms)
         if now_ms < self._full_until_ms:
             load = max(load, self.slots + 1.0)
         return load
@@ -113,13 +111,15 @@
         Only answers count. Counting requests that are overdue moved objects away
         from slow servers sooner, and the servers that did not know them collapsed.
         """
-        fade = 0.5 ** ((now_ms - self._slowness_ms) / SPEED_HALF_LIFE_MS)
-        return 1.0 + (self._slowness - 1.0) * fade
+        left = faded(
+            self._slowness - 1.0, now_ms - self._slowness_ms, SPEED_HALF_LIFE_MS
+        )
+        return 1.0 + left
 
     def failure_rate(self, now_ms: float) -> float:
         """Return the recent share of failed attempts."""
-        fade = 0.5 ** ((now_ms - self._failure_ms) / FAILURE_HALF_LIFE_MS)
-        return self._failure_rate * fade
+        age_ms = now_ms - self._failure_ms
+        return faded(self._failure_rate, age_ms, FAILURE_HALF_LIFE_MS)
 
     def is_available(self, now_ms: float) -> bool:
         """Return whether an attempt makes sense now."""
@@ -163,8 +163,7 @@
         self._load_sum += load
         self._load_count += 1
         others = max(0.0, load - self.in_flight)
-        fade = 0.5 ** ((now_ms - self._others_ms) / LOAD_HALF_LIFE_MS)
-        known = self._others * fade
+        known = self._others_at(now_ms)
         self._others = known + LOAD_WEIGHT * (others - known)
         self._others_ms = now_ms
 
@@ -208,6 +207,9 @@
             self._broken_ms = now_ms
             self._success_ms = -1e12
 
+    def _others_at(self, now_ms: float) -> float:
+        return faded(self._others, now_ms - self._others_ms, LOAD_HALF_LIFE_MS)
+
     def _note_unreachable(self, now_ms: float) -> None:
         self._broken_ms = now_ms
         self._success_ms = -1e12
--- a/bulrushlead/dispatch/tests/model.py
+++ b/bulrushlead/dispatch/tests/model.py
@@ -142,7 +142,6 @@
                 DispatchSettings(
                     name, zone, zones[zone], zones, 0.2, 60, 10_000, 1.5, 5
                 ),
-                random.Random(f"{seed}/{name}"),
             )
             for name, zone in names
         ]
@@ -325,6 +324,7 @@
 
 def two_choices(host, work):
     """Place on the less loaded of two random servers."""
-    pair = host.rng.sample(list(host._servers.values()), 2)
+    rng = random.Random(f"{host.settings.host_id}/{work.key}/{host.clock.now_ms()}")
+    pair = rng.sample(list(host._servers.values()), 2)
     server = min(pair, key=lambda s: s.load(host.clock.now_ms()))
     return Placement(server, 0, 0.0, work.target_ms, work.target_ms)
--- a/bulrushlead/dispatch/tests/test_parts.py
+++ b/bulrushlead/dispatch/tests/test_parts.py
@@ -20,7 +20,7 @@
 
 
 def stats(clock, server_id, region="north", slots=4):
-    return ServerStats(clock, server_id, 1, f"{server_id}:80", "a", region, "s", slots)
+    return ServerStats(server_id, 1, f"{server_id}:80", "a", region, "s", slots)
 
 
 def world(per_zone=None, **options):
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bulrushlead.clock import Clock
+from bulrushlead.clock import Clock, faded
 from bulrushlead.fleet._messages import (
     Announcement,
     HostRecord,
@@ -35,8 +35,7 @@
     pressure_ms: float = 0.0
 
     def pressure_at(self, now_ms: float) -> float:
-        fade = 0.5 ** ((now_ms - self.pressure_ms) / PRESSURE_HALF_LIFE_MS)
-        return self.pressure * fade
+        return faded(self.pressure, now_ms - self.pressure_ms, PRESSURE_HALF_LIFE_MS)
 
 
 @attrs.define(eq=False)
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -211,7 +211,7 @@
                 self._finishing.add(task)
                 task.add_done_callback(self._finishing.discard)
                 return await asyncio.shield(task), servers
-            patience_ms = self._patience_ms(work, placement)
+            patience_ms = _patience_ms(placement)
             done, _ = await asyncio.wait(tasks, timeout=patience_ms / 1000.0)
             if not done:
                 second = self._second_placement(trace, work, servers, sent)
@@ -230,10 +230,6 @@
                 for task in tasks:
                     task.cancel()
 
-    def _patience_ms(self, work: Work, placement: Placement) -> float:
-        expected_ms = placement.wait_ms + placement.fresh_ms
-        return max(PATIENCE_MIN_MS, PATIENCE_FACTOR * expected_ms)
-
     def _second_placement(
         self, trace: Trace, work: Work, servers: frozenset[str], sent: int
     ) -> Placement | None:
@@ -293,6 +289,11 @@
         )
 
 
+def _patience_ms(placement: Placement) -> float:
+    expected_ms = placement.wait_ms + placement.fresh_ms
+    return max(PATIENCE_MIN_MS, PATIENCE_FACTOR * expected_ms)
+
+
 def _event_of(trace: Trace, status: int) -> Event:
     if trace.refusal:
         return Event.REQUEST_REFUSED
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -52,7 +52,7 @@
         self.clock = clock
         self.meters = CompactMeters()
         self.view = FleetView(clock)
-        self.dispatcher = Dispatcher(clock, settings.dispatch, rng)
+        self.dispatcher = Dispatcher(clock, settings.dispatch)
         self.pool = ConnectionPool(clock, dialect.request_id)
         self.forwarder = RequestForwarder(
             clock, dialect, self.dispatcher, self.pool, rng, self.meters
--- a/bulrushlead/gateway/tests/world.py
+++ b/bulrushlead/gateway/tests/world.py
@@ -145,7 +145,6 @@
     dispatcher = Dispatcher(
         CLOCK,
         DispatchSettings("e1", "a", "north", {"a": "north"}, 0.2, 60, 10_000, 1.5, 5),
-        random.Random(1),
     )
     pool = ConnectionPool(CLOCK, DIALECT.request_id)
     forwarder = RequestForwarder(CLOCK, DIALECT, dispatcher, pool, random.Random(2))
--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -79,9 +79,7 @@
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._refuse(400)
         else:
             limits = self.server.limits
