Wait for the leader that a coordinator names; bound the closing of links

Cause: a search ended 100 ms after the first hint, also when the leader itself had been asked. Ruled out: congestion collapse (the model with 40 % slow servers recovers within 2 s), admission, fleet age (below 480 ms on every gateway in use). Change: LeaderSearch asks a named leader at once, waits for its call's own time-out, and asks others after a head start. Unexpected errors no longer end the session's loop. Closing handshakes of links take 500 ms at most, all links together. Closing beside a silent peer fails on both sides before.

--- a/bulrushlead/fleet/_session.py
+++ b/bulrushlead/fleet/_session.py
@@ -7,6 +7,7 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.fleet._messages import FleetUpdate, HostReport, SyncRequest
+from bulrushlead.fleet._search import LeaderSearch, hinted_leader
 from bulrushlead.fleet._view import FleetView
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.results import BulrushleadError, ResultCode
@@ -17,8 +18,6 @@
 RETRY_PAUSE_MS = 60  # before the next address is asked
 RETRY_PAUSE_MAX_MS = 400
 LOST_AFTER_MS = 1_500
-HINT_PATIENCE_MS = 100  # a round trip between regions
-SEARCH_WIDTH = 4  # coordinators asked at once while the leader is unknown
 
 
 class LeaderSession:
@@ -74,8 +73,8 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        for link in self._links.values():
-            await link.close()
+        # Together: each of them may wait for a host that does not answer.
+        await asyncio.gather(*(link.close() for link in self._links.values()))
         self._links.clear()
 
     async def call_leader(self, request: Any, timeout_ms: float) -> Any:
@@ -106,7 +105,7 @@
                     ResultCode.PEER_UNREACHABLE,
                 ):
                     raise
-                hint = _hint(error)
+                hint = hinted_leader(error)
             await self.clock.sleep_ms(pause_ms)
             pause_ms = min(2 * pause_ms, RETRY_PAUSE_MAX_MS)
             address = hint or self.leader or self._next_address(address)
@@ -129,10 +128,10 @@
                     update = await self._sync(self.leader, WAIT_FOR_NEWS_MS)
                 else:
                     update = await self._find_leader()
-            except BulrushleadError as error:
+            except Exception as error:
                 was_searching = self.leader is None
                 self.leader = None
-                self._note_failed(error.detail)
+                self._note_failed(error)
                 if was_searching:
                     await self.clock.sleep_ms(pause_ms)
                     pause_ms = min(2 * pause_ms, RETRY_PAUSE_MAX_MS)
@@ -154,60 +153,14 @@
         return await self.link_to(address).call(request, CALL_TIMEOUT_MS + wait_ms)
 
     async def _find_leader(self) -> FleetUpdate:
-        """Ask several coordinators at once until one answers as the leader.
-
-        In a partition, those on the other side answer too, and some do not answer
-        at all: asking one after the other would take seconds.
-        """
-        left = sorted({*self.seeds, *self.view.control_addresses})
-        self.rng.shuffle(left)
-        asked: set[str] = set()
-        hints: set[str] = set()
-        while left or hints:
-            batch = sorted(hints) or left[:SEARCH_WIDTH]
-            asked.update(batch)
-            found, hints = await self._ask_together(batch)
-            if found is not None:
-                return found
-            hints -= asked
-            left = [address for address in left if address not in asked]
-        raise BulrushleadError(
-            ResultCode.CONTROL_UNREACHABLE,
-            f"none of {len(asked)} coordinators leads; the next search follows",
+        addresses = sorted({*self.seeds, *self.view.control_addresses})
+        self.rng.shuffle(addresses)
+        search = LeaderSearch(
+            self.clock, lambda address: self._sync(address, 0.0), addresses
         )
-
-    async def _ask_together(
-        self, addresses: list[str]
-    ) -> tuple[FleetUpdate | None, set[str]]:
-        """Return the leader's update, or None and the leaders that others named."""
-        tasks = {asyncio.ensure_future(self._sync(a, 0.0)): a for a in addresses}
-        pending = set(tasks)
-        hints: set[str] = set()
-        try:
-            while pending:
-                # Others may name a leader that is none any more, so the leader
-                # itself gets the chance to answer.
-                timeout_s = HINT_PATIENCE_MS / 1000.0 if hints else None
-                done, pending = await asyncio.wait(
-                    pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-                )
-                if not done:
-                    break
-                for task in done:
-                    error = task.exception()
-                    if error is None:
-                        self.leader = tasks[task]
-                        return task.result(), hints
-                    if not isinstance(error, BulrushleadError):
-                        raise error
-                    if (hint := _hint(error)) is not None:
-                        hints.add(hint)
-        finally:
-            for task in pending:
-                task.cancel()
-            # Those that failed meanwhile have nothing more to say.
-            await asyncio.gather(*tasks, return_exceptions=True)
-        return None, hints
+        found = await search.run()
+        self.leader = found.address
+        return found.update
 
     def _next_address(self, last: str | None) -> str | None:
         addresses = sorted({*self.seeds, *self.view.control_addresses})
@@ -224,17 +177,12 @@
                 servers=len(self.view.servers),
             )
 
-    def _note_failed(self, reason: str) -> None:
+    def _note_failed(self, error: Exception) -> None:
+        if not isinstance(error, BulrushleadError):
+            # Without its session a host would keep its first plan for ever.
+            self._log.write(Event.UNEXPECTED_ERROR, error=repr(error))
         if self._connected and self.view.age_ms() > LOST_AFTER_MS:
             self._connected = False
             self._log.write(
-                Event.SESSION_LOST, reason=reason, age_ms=round(self.view.age_ms())
+                Event.SESSION_LOST, reason=str(error), age_ms=round(self.view.age_ms())
             )
-
-
-def _hint(error: BulrushleadError) -> str | None:
-    """Return the leader that a refusal names, or None."""
-    if error.code is not ResultCode.NOT_LEADER:
-        return None
-    address = error.detail.rpartition("ask ")[2]
-    return address if address.rpartition(":")[2].isdecimal() else None
--- a/bulrushlead/fleet/tests/test_session.py
+++ b/bulrushlead/fleet/tests/test_session.py
@@ -24,15 +24,21 @@
         self.leader = CORES[10]
         self.hints = {}
         self.silent = set()
+        self.connect_ms = {}
+        self.near = set()
         self.calls = 0
 
     def link_to(self, address):
         return _Link(self, address)
 
+    def round_trip_ms(self, address):
+        return 1 if address in self.near else 70
+
 
 class _Link:
     def __init__(self, world, address):
         self.world, self.address = world, address
+        self.connected = False
 
     async def call(self, request, timeout_ms):
         world = self.world
@@ -40,7 +46,11 @@
         if self.address in world.silent:
             await world.clock.sleep_ms(timeout_ms)
             raise BulrushleadError(ResultCode.PEER_TIMEOUT, "silent")
-        await world.clock.sleep_ms(70)
+        if not self.connected:
+            # Given up before it is through, a connection begins anew.
+            await world.clock.sleep_ms(world.connect_ms.get(self.address, 0))
+            self.connected = True
+        await world.clock.sleep_ms(world.round_trip_ms(self.address))
         if self.address == world.leader:
             await world.clock.sleep_ms(request.wait_ms)
             return FleetUpdate(term=1, position=SyncPosition("e", 1))
@@ -108,6 +118,34 @@
     assert await found_after_ms(clock, session, 5_000) < 2_500
 
 
+@pytest.mark.parametrize("seed", range(20))
+async def test_a_new_connection_to_a_distant_leader_is_waited_for(clock, start, seed):
+    """A coordinator near by names the leader long before it can answer itself.
+
+    Connecting takes two round trips more; a search that ended after the hint gave up
+    that connection each time, and a restarted host never found the leader.
+    """
+    world = Coordinators(clock)
+    world.near = set(CORES[:2])
+    world.hints = dict.fromkeys(CORES[:10], CORES[10])
+    world.connect_ms = dict.fromkeys(CORES[2:], 140)
+    session = await start(world, seed)
+    assert await found_after_ms(clock, session, 5_000) < 500
+
+
+async def test_an_unexpected_error_does_not_end_the_session(clock, start):
+    world = Coordinators(clock)
+    session = await start(world, 1)
+    await found_after_ms(clock, session, 5_000)
+    link_to = session.link_to
+    session.link_to = None
+    await clock.advance_ms(3_000)
+    session.link_to = link_to
+    before_ms = session.view.updated_ms
+    await clock.advance_ms(3_000)
+    assert session.view.updated_ms > before_ms
+
+
 async def test_a_hint_is_followed(clock, start):
     world = Coordinators(clock)
     world.hints = dict.fromkeys(CORES[:10], CORES[10])
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -1,5 +1,6 @@
 """State of one replica that its parts share."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -208,8 +209,7 @@
 
     async def close_links(self) -> None:
         """Close the links to the other replicas."""
-        for link in self._links.values():
-            await link.close()
+        await asyncio.gather(*(link.close() for link in self._links.values()))
         self._links.clear()
 
     def _notify(self, leads: bool) -> None:
--- a/bulrushlead/wire/_client.py
+++ b/bulrushlead/wire/_client.py
@@ -13,7 +13,7 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.results import BulrushleadError, ResultCode
-from bulrushlead.wire._codec import MAX_MESSAGE_BYTES, codec
+from bulrushlead.wire._codec import CLOSE_TIMEOUT_MS, MAX_MESSAGE_BYTES, codec
 from bulrushlead.wire._frame import pack_frame, unpack_frame
 from bulrushlead.wire._messages import ErrorReply
 from bulrushlead.wire._meter import ByteMeter
@@ -151,6 +151,7 @@
                         ssl=self.ssl_context,
                         compression=None,
                         max_size=MAX_MESSAGE_BYTES,
+                        close_timeout=CLOSE_TIMEOUT_MS / 1000.0,
                         proxy=None,
                     ),
                     min(timeout_ms, CONNECT_TIMEOUT_MS),
--- a/bulrushlead/wire/_codec.py
+++ b/bulrushlead/wire/_codec.py
@@ -10,6 +10,7 @@
 from bulrushlead.results import BulrushleadError, ResultCode
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+CLOSE_TIMEOUT_MS = 500  # for the closing handshake; several round trips
 
 T = TypeVar("T")
 
--- a/bulrushlead/wire/_server.py
+++ b/bulrushlead/wire/_server.py
@@ -10,7 +10,7 @@
 
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.results import BulrushleadError, ResultCode
-from bulrushlead.wire._codec import MAX_MESSAGE_BYTES, codec
+from bulrushlead.wire._codec import CLOSE_TIMEOUT_MS, MAX_MESSAGE_BYTES, codec
 from bulrushlead.wire._frame import pack_frame, unpack_frame
 from bulrushlead.wire._messages import ErrorReply
 from bulrushlead.wire._meter import ByteMeter
@@ -70,6 +70,7 @@
             ssl=self.ssl_context,
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
+            close_timeout=CLOSE_TIMEOUT_MS / 1000.0,
         )
         self.bound_port = next(iter(self._server.sockets)).getsockname()[1]
 
--- a/bulrushlead/wire/tests/test_wire.py
+++ b/bulrushlead/wire/tests/test_wire.py
@@ -135,6 +135,55 @@
     assert (await client.call(Echo("again"), 5000)).text == "again"
 
 
+class SilencedWay:
+    """Passes bytes on until told to go silent; then it holds them for good."""
+
+    def __init__(self, port):
+        self.port = port
+        self.silent = False
+        self._tasks = []
+        self._writers = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._join, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for writer in self._writers:
+            writer.close()
+
+    async def _join(self, reader, writer):
+        other_reader, other_writer = await asyncio.open_connection(
+            "127.0.0.1", self.port
+        )
+        self._writers += [writer, other_writer]
+        for source, target in ((reader, other_writer), (other_reader, writer)):
+            self._tasks.append(asyncio.create_task(self._pass_on(source, target)))
+
+    async def _pass_on(self, source, target):
+        while data := await source.read(65_536):
+            if not self.silent:
+                target.write(data)
+
+
+@pytest.mark.parametrize("side", ["client", "server"])
+async def test_closing_does_not_wait_for_a_silent_peer(server, side):
+    """A process that stops has a few seconds; its peers may be cut off."""
+    way = SilencedWay(server.bound_port)
+    client = MessageClient(f"127.0.0.1:{await way.start()}", MonotonicClock())
+    await client.call(Echo("first"), 5000)
+    way.silent = True
+    closed = asyncio.create_task((client if side == "client" else server).close())
+    # The library's own time-out is ten seconds.
+    done, _ = await asyncio.wait([closed], timeout=5)
+    await way.close()
+    assert done
+
+
 def test_a_large_payload_travels_compressed():
     payload = b"record of a server " * 1_000
     frame = pack_frame(7, payload)
