Take changed bounds from the settings without a restart; one way to listen on an address

Cause: a reload took new seeds only; a changed retry budget, warm-up slack or heartbeat waited for the next start, and the log did not say so. Change: gateway, dispatcher, coordinator and look-up take changed settings; the log line names the changed fields and those that need a restart. The unused warm-up overshoot and the unused incarnation in reports are gone. HttpServer.at takes host:port. Tests: a reload keeps what was counted; changed fields are told apart.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -121,6 +121,12 @@
         for run in (self._forward_heartbeats, self._tick):
             self._tasks.append(asyncio.create_task(run()))
 
+    def reload(self, settings: CoordinatorSettings) -> None:
+        """Take changed settings; its address and its folder need a new process."""
+        self.settings = settings
+        self.session.seeds = (settings.peer_address, *settings.seeds)
+        self.publisher.reload(settings)
+
     async def close(self) -> None:
         """Stop; everything acknowledged is on the disks of a quorum."""
         for task in self._tasks:
@@ -235,9 +241,7 @@
 
     def _report(self) -> HostReport:
         settings = self.settings
-        return HostReport(
-            settings.host_id, 0, "", settings.zone, settings.region, False
-        )
+        return HostReport(settings.host_id, "", settings.zone, settings.region, False)
 
     def _replica_settings(self) -> ReplicaSettings:
         settings = self.settings
--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -63,6 +63,11 @@
         self._told_revisions = (0, 0)
         self._leading_since_ms: float | None = None
 
+    def reload(self, settings: CoordinatorSettings) -> None:
+        """Take changed settings."""
+        self.settings = settings
+        self.registry.heartbeat_ms = settings.heartbeat_ms
+
     def attach(self, log: ReplicatedLog, state: OrderState) -> None:
         """Follow a log and its state, which replace those of before."""
         self._log = log
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -70,7 +70,7 @@
         tuple(c.settings.peer_address for c in coordinators[:3]),
         link_to,
         view,
-        lambda: HostReport("entry-1", 1, "10.0.9.1:80", "a", "north", True),
+        lambda: HostReport("entry-1", "10.0.9.1:80", "a", "north", True),
         lambda update: None,
         random.Random(1),
     )
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -150,6 +150,14 @@
         self._policies: dict[str, ServicePolicy] = {}
         self._view: FleetView | None = None
 
+    def reload(self, settings: DispatchSettings) -> None:
+        """Take changed limits; what was counted so far stays."""
+        self.settings = settings
+        self.budget.ratio = settings.retry_ratio
+        self.budget.slack = settings.retry_slack
+        self.budget.window_ms = settings.retry_window_ms
+        self.warmup.set_slack(settings.warmup_slack)
+
     def update(self, view: FleetView) -> None:
         """Take the fleet as the leader tells it."""
         self._view = view
--- a/bulrushlead/dispatch/_settings.py
+++ b/bulrushlead/dispatch/_settings.py
@@ -19,10 +19,8 @@
         Repeats allowed beyond that in each window.
     retry_window_ms : float
         Length of the window.
-    warmup_overshoot : float
-        Tolerated excess over the rate of a cold server, as a factor.
     warmup_slack : int
-        Requests a second tolerated beyond that.
+        Requests a second tolerated beyond the rate of a cold server.
     """
 
     host_id: str
@@ -32,5 +30,4 @@
     retry_ratio: float = 0.1
     retry_slack: int = 10
     retry_window_ms: float = 10_000
-    warmup_overshoot: float = 1.0
     warmup_slack: int = 1
--- a/bulrushlead/dispatch/_warmup.py
+++ b/bulrushlead/dispatch/_warmup.py
@@ -27,10 +27,16 @@
         self.clock = clock
         self.host_id = host_id
         self.region = region
-        self.warming_hosts = max(1, min(MAX_WARMING_HOSTS, slack - 1))
+        self.warming_hosts = 1
         self._hosts: list[tuple[str, str]] = []
         self._shares: dict[str, float] = {}
         self._next_ms: dict[str, float] = {}
+        self.set_slack(slack)
+
+    def set_slack(self, slack: int) -> None:
+        """Take the requests a second that are tolerated beyond the rate."""
+        self.warming_hosts = max(1, min(MAX_WARMING_HOSTS, slack - 1))
+        self._shares.clear()
 
     def set_hosts(self, hosts: list[tuple[str, str]]) -> None:
         """Take the entry hosts, as pairs of name and region."""
--- a/bulrushlead/dispatch/tests/model.py
+++ b/bulrushlead/dispatch/tests/model.py
@@ -139,9 +139,7 @@
         self.hosts = [
             Dispatcher(
                 self.clock,
-                DispatchSettings(
-                    name, zone, zones[zone], zones, 0.2, 60, 10_000, 1.5, 5
-                ),
+                DispatchSettings(name, zone, zones[zone], zones, 0.2, 60, 10_000, 5),
             )
             for name, zone in names
         ]
--- a/bulrushlead/dispatch/tests/test_parts.py
+++ b/bulrushlead/dispatch/tests/test_parts.py
@@ -3,6 +3,8 @@
 
 from bulrushlead.clock import ManualClock
 from bulrushlead.dispatch import (
+    Dispatcher,
+    DispatchSettings,
     Outcome,
     Placement,
     Ranking,
@@ -73,6 +75,19 @@
     assert 0 < sent <= 0.2 * requests + 60
 
 
+def test_a_reload_changes_limits_and_keeps_what_was_counted():
+    clock = ManualClock()
+    settings = DispatchSettings("e1", "a", "north", {"a": "north"}, 0.2, 10, 10_000, 5)
+    dispatcher = Dispatcher(clock, settings)
+    for _ in range(5):
+        dispatcher.budget.note_repeat("s")
+    assert dispatcher.budget.allows("s")
+    tighter = attrs.evolve(settings, retry_slack=5, warmup_slack=2)
+    dispatcher.reload(tighter)
+    assert not dispatcher.budget.allows("s")
+    assert dispatcher.warmup.warming_hosts == 1
+
+
 async def test_the_budget_forgets_after_its_window():
     clock = ManualClock()
     budget = RetryBudget(clock, 0.2, 2, 10_000)
--- a/bulrushlead/fleet/_messages.py
+++ b/bulrushlead/fleet/_messages.py
@@ -90,8 +90,6 @@
     ----------
     host_id : str
         Name of the host.
-    incarnation : int
-        Different in each process.
     address : str
         Where callers reach it; empty on a control host.
     zone, region : str
@@ -104,7 +102,6 @@
     """
 
     host_id: str
-    incarnation: int
     address: str
     zone: str
     region: str
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -92,7 +92,7 @@
             )
         for host in hosts:
             report = HostReport(
-                host.host_id, 0, host.address, host.zone, host.region, host.accepting
+                host.host_id, host.address, host.zone, host.region, host.accepting
             )
             self._hosts[host.host_id] = _Host(report, now_ms, host.accepting)
         self.host_revision += 1
--- a/bulrushlead/fleet/tests/test_registry.py
+++ b/bulrushlead/fleet/tests/test_registry.py
@@ -24,7 +24,7 @@
 
 
 def report(accepting=True):
-    return HostReport("entry-1", 7, "10.0.9.1:80", "casa-a", "casa", accepting)
+    return HostReport("entry-1", "10.0.9.1:80", "casa-a", "casa", accepting)
 
 
 def test_a_repeated_heartbeat_is_no_news(registry):
--- a/bulrushlead/fleet/tests/test_session.py
+++ b/bulrushlead/fleet/tests/test_session.py
@@ -80,7 +80,7 @@
             (CORES[0],),
             world.link_to,
             view,
-            lambda: HostReport("h", 1, "", "a", "north", False),
+            lambda: HostReport("h", "", "a", "north", False),
             lambda update: None,
             random.Random(seed),
         )
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -57,11 +57,10 @@
         self.forwarder = RequestForwarder(
             clock, dialect, self.dispatcher, self.pool, rng, self.meters
         )
-        host, _, port = settings.front_address.rpartition(":")
-        self.front = HttpServer(host, int(port), self.forwarder.answer, clock)
-        host, _, port = settings.readiness_address.rpartition(":")
-        self.readiness = HttpServer(host, int(port), self._answer_readiness, clock)
-        self._incarnation = rng.getrandbits(32)
+        self.front = HttpServer.at(settings.front_address, self.forwarder.answer, clock)
+        self.readiness = HttpServer.at(
+            settings.readiness_address, self._answer_readiness, clock
+        )
         self.session = LeaderSession(
             clock,
             settings.seeds,
@@ -81,6 +80,12 @@
         await self.front.start()
         await self.session.start()
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed settings; its addresses and its place need a new process."""
+        self.settings = settings
+        self.session.seeds = settings.seeds
+        self.dispatcher.reload(settings.dispatch)
+
     async def drain(self) -> None:
         """Stop taking callers, finish what is in progress, then return.
 
@@ -118,7 +123,6 @@
         settings = self.settings
         return HostReport(
             settings.host_id,
-            self._incarnation,
             settings.front_address,
             settings.zone,
             settings.region,
--- a/bulrushlead/gateway/tests/world.py
+++ b/bulrushlead/gateway/tests/world.py
@@ -144,7 +144,7 @@
     view = FleetView(CLOCK)
     dispatcher = Dispatcher(
         CLOCK,
-        DispatchSettings("e1", "a", "north", {"a": "north"}, 0.2, 60, 10_000, 1.5, 5),
+        DispatchSettings("e1", "a", "north", {"a": "north"}, 0.2, 60, 10_000, 5),
     )
     pool = ConnectionPool(CLOCK, DIALECT.request_id)
     forwarder = RequestForwarder(CLOCK, DIALECT, dispatcher, pool, random.Random(2))
--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -246,6 +246,12 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task | None = None
 
+    @classmethod
+    def at(cls, address: str, handler: Handler, clock: Clock) -> "HttpServer":
+        """Return a server that will listen on ``host:port``."""
+        host, _, port = address.rpartition(":")
+        return cls(host, int(port), handler, clock)
+
     async def start(self) -> None:
         """Listen for connections."""
         loop = asyncio.get_running_loop()
--- a/bulrushlead/platform/_directory.py
+++ b/bulrushlead/platform/_directory.py
@@ -36,8 +36,12 @@
     ):
         self.view = view
         self.zone_regions = zone_regions
-        self.ttl_ms = min(TTL_MS, max_ttl_ms)
         self.rng = rng
+        self.set_max_ttl(max_ttl_ms)
+
+    def set_max_ttl(self, max_ttl_ms: float) -> None:
+        """Bound the time for which callers may keep an answer."""
+        self.ttl_ms = min(TTL_MS, max_ttl_ms)
 
     async def answer(self, request: Request) -> Answer:
         """Answer one look-up."""
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 
 import attrs
 import uvloop
@@ -22,7 +23,12 @@
     build_handler,
 )
 from bulrushlead.metrics import CompactMeters, Metric
-from bulrushlead.platform._settings import HostSettings, load_host_settings
+from bulrushlead.platform._settings import (
+    FIXED_FIELDS,
+    HostSettings,
+    changed_fields,
+    load_host_settings,
+)
 from bulrushlead.results import BulrushleadError
 from bulrushlead.wire import MessageClient
 
@@ -80,7 +86,7 @@
         self.rng = random.Random(os.urandom(16))
         self._stopping = asyncio.Event()
         self._reload = asyncio.Event()
-        self._sessions = []
+        self._reloads: list[Callable[[HostSettings], None]] = []
         self._log = EventLogger("platform")
 
     async def run(self) -> None:
@@ -104,14 +110,11 @@
             if settings.serves_callers:
                 gateway = _build_gateway(settings, self.clock, self.rng)
                 gateways.append(gateway)
-                await self._start(stack, gateway, gateway.session)
+                await self._start(stack, gateway)
+                self._reloads.append(lambda new: gateway.reload(new.for_gateway()))
                 meters = gateway.meters
             if settings.serves_control or settings.serves_directory:
-                coordinator, *servers = _build_control(settings, self.clock, self.rng)
-                await self._start(stack, coordinator, coordinator.session)
-                for server in servers:
-                    await self._start(stack, server)
-                meters = coordinator.meters
+                meters = await self._start_control(stack)
             if meters is not None:
                 await self._start_metrics(stack, meters)
             watcher = asyncio.create_task(self._watch_settings())
@@ -122,11 +125,43 @@
                 await gateway.drain()
         self._log.write(Event.PROCESS_STOPPED, host_id=settings.host_id)
 
-    async def _start(self, stack, part, session=None) -> None:
+    async def _start(self, stack, part) -> None:
         await part.start()
         stack.push_async_callback(part.close)
-        if session is not None:
-            self._sessions.append(session)
+
+    async def _start_control(self, stack) -> CompactMeters:
+        # Imported here: a host must not pay for a program that it does not run.
+        from bulrushlead.coordinator import Coordinator
+        from bulrushlead.platform._control import ControlInterface
+        from bulrushlead.platform._directory import Directory
+
+        settings, clock = self.settings, self.clock
+        coordinator = Coordinator(
+            settings.for_coordinator(),
+            clock,
+            lambda address: MessageClient(address, clock),
+            self.rng,
+        )
+        await self._start(stack, coordinator)
+        self._reloads.append(lambda new: coordinator.reload(new.for_coordinator()))
+        if settings.serves_control:
+            interface = ControlInterface(coordinator, settings.zone_regions, clock)
+            await self._start(
+                stack, HttpServer.at(settings.control_address, interface.answer, clock)
+            )
+        if settings.serves_directory:
+            directory = Directory(
+                coordinator.view,
+                settings.zone_regions,
+                settings.lookup_ttl_ms,
+                self.rng,
+            )
+            await self._start(
+                stack,
+                HttpServer.at(settings.directory_address, directory.answer, clock),
+            )
+            self._reloads.append(lambda new: directory.set_max_ttl(new.lookup_ttl_ms))
+        return coordinator.meters
 
     async def _start_metrics(self, stack, meters: CompactMeters) -> None:
         meters.watch(Metric.LINES_DROPPED_TOTAL, lambda: self.stream.dropped)
@@ -161,9 +196,18 @@
                     Event.UNEXPECTED_ERROR, error=str(error), code=error.code.value
                 )
                 continue
-            for session in self._sessions:
-                session.seeds = settings.seeds
-            self._log.write(Event.SETTINGS_RELOADED, seeds=settings.seeds)
+            for reload in self._reloads:
+                reload(settings)
+            changed = changed_fields(self.settings, settings)
+            self.settings = attrs.evolve(
+                settings, peer_listen_ip=self.settings.peer_listen_ip
+            )
+            self._log.write(
+                Event.SETTINGS_RELOADED,
+                changed=[name for name in changed if name not in FIXED_FIELDS],
+                needs_restart=[name for name in changed if name in FIXED_FIELDS],
+                seeds=settings.seeds,
+            )
 
     def _fingerprint(self) -> tuple[int, int]:
         try:
@@ -185,28 +229,3 @@
         lambda address: MessageClient(address, clock),
         rng,
     )
-
-
-def _build_control(settings: HostSettings, clock: MonotonicClock, rng: random.Random):
-    from bulrushlead.coordinator import Coordinator
-    from bulrushlead.platform._control import ControlInterface
-    from bulrushlead.platform._directory import Directory
-
-    coordinator = Coordinator(
-        settings.for_coordinator(),
-        clock,
-        lambda address: MessageClient(address, clock),
-        rng,
-    )
-    parts = [coordinator]
-    if settings.serves_control:
-        interface = ControlInterface(coordinator, settings.zone_regions, clock)
-        host, _, port = settings.control_address.rpartition(":")
-        parts.append(HttpServer(host, int(port), interface.answer, clock))
-    if settings.serves_directory:
-        directory = Directory(
-            coordinator.view, settings.zone_regions, settings.lookup_ttl_ms, rng
-        )
-        host, _, port = settings.directory_address.rpartition(":")
-        parts.append(HttpServer(host, int(port), directory.answer, clock))
-    return parts
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -14,6 +14,24 @@
     from bulrushlead.gateway import GatewaySettings
 
 DRAIN_SHARE = 0.96  # of the time granted to a planned stop; the rest is for closing
+# Sockets, folders and names stay as they were when the process started.
+FIXED_FIELDS = frozenset(
+    {
+        "host_id",
+        "zone",
+        "region",
+        "ip",
+        "peer_port",
+        "data_folder",
+        "serves_callers",
+        "serves_control",
+        "serves_directory",
+        "caller_address",
+        "readiness_address",
+        "control_address",
+        "directory_address",
+    }
+)
 
 
 @attrs.frozen
@@ -46,7 +64,7 @@
         Longest time for which a look-up may be kept.
     retry_ratio, retry_slack, retry_window_ms
         See ``DispatchSettings``.
-    warmup_overshoot, warmup_slack
+    warmup_slack
         See ``DispatchSettings``.
     peer_listen_ip : str
         Address on which to await other hosts, if not the one that they use.
@@ -74,7 +92,6 @@
     retry_ratio: float
     retry_slack: int
     retry_window_ms: float
-    warmup_overshoot: float
     warmup_slack: int
     peer_listen_ip: str = ""
 
@@ -105,7 +122,6 @@
                 retry_ratio=self.retry_ratio,
                 retry_slack=self.retry_slack,
                 retry_window_ms=self.retry_window_ms,
-                warmup_overshoot=self.warmup_overshoot,
                 warmup_slack=self.warmup_slack,
             ),
         )
@@ -127,6 +143,16 @@
         )
 
 
+def changed_fields(old: HostSettings, new: HostSettings) -> list[str]:
+    """Return the names of the fields that a new file changes."""
+    return [
+        field.name
+        for field in attrs.fields(HostSettings)
+        if field.name != "peer_listen_ip"
+        and getattr(old, field.name) != getattr(new, field.name)
+    ]
+
+
 def load_host_settings(path: str) -> HostSettings:
     """Return the settings in the platform's file.
 
@@ -172,7 +198,6 @@
         retry_ratio=float(reader.get("bounds.retryBudgetRatio", float, 0.1)),
         retry_slack=int(reader.get("bounds.retryBudgetSlack", float, 10)),
         retry_window_ms=reader.duration_ms("bounds.budgetWindow", "10s"),
-        warmup_overshoot=float(reader.get("bounds.warmupOvershoot", float, 1.0)),
         warmup_slack=int(reader.get("bounds.warmupSlack", float, 1)),
     )
     if reader.faults:
--- a/bulrushlead/platform/tests/test_decoding.py
+++ b/bulrushlead/platform/tests/test_decoding.py
@@ -1,9 +1,15 @@
+import attrs
 import pytest
 
 from bulrushlead.fleet import ServerState
 from bulrushlead.platform._heartbeats import decode_birth_ms, decode_heartbeat
 from bulrushlead.platform._plans import decode_plan
-from bulrushlead.platform._settings import load_host_settings
+from bulrushlead.platform._settings import (
+    FIXED_FIELDS,
+    HostSettings,
+    changed_fields,
+    load_host_settings,
+)
 from bulrushlead.platform._units import parse_duration_ms
 from bulrushlead.platform.tests.samples import (
     HEARTBEAT,
@@ -37,6 +43,21 @@
     assert 5_000 < gateway.drain_ms < 6_000
 
 
+def test_changed_settings_are_told_apart(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    old = load_host_settings(str(path))
+    path.write_text(
+        SETTINGS.replace("10.2.0.42", "10.2.0.43").replace(
+            "retryBudgetSlack = 62", "retryBudgetSlack = 40"
+        )
+    )
+    new = load_host_settings(str(path))
+    assert changed_fields(old, new) == ["seeds", "retry_slack"]
+    assert changed_fields(new, new) == []
+    assert {field.name for field in attrs.fields(HostSettings)} > FIXED_FIELDS
+
+
 def test_settings_with_faults_name_each_one(tmp_path):
     path = tmp_path / "boot.toml"
     path.write_text(
