Tell changed loads only; find the holder of an address without a search

Cause: every answer to a host carried the load of each server above half of its slots. Each heartbeat also searched all servers for its address. Ruled out: full records (12 KB once), the list of hosts (0.7 KB compressed). An index by address. News are gathered for 50 ms.

--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -23,6 +23,8 @@
 
 # A new leader has heard every living server after this many heartbeats.
 COLLECT_HEARTBEATS = 4
+# News of many servers come together: hosts get them in one answer instead of ten.
+GATHER_MS = 50
 
 
 class FleetPublisher:
@@ -94,6 +96,7 @@
     def check_silence(self) -> None:
         """Mark servers and hosts that have stopped reporting."""
         self.registry.check_silence()
+        self.registry.check_pressures()
         self._notify_if_changed()
 
     async def answer_announce(self, request: AnnounceBatch) -> StatusReply:
@@ -118,6 +121,7 @@
                 await self.clock.wait_for(self._news.wait(), left_ms)
             except TimeoutError:
                 break
+            await self.clock.sleep_ms(min(GATHER_MS, left_ms))
         self.require_leader()
         return self._update_for(request.position)
 
@@ -144,6 +148,7 @@
                 server_revision=registry.server_revision,
                 order_index=state.order_index,
                 host_revision=registry.host_revision,
+                pressure_revision=registry.pressure_revision,
             ),
             servers=registry.servers_after(known.server_revision if is_same else 0),
             is_full=not is_same and self._has_collected(),
@@ -151,7 +156,9 @@
             evacuated_zones=tuple(sorted(state.evacuated_zones)),
             hosts=hosts,
             control_addresses=tuple(sorted(m.address for m in self._log.members)),
-            pressures=registry.pressures(),
+            pressures=registry.pressures_after(
+                known.pressure_revision if is_same else 0
+            ),
         )
 
     def _has_news(self, known: SyncPosition) -> bool:
--- a/bulrushlead/fleet/_messages.py
+++ b/bulrushlead/fleet/_messages.py
@@ -144,6 +144,8 @@
         Log index of the newest operators' order known.
     host_revision : int
         Newest list of hosts known.
+    pressure_revision : int
+        Newest change of a server's load known.
     """
 
     epoch: str = ""
@@ -151,6 +153,7 @@
     plan_version: int = -1
     order_index: int = 0
     host_revision: int = 0
+    pressure_revision: int = 0
 
 
 @message("fleet.sync")
@@ -195,7 +198,8 @@
     control_addresses : tuple of str
         Where the control hosts answer other hosts.
     pressures : dict of str to float
-        Load of busy servers over all hosts, as a multiple of their slots.
+        Changed loads of servers over all hosts, as a multiple of their slots; 0 for
+        one that is no longer busy.
     """
 
     term: int
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -18,7 +18,8 @@
 GONE_AFTER_HEARTBEATS = 20.0  # a partition of the heartbeats' way heals before
 PRESSURE_HALF_LIFE_MS = 2_000  # a queue of a few requests lasts about that long
 PRESSURE_WEIGHT = 0.3  # of the newest report of one host
-MIN_PRESSURE = 0.5  # less is not worth telling
+MIN_PRESSURE = 1.2  # hosts act on more than that only
+PRESSURE_STEP = 0.2  # smaller changes are not worth telling to every host
 HOST_SILENT_MS = 1_500  # three missed reports of a host
 HOST_FORGOTTEN_MS = 60_000
 COLD_CHANGE_MS = 500  # smaller differences of an announced cold time are jitter
@@ -33,6 +34,8 @@
     silent: bool = False
     pressure: float = 0.0
     pressure_ms: float = 0.0
+    told_pressure: float = 0.0
+    pressure_revision: int = 0
 
     def pressure_at(self, now_ms: float) -> float:
         return faded(self.pressure, now_ms - self.pressure_ms, PRESSURE_HALF_LIFE_MS)
@@ -57,8 +60,8 @@
 
     Attributes
     ----------
-    server_revision, host_revision : int
-        Newest change of a server, and of the list of hosts.
+    server_revision, host_revision, pressure_revision : int
+        Newest change of a server, of the list of hosts, and of a server's load.
     """
 
     def __init__(self, clock: Clock, heartbeat_ms: float):
@@ -66,7 +69,9 @@
         self.heartbeat_ms = heartbeat_ms
         self.server_revision = 0
         self.host_revision = 0
+        self.pressure_revision = 0
         self._servers: dict[str, _Server] = {}
+        self._by_address: dict[str, str] = {}
         self._removed: dict[str, ServerRecord] = {}
         self._hosts: dict[str, _Host] = {}
         self._log = EventLogger("fleet")
@@ -74,7 +79,7 @@
     def seed(self, records: list[ServerRecord], hosts: list[HostRecord]) -> None:
         """Begin with what this host knew as a follower."""
         now_ms = self.clock.now_ms()
-        for record in records:
+        for record in sorted(records, key=lambda record: record.born_ms):
             heartbeat = Announcement(
                 server_id=record.server_id,
                 born_ms=record.born_ms,
@@ -90,6 +95,7 @@
             self._servers[record.server_id] = _Server(
                 heartbeat, now_ms, cold_until_ms, self._next_revision()
             )
+            self._by_address[record.address] = record.server_id
         for host in hosts:
             report = HostReport(
                 host.host_id, host.address, host.zone, host.region, host.accepting
@@ -118,10 +124,16 @@
             return True
         self._removed.pop(heartbeat.server_id, None)
         server = _Server(heartbeat, heard_ms, cold_until_ms, self._next_revision())
-        if known is not None and known.heartbeat.born_ms == heartbeat.born_ms:
-            server.pressure = known.pressure
-            server.pressure_ms = known.pressure_ms
+        if known is not None:
+            self._leave_address(known)
+            # What hosts were told of an earlier incarnation has to be taken back.
+            server.told_pressure = known.told_pressure
+            server.pressure_revision = known.pressure_revision
+            if known.heartbeat.born_ms == heartbeat.born_ms:
+                server.pressure = known.pressure
+                server.pressure_ms = known.pressure_ms
         self._servers[heartbeat.server_id] = server
+        self._by_address[heartbeat.address] = heartbeat.server_id
         self._log.write(
             Event.BACKEND_LEAVING
             if heartbeat.state is ServerState.DRAINING
@@ -143,6 +155,7 @@
         if known is None or known.heartbeat.born_ms > born_ms:
             return
         del self._servers[server_id]
+        self._leave_address(known)
         record = attrs.evolve(
             self._record_of(known),
             state=ServerState.GONE,
@@ -214,6 +227,8 @@
 
     def servers_after(self, revision: int) -> tuple[ServerRecord, ...]:
         """Return the records that changed after a revision, removals included."""
+        if revision >= self.server_revision:
+            return ()
         records = [
             self._record_of(server)
             for server in self._servers.values()
@@ -222,15 +237,29 @@
         records += [r for r in self._removed.values() if r.revision > revision]
         return tuple(records)
 
-    def pressures(self) -> dict[str, float]:
-        """Return the load of the busy servers, as a multiple of their slots."""
+    def check_pressures(self) -> None:
+        """Number the servers whose load has changed enough to be told."""
         now_ms = self.clock.now_ms()
-        found = {}
-        for server_id, server in self._servers.items():
+        for server in self._servers.values():
             pressure = server.pressure_at(now_ms)
-            if pressure >= MIN_PRESSURE:
-                found[server_id] = round(pressure, 1)
-        return found
+            if pressure < MIN_PRESSURE:
+                pressure = 0.0
+            elif math.fabs(pressure - server.told_pressure) < PRESSURE_STEP:
+                continue
+            if pressure != server.told_pressure:
+                server.told_pressure = round(pressure, 1)
+                self.pressure_revision += 1
+                server.pressure_revision = self.pressure_revision
+
+    def pressures_after(self, revision: int) -> dict[str, float]:
+        """Return the loads that changed after a revision, in slots; 0 if not busy."""
+        if revision >= self.pressure_revision:
+            return {}
+        return {
+            server_id: server.told_pressure
+            for server_id, server in self._servers.items()
+            if server.pressure_revision > revision
+        }
 
     def _note_loads(self, loads: dict[str, float]) -> None:
         now_ms = self.clock.now_ms()
@@ -262,18 +291,21 @@
         )
 
     def _is_superseded(self, heartbeat: Announcement) -> bool:
-        """Return whether a younger server has the address; drop older ones."""
-        for server_id, server in list(self._servers.items()):
-            other = server.heartbeat
-            if other.address != heartbeat.address:
-                continue
-            if server_id == heartbeat.server_id:
-                continue
-            if other.born_ms > heartbeat.born_ms:
-                return True
-            self.remove(server_id, other.born_ms, "address was taken over")
+        """Return whether a younger server has the address; drop an older one."""
+        server_id = self._by_address.get(heartbeat.address)
+        if server_id is None or server_id == heartbeat.server_id:
+            return False
+        other = self._servers[server_id].heartbeat
+        if other.born_ms > heartbeat.born_ms:
+            return True
+        self.remove(server_id, other.born_ms, "address was taken over")
         return False
 
+    def _leave_address(self, server: _Server) -> None:
+        heartbeat = server.heartbeat
+        if self._by_address.get(heartbeat.address) == heartbeat.server_id:
+            del self._by_address[heartbeat.address]
+
     def _record_of(self, server: _Server) -> ServerRecord:
         heartbeat = server.heartbeat
         return ServerRecord(
--- a/bulrushlead/fleet/_view.py
+++ b/bulrushlead/fleet/_view.py
@@ -76,7 +76,7 @@
         if update.is_full:
             told = {record.server_id for record in update.servers}
             for server_id in self.servers.keys() - told:
-                del self.servers[server_id]
+                self._forget(server_id)
         for record in update.servers:
             self._apply_record(record, now_ms)
         if update.plan is not None:
@@ -87,7 +87,7 @@
             self.hosts = update.hosts
         if update.control_addresses:
             self.control_addresses = update.control_addresses
-        self.pressures = update.pressures
+        self._apply_pressures(update)
         plan_version = -1 if self.plan is None else self.plan.version
         self.position = attrs.evolve(update.position, plan_version=plan_version)
         self.updated_ms = now_ms
@@ -114,12 +114,24 @@
         if self.plan is None or plan.version > self.plan.version:
             self.plan = plan
 
+    def _apply_pressures(self, update: FleetUpdate) -> None:
+        if update.position.epoch != self.position.epoch:
+            self.pressures.clear()
+        self.pressures.update(update.pressures)
+        for server_id, pressure in update.pressures.items():
+            if not pressure:
+                del self.pressures[server_id]
+
+    def _forget(self, server_id: str) -> None:
+        self.servers.pop(server_id, None)
+        self.pressures.pop(server_id, None)
+
     def _apply_record(self, record: ServerRecord, now_ms: float) -> None:
         known = self.servers.get(record.server_id)
         if known is not None and known.record.born_ms > record.born_ms:
             return
         if record.state is ServerState.GONE:
-            self.servers.pop(record.server_id, None)
+            self._forget(record.server_id)
             return
         cold_until_ms = now_ms + record.cold_left_ms if record.cold_left_ms else 0.0
         self.servers[record.server_id] = KnownServer(record, cold_until_ms, now_ms)
--- a/bulrushlead/fleet/tests/test_view.py
+++ b/bulrushlead/fleet/tests/test_view.py
@@ -64,3 +64,17 @@
     view = view_with(update(servers=(attrs.evolve(RECORD, cold_left_ms=300.0),)))
     assert view.servers["b1"].cold_until_ms == 1_300.0
     assert view.records()[0].cold_left_ms == 300.0
+
+
+def test_changed_loads_are_merged_and_those_of_another_leader_replaced():
+    view = view_with(update(servers=(RECORD,), pressures={"b1": 1.6, "b2": 2.0}))
+    view.apply(update(pressures={"b2": 0.0}))
+    assert view.pressures == {"b1": 1.6}
+    view.apply(update(position=SyncPosition("e2", 1, order_index=5)))
+    assert view.pressures == {}
+
+
+def test_the_load_of_a_server_that_is_gone_is_forgotten():
+    view = view_with(update(servers=(RECORD,), pressures={"b1": 1.6}))
+    view.apply(update(servers=(attrs.evolve(RECORD, state=ServerState.GONE),)))
+    assert view.pressures == {}
