Keep an object at its first home; let queues grow half as long

Cause: every host sent a request to an object's second home as soon as the queue at the first one looked longer than beginning afresh. In a rush all hosts do so at once: servers hear of twice as many objects as they remember, and the work grows. And hosts see each other's requests late, so that queues of half a target became whole ones: late answers. Pattern: a cold start beyond all slots; a rush about one object beside idle servers. Change: the second home gets a request only if the first one ails, or is told to be twice full while the second is idle. Waiting limits 0.25 and 0.5 of the target.

--- a/bulrushlead/dispatch/__init__.py
+++ b/bulrushlead/dispatch/__init__.py
@@ -4,11 +4,12 @@
 """
 
 from bulrushlead.dispatch._budget import RetryBudget
-from bulrushlead.dispatch._dispatcher import Dispatcher, Placement, Refusal, Work
+from bulrushlead.dispatch._dispatcher import Dispatcher
 from bulrushlead.dispatch._ranking import Ranking
 from bulrushlead.dispatch._server import Outcome, ServerStats
 from bulrushlead.dispatch._settings import DispatchSettings
 from bulrushlead.dispatch._warmup import WarmupLimiter
+from bulrushlead.dispatch._work import Placement, Refusal, Work
 
 __all__ = [
     "DispatchSettings",
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -1,7 +1,5 @@
 """Places requests on backend servers, or refuses them at once."""
 
-import math
-
 import attrs
 
 from bulrushlead.clock import Clock
@@ -11,15 +9,21 @@
 from bulrushlead.dispatch._server import ServerStats
 from bulrushlead.dispatch._settings import DispatchSettings
 from bulrushlead.dispatch._warmup import WarmupLimiter
+from bulrushlead.dispatch._work import Placement, Refusal, Work
 from bulrushlead.fleet import FleetView, ServerState
 from bulrushlead.results import ResultCode
 from bulrushlead.traffic import ServicePolicy
 
-WAIT_OVER_TARGET = 0.5  # longest queueing, in target latencies
-URGENT_WAIT_OVER_TARGET = 1.0  # the same for the most urgent kind of a service
-# Servers that share the requests about one object. With more, a rush spreads objects
-# over servers that do not know them, and the work grows until nothing is in time.
-HOME_SERVERS = 2
+# Longest queueing, in target latencies. Hosts see each other's requests late, so that
+# real queues are about twice as long as expected.
+WAIT_OVER_TARGET = 0.25
+URGENT_WAIT_OVER_TARGET = 0.5  # the same for the most urgent kind of a service
+HOME_SERVERS = 2  # the server that knows an object, and the one to go to if it ails
+# An object that alone fills its server is shared with its second home, if that one is
+# not busy. In a rush all are: objects would spread over servers that do not know them,
+# and the work would grow until nothing is in time.
+HOT_PRESSURE = 2.0
+ROOM_SHARE = 0.6  # of the slots that may be taken at the second home
 SLOW_RATIO = 3.0  # of the usual time; such a server is no home for any object
 DEADLINE_SHARE = 0.9  # an answer needs the rest of the time for its way back
 MIN_RETRY_AFTER_MS = 100
@@ -27,93 +31,20 @@
 
 
 @attrs.frozen
-class Work:
-    """One request to be placed.
-
-    Parameters
-    ----------
-    service : str
-        Service that answers it.
-    route : str
-        Name of its route, which groups requests of similar duration.
-    key : bytes
-        Object that it is about; anything evenly spread if there is none.
-    sticky : bool
-        Whether a server that handled the object lately is faster.
-    target_ms : float
-        Time within which an answer is worth most.
-    remaining_ms : float
-        Time until the caller stops waiting.
-    urgent : bool
-        Whether no other kind of request of the service goes first.
-    allowed_regions : tuple of str
-        Regions that may run it; all if empty.
-    excluded : frozenset of str
-        Servers that have had it already.
-    """
-
-    service: str
-    route: str
-    key: bytes
-    sticky: bool
-    target_ms: float
-    remaining_ms: float
-    urgent: bool = False
-    allowed_regions: tuple[str, ...] = ()
-    excluded: frozenset[str] = frozenset()
-
-
-@attrs.frozen
-class Placement:
-    """A server for a request.
-
-    Parameters
-    ----------
-    server : ServerStats
-        The server.
-    rank : int
-        Its place in the order for the object.
-    wait_ms, work_ms, fresh_ms : float
-        Expected time in its queue, on its slot, and on the slot of a server that
-        does not know the object.
-    cold : bool
-        Whether the request counts against the rate of a cold server.
-    load : float
-        Requests expected at the server, waiting ones included.
-    """
-
+class _Candidate:
     server: ServerStats
-    rank: int
-    wait_ms: float
-    work_ms: float
-    fresh_ms: float
-    cold: bool = False
-    load: float = 0.0
+    cold: bool
 
 
 @attrs.frozen
-class Refusal:
-    """Why a request was not placed.
-
-    Parameters
-    ----------
-    code : ResultCode
-        Cause.
-    retry_after_ms : float
-        When another try may succeed.
-    detail : str
-        What decided it.
-    """
-
-    code: ResultCode
-    retry_after_ms: float
-    detail: str
-
+class _Option:
+    placement: Placement
+    wait_cost: float
+    work_cost: float
 
-@attrs.frozen
-class _Candidate:
-    server: ServerStats
-    cold: bool
+    @property
+    def cost(self) -> float:
+        return self.wait_cost + self.work_cost
 
 
 class Dispatcher:
@@ -291,37 +222,57 @@
     def _best_of(
         self, members: list[ServerStats], work: Work, now_ms: float
     ) -> Placement | None:
+        options = [
+            self._option(rank, candidate, work, now_ms)
+            for rank, candidate in enumerate(self._candidates(members, work, now_ms))
+        ]
+        if not options:
+            return None
+        if not work.sticky:
+            return min(options, key=lambda option: option.cost).placement
+        return self._choose_home(options, work)
+
+    def _choose_home(self, homes: list[_Option], work: Work) -> Placement:
+        """Return the first home, or the next one if the first ails or is too hot."""
+        first = homes[0]
+        for other in homes[1:]:
+            # Queues alone are no reason: the next home does not know the object.
+            if other.cost < first.work_cost:
+                return other.placement
+            if first.placement.wait_ms > self._longest_wait_ms(work) and _is_hot(
+                first.placement, other.placement
+            ):
+                return other.placement
+        return first.placement
+
+    def _option(
+        self, rank: int, candidate: _Candidate, work: Work, now_ms: float
+    ) -> _Option:
         estimate = self.estimates.of(work.route, work.target_ms)
         mean_ms = self.estimates.mean_of(work.service, work.target_ms)
-        candidates = self._candidates(members, work, now_ms)
-        best: Placement | None = None
-        best_cost = math.inf
-        for rank, candidate in enumerate(candidates):
-            server = candidate.server
-            load = server.load(now_ms)
-            slowness = server.slowness(now_ms)
-            is_first = rank == 0 and work.sticky
-            work_ms = estimate.known_ms if is_first else estimate.fresh_ms
-            work_ms *= slowness
-            wait_ms = max(0.0, load + 1.0 - server.slots) * mean_ms * slowness
-            wait_ms /= server.slots
-            cost = (wait_ms + work_ms) / (1.0 - 0.9 * server.failure_rate(now_ms))
-            if server.silent:
-                cost *= 2.0
-            if not work.sticky:
-                cost += load * mean_ms / server.slots * 0.5
-            if cost < best_cost:
-                best_cost = cost
-                best = Placement(
-                    server,
-                    rank,
-                    wait_ms,
-                    work_ms,
-                    estimate.fresh_ms,
-                    candidate.cold,
-                    load,
-                )
-        return best
+        server = candidate.server
+        load = server.load(now_ms)
+        slowness = server.slowness(now_ms)
+        is_first = rank == 0 and work.sticky
+        work_ms = (estimate.known_ms if is_first else estimate.fresh_ms) * slowness
+        wait_ms = max(0.0, load + 1.0 - server.slots) * mean_ms * slowness
+        wait_ms /= server.slots
+        doubt = 1.0 / (1.0 - 0.9 * server.failure_rate(now_ms))
+        if server.silent:
+            doubt *= 2.0
+        wait_cost = wait_ms * doubt
+        if not work.sticky:
+            wait_cost += load * mean_ms / server.slots * 0.5
+        placement = Placement(
+            server,
+            rank,
+            wait_ms,
+            work_ms,
+            estimate.fresh_ms,
+            candidate.cold,
+            load,
+        )
+        return _Option(placement, wait_cost, work_ms * doubt)
 
     def _candidates(
         self, members: list[ServerStats], work: Work, now_ms: float
@@ -384,6 +335,15 @@
         )
 
 
+def _is_hot(first: Placement, other: Placement) -> bool:
+    """Return whether a server is overfull while the other one has room."""
+    return (
+        first.server.pressure >= HOT_PRESSURE
+        and not other.server.pressure
+        and other.load + 1.0 <= ROOM_SHARE * other.server.slots
+    )
+
+
 def _is_same(stats: ServerStats, record) -> bool:
     return (stats.born_ms, stats.address, stats.service, stats.slots) == (
         record.born_ms,
--- a/bulrushlead/gateway/tests/test_forwarding.py
+++ b/bulrushlead/gateway/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import pytest
 
 from bulrushlead.dispatch import RetryBudget
+from bulrushlead.dispatch._server import FULL_HOLD_MS
 from bulrushlead.gateway.tests import world as w
 from bulrushlead.traffic import TrafficPlan
 
@@ -92,6 +93,7 @@
     for server in world.servers:
         server.heads.clear()
     world.servers[1].script = w.vanishing
+    await w.CLOCK.sleep_ms(FULL_HOLD_MS)
     assert (await world.ask(b"/read/x")).status == 502
 
 
