Remember the servers over a restart of all hosts

Cause: after the final fault a new leader knew no server until its next heartbeat. Change: each coordinator writes the servers it knows every two seconds (checksum, synced, replaced whole) and begins with that list if it is at most 15 s old. Departures still come from the log. Tests: torn, damaged, old and future files are not used; hosts hear of all servers right after a restart of all coordinators (fails without the list).

--- a/bulrushlead/coordinator/_messages.py
+++ b/bulrushlead/coordinator/_messages.py
@@ -1,6 +1,6 @@
 """Calls between hosts and the leading coordinator."""
 
-from bulrushlead.fleet import Announcement
+from bulrushlead.fleet import Announcement, ServerRecord
 from bulrushlead.wire import message
 
 
@@ -17,6 +17,22 @@
     heartbeats: tuple[Announcement, ...]
 
 
+@message("coordinator.fleet_snapshot")
+class FleetSnapshot:
+    """Servers known when it was written.
+
+    Parameters
+    ----------
+    written_wall_ms : int
+        Time of day, in milliseconds.
+    servers : tuple of ServerRecord
+        All servers.
+    """
+
+    written_wall_ms: int
+    servers: tuple[ServerRecord, ...]
+
+
 @message("coordinator.order")
 class OrderRequest:
     """A command of an operator or of a leaving server, for the replicated log.
--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -1,11 +1,13 @@
 """The coordinator program: one replica of the log and, while it leads, the leader."""
 
 import asyncio
+import os
 import random
 
 import attrs
 
 from bulrushlead.clock import Clock
+from bulrushlead.coordinator._cache import FleetCache
 from bulrushlead.coordinator._messages import (
     AnnounceBatch,
     OrderRequest,
@@ -44,6 +46,8 @@
 READ_TIMEOUT_MS = 800
 RETIRE_TIMEOUT_MS = 500
 STORAGE_RETRY_MS = 500  # a full disk stays so for seconds
+SAVE_INTERVAL_MS = 2_000  # a server that comes later is heard again by itself
+FRESH_VIEW_MS = 3_000  # a host that is cut off must not call old news new
 # An election follows a lost leader; callers of a system that was powered off wait for
 # it. The shortest time still covers a stall of 100 ms on top of three round trips
 # between regions.
@@ -87,6 +91,7 @@
         self.rng = rng
         self.meters = CompactMeters()
         self.view = FleetView(clock)
+        self.cache = FleetCache(os.path.join(settings.data_folder, "fleet"))
         self.publisher = FleetPublisher(settings, clock, self.view, self.meters)
         self.state, self.log = self._build_log()
         self._log_started = False
@@ -115,10 +120,11 @@
         self.messages.handle(AnnounceBatch, self.publisher.answer_announce)
         self.messages.handle(OrderRequest, self._answer_order)
         self.messages.handle(PlanRequest, self._answer_plan)
+        self.view.recall(self.cache.load())
         await self.messages.start()
         await self._start_log()
         await self.session.start()
-        for run in (self._forward_heartbeats, self._tick):
+        for run in (self._forward_heartbeats, self._tick, self._save_fleet):
             self._tasks.append(asyncio.create_task(run()))
 
     def reload(self, settings: CoordinatorSettings) -> None:
@@ -334,6 +340,12 @@
                 for server_id, entry in pending.items():
                     self._pending.setdefault(server_id, entry)
 
+    async def _save_fleet(self) -> None:
+        while True:
+            await self.clock.sleep_ms(SAVE_INTERVAL_MS)
+            if self.view.servers and self.view.age_ms() < FRESH_VIEW_MS:
+                await self.cache.save(self.view.records())
+
     async def _tick(self) -> None:
         while True:
             await self.clock.sleep_ms(TICK_MS)
--- /dev/null
+++ b/bulrushlead/coordinator/tests/test_cache.py
@@ -0,0 +1,64 @@
+import attrs
+import pytest
+
+from bulrushlead.coordinator import _cache
+from bulrushlead.coordinator._cache import MAX_AGE_MS, NAME, FleetCache
+from bulrushlead.fleet import ServerRecord, ServerState
+
+RECORD = ServerRecord(
+    "b1", 1_000, "stock", "10.0.0.1:80", "casa-a", 4, ServerState.READY
+)
+SERVERS = [attrs.evolve(RECORD, server_id=f"b{n}") for n in range(200)]
+
+
+@pytest.fixture
+def wall(monkeypatch):
+    now = {"ms": 1_000_000}
+    monkeypatch.setattr(_cache, "_wall_ms", lambda: now["ms"])
+    return now
+
+
+@pytest.fixture
+def cache(tmp_path, wall):
+    return FleetCache(str(tmp_path / "fleet"))
+
+
+async def test_servers_are_known_after_a_restart(cache, wall):
+    await cache.save(SERVERS)
+    wall["ms"] += 4_000
+    assert FleetCache(cache.folder).load() == tuple(SERVERS)
+
+
+def test_without_a_file_nothing_is_known(cache):
+    assert cache.load() == ()
+
+
+@pytest.mark.parametrize("moved_ms", [MAX_AGE_MS + 1, -1])
+async def test_a_list_of_another_time_is_not_used(cache, wall, moved_ms):
+    await cache.save(SERVERS)
+    wall["ms"] += moved_ms
+    assert cache.load() == ()
+
+
+@pytest.mark.parametrize("length", [0, 4, 8, 500, -1])
+async def test_a_torn_file_is_not_used(cache, tmp_path, length):
+    await cache.save(SERVERS)
+    path = tmp_path / "fleet" / NAME
+    path.write_bytes(path.read_bytes()[:length])
+    assert cache.load() == ()
+
+
+async def test_a_flipped_bit_is_found(cache, tmp_path):
+    await cache.save(SERVERS)
+    path = tmp_path / "fleet" / NAME
+    data = bytearray(path.read_bytes())
+    data[len(data) // 2] ^= 1
+    path.write_bytes(bytes(data))
+    assert cache.load() == ()
+
+
+async def test_a_disk_that_refuses_is_no_error(tmp_path, wall):
+    (tmp_path / "fleet").write_text("not a folder")
+    cache = FleetCache(str(tmp_path / "fleet"))
+    await cache.save(SERVERS)
+    assert cache.load() == ()
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -177,3 +177,38 @@
     refuses = False
     await until(lambda: broken.log.failure is None and broken.state.plan is not None)
     assert broken.state.plan.version == 7
+
+
+async def test_hosts_hear_of_all_servers_right_after_a_restart_of_all(
+    coordinators, tmp_path
+):
+    """Servers announce themselves every heartbeat only; objects would move twice."""
+    follower = followers(coordinators)[0]
+    await follower.announce(heartbeat())
+    await until(lambda: all("b1" in c.view.servers for c in coordinators))
+    await asyncio.gather(*(c.cache.save(c.view.records()) for c in coordinators))
+    for coordinator in coordinators:
+        await coordinator.close()
+    seeds = coordinators[0].settings.seeds
+    again = [
+        build(tmp_path, number, c.settings.peer_address, seeds)
+        for number, c in enumerate(coordinators)
+    ]
+    coordinators[:] = again
+    for coordinator in again:
+        await coordinator.start()
+    view = FleetView(CLOCK)
+    report = HostReport("entry-1", "10.0.9.1:80", "a", "north", True)
+    session = LeaderSession(
+        CLOCK,
+        seeds,
+        link_to,
+        view,
+        lambda: report,
+        lambda update: None,
+        random.Random(1),
+    )
+    await session.start()
+    await until(lambda: view.updated_ms is not None)
+    await session.close()
+    assert set(view.servers) == {"b1"}
--- a/bulrushlead/fleet/_view.py
+++ b/bulrushlead/fleet/_view.py
@@ -1,5 +1,7 @@
 """What a host knows of the fleet, as the leader tells it."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from bulrushlead.clock import Clock
@@ -93,6 +95,12 @@
         self.updated_ms = now_ms
         return True
 
+    def recall(self, records: Iterable[ServerRecord]) -> None:
+        """Begin with servers that were known before a restart."""
+        now_ms = self.clock.now_ms()
+        for record in records:
+            self._apply_record(record, now_ms)
+
     def age_ms(self) -> float:
         """Return the time since the last update, infinite without one."""
         if self.updated_ms is None:
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -47,6 +47,8 @@
     # Storage.
     TAIL_REPAIRED = 450
     STORAGE_FAILED = 451
+    FLEET_RECALLED = 460
+    FLEET_CACHE_UNUSABLE = 461
 
     # Limits and leases.
     LEASE_GRANTED = 500
@@ -126,6 +128,8 @@
     _E.REPLICA_STALLED: EventInfo("WARNING", "A replica stopped acknowledging."),
     _E.TAIL_REPAIRED: EventInfo("WARNING", "An incomplete last record was removed."),
     _E.STORAGE_FAILED: EventInfo("ERROR", "A write or sync failed."),
+    _E.FLEET_RECALLED: EventInfo("INFO", "The servers of before were read from disk."),
+    _E.FLEET_CACHE_UNUSABLE: EventInfo("WARNING", "The list on disk is not used."),
     _E.LEASE_GRANTED: EventInfo("INFO", "Shares were granted to a host."),
     _E.LEASE_EXPIRED: EventInfo("WARNING", "A lease has run out."),
     _E.SHIFT_STEPPED: EventInfo("INFO", "A shift changed its step."),
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -138,6 +138,16 @@
     def note_plan_sent(self, version, document):
         self.versions[version].append(document)
 
+    def note_readiness(self, host, is_ready):
+        """Note whether an entry host takes callers long after the last fault."""
+        if not is_ready:
+            self.break_promise("RECOVER", f"{host} does not take callers")
+
+    def note_outlived_grace(self, host):
+        """Note that a process went on after the time granted to a planned stop."""
+        if self.is_calm():
+            self.break_promise("GRACE", f"{host} had to be killed")
+
     def check_end(self, document):
         """Check what must hold once all faults have healed."""
         newest = max((v for _, v in self.acked), default=-1)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -96,6 +96,7 @@
             async with asyncio.timeout(GRACE_S):
                 await self.process.wait()
         except TimeoutError:
+            self.world.ledger.note_outlived_grace(self.name)
             await self.kill()
 
     def wipe(self):
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -20,6 +20,7 @@
     def __init__(self, listen, target):
         self.listen = listen
         self.target = target
+        self.distance_ms = 0.0  # one way, for the whole run
         self.delay_ms = 0.0
         self.cut_in = False  # nothing reaches the target, connects included
         self.cut_out = False  # nothing comes back from the target
@@ -46,6 +47,11 @@
                     _reset(writer)
 
     async def _serve(self, reader, writer):
+        # The stream server of Python 3.11 reports a cancelled handler as an error.
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._join(reader, writer)
+
+    async def _join(self, reader, writer):
         while self.cut_in:
             # As behind a partition: the caller's connection hangs.
             await asyncio.sleep(0.05)
@@ -80,8 +86,8 @@
                     return
                 if not data:
                     break
-                if self.delay_ms:
-                    await asyncio.sleep(self.delay_ms / 1000)
+                if self.distance_ms + self.delay_ms:
+                    await asyncio.sleep((self.distance_ms + self.delay_ms) / 1000)
                 while getattr(self, cut):
                     await asyncio.sleep(0.02)
                 writer.write(data)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -141,3 +141,17 @@
         ledger.note_answer(f"q{number}", 503, b"", None)
     ledger.check_end({"version": 1})
     assert promises(ledger) == ["RECOVER"]
+
+
+def test_a_host_that_never_comes_back_is_seen(ledger):
+    ledger.note_readiness("edge-0", True)
+    ledger.note_readiness("edge-1", False)
+    assert promises(ledger) == ["RECOVER"]
+
+
+def test_a_process_that_outlives_its_grace_on_a_calm_day_is_seen(ledger, clock):
+    ledger.note_outlived_grace("core-0")
+    assert promises(ledger) == ["GRACE"]
+    ledger.note_fault()
+    ledger.note_outlived_grace("core-1")
+    assert promises(ledger) == ["GRACE"]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,14 +13,16 @@
 from tests.soak.backends import Backend, Caller, Operator, call_control
 from tests.soak.faults import FAULTS, PLANNED
 from tests.soak.ledger import Ledger
-from tests.soak.processes import PEER_PORT, ZONES, Host
+from tests.soak.processes import PEER_PORT, READY_PORT, ZONES, Host
 from tests.soak.proxy import Proxy
 
 CORES = 5
 EDGES = 3
 BACKENDS = 6
 CALLERS = 8
+DISTANCES_MS = (0.0, 35.0)  # a coordinator near by, or in another region
 START_S = 20.0
+READY_TIMEOUT_S = 2.0
 QUIET_END_S = 18.0  # recovery and the requests that measure it
 
 
@@ -52,6 +54,8 @@
             Proxy(f"{core.ip}:{PEER_PORT}", f"{core.real_ip}:{PEER_PORT}")
             for core in self.cores
         ]
+        for proxy in self.core_proxies:
+            proxy.distance_ms = self.rng.choice(DISTANCES_MS)
         self.backend_proxies = [Proxy(b.address, b.real) for b in self.backends]
         # Every fourth run holds planned work only, on calm days.
         self.faults = PLANNED if seed % 4 == 0 else FAULTS
@@ -160,6 +164,17 @@
             while document is None:
                 document = await self._operators[0].read()
         self.ledger.check_end(document)
+        for edge in self.edges:
+            self.ledger.note_readiness(edge.name, await self._is_ready(edge))
+
+    async def _is_ready(self, edge):
+        url = f"http://{edge.ip}:{READY_PORT}/v1/ready"
+        timeout = aiohttp.ClientTimeout(total=READY_TIMEOUT_S)
+        try:
+            async with self._session.get(url, timeout=timeout) as answer:
+                return answer.status == 200
+        except (OSError, aiohttp.ClientError, TimeoutError):
+            return False
 
     async def _close(self):
         for task in list(self._tasks):
