Pack one answer for all hosts that know the same; mark departures one by one

Cause: the leader built and encoded each host's answer anew, and searched all ready servers for departures after each order. Change: answers are packed (and compressed) once by what a host knows, for 100 ms at most; a departure marks its own server.

--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -1,6 +1,7 @@
 """What the leading coordinator knows of the fleet, and how hosts hear of it."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -20,11 +21,15 @@
 from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.replication import ReplicatedLog
 from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.wire import PackedPayload, codec
 
 # A new leader has heard every living server after this many heartbeats.
 COLLECT_HEARTBEATS = 4
 # News of many servers come together: hosts get them in one answer instead of ten.
 GATHER_MS = 50
+# Hosts that know the same get the same answer, packed once. Cold times are told
+# relative to the moment of packing; this error is a few per cent of them.
+PACKED_FOR_MS = 100
 
 
 class FleetPublisher:
@@ -64,6 +69,9 @@
         self._news = asyncio.Event()
         self._told_revisions = (0, 0)
         self._leading_since_ms: float | None = None
+        self._packed: dict[SyncPosition, PackedPayload] = {}
+        self._packed_from: SyncPosition | None = None
+        self._packed_ms = -math.inf
 
     def reload(self, settings: CoordinatorSettings) -> None:
         """Take changed settings."""
@@ -75,7 +83,8 @@
         self._log = log
         self._state = state
         self._leading_since_ms = None
-        state.on_change = self._on_order
+        state.on_change = self._notify
+        state.on_departure = self._on_departure
         log.watch_leadership(self._on_leadership)
 
     def require_leader(self) -> None:
@@ -107,7 +116,7 @@
         self._notify_if_changed()
         return StatusReply(True)
 
-    async def answer_sync(self, request: SyncRequest) -> FleetUpdate:
+    async def answer_sync(self, request: SyncRequest) -> PackedPayload:
         """Take a host's report; answer once there is news, or after its wait."""
         self.require_leader()
         self.registry.report_host(request.report)
@@ -123,7 +132,7 @@
                 break
             await self.clock.sleep_ms(min(GATHER_MS, left_ms))
         self.require_leader()
-        return self._update_for(request.position)
+        return self._packed_for(request.position)
 
     def _take_heartbeat(self, heartbeat: Announcement) -> None:
         if self._state.has_departed(heartbeat.server_id, heartbeat.born_ms):
@@ -131,9 +140,32 @@
         if self.registry.announce(heartbeat):
             self.meters.count(Metric.ANNOUNCEMENTS_TOTAL, service=heartbeat.service)
 
-    def _update_for(self, known: SyncPosition) -> FleetUpdate:
-        epoch = self._epoch()
-        is_same = known.epoch == epoch
+    def _packed_for(self, known: SyncPosition) -> PackedPayload:
+        position = self._position()
+        now_ms = self.clock.now_ms()
+        if position != self._packed_from or now_ms - self._packed_ms > PACKED_FOR_MS:
+            self._packed.clear()
+            self._packed_from, self._packed_ms = position, now_ms
+        packed = self._packed.get(known)
+        if packed is None:
+            update = self._update_for(known, position)
+            packed = self._packed[known] = PackedPayload(codec.encode(update))
+        return packed
+
+    def _position(self) -> SyncPosition:
+        """Return what a host knows that has heard everything."""
+        state, registry = self._state, self.registry
+        return SyncPosition(
+            epoch=self._epoch(),
+            server_revision=registry.server_revision,
+            plan_version=-1 if state.plan is None else state.plan.version,
+            order_index=state.order_index,
+            host_revision=registry.host_revision,
+            pressure_revision=registry.pressure_revision,
+        )
+
+    def _update_for(self, known: SyncPosition, position: SyncPosition) -> FleetUpdate:
+        is_same = known.epoch == position.epoch
         state, registry = self._state, self.registry
         plan = state.plan
         if plan is not None and plan.version <= known.plan_version:
@@ -143,13 +175,7 @@
             hosts = registry.hosts()
         return FleetUpdate(
             term=self._log.term,
-            position=SyncPosition(
-                epoch=epoch,
-                server_revision=registry.server_revision,
-                order_index=state.order_index,
-                host_revision=registry.host_revision,
-                pressure_revision=registry.pressure_revision,
-            ),
+            position=position,
             servers=registry.servers_after(known.server_revision if is_same else 0),
             is_full=not is_same and self._has_collected(),
             plan=plan,
@@ -192,11 +218,9 @@
             self._leading_since_ms = None
         self._notify()
 
-    def _on_order(self) -> None:
-        """Take a committed order into the registry and tell everybody."""
+    def _on_departure(self, server_id: str, born_ms: int) -> None:
         if self._leading_since_ms is not None:
-            self._mark_departures()
-        self._notify()
+            self.registry.mark_draining(server_id, born_ms)
 
     def _mark_departures(self) -> None:
         for server_id in self.registry.ready_servers():
--- a/bulrushlead/coordinator/_state.py
+++ b/bulrushlead/coordinator/_state.py
@@ -89,6 +89,10 @@
         Incarnation that is leaving or gone, by identity of the server.
     order_index : int
         Log index of the last change.
+    on_change : callable
+        Called after each change.
+    on_departure : callable
+        Called with the server and its incarnation before that, if one departs.
     """
 
     def __init__(self):
@@ -98,6 +102,7 @@
         self.departures: dict[str, int] = {}
         self.order_index = 0
         self.on_change = lambda: None
+        self.on_departure = lambda server_id, born_ms: None
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a committed command."""
@@ -158,5 +163,6 @@
                 self.departures[server_id] = born_ms
                 while len(self.departures) > MAX_DEPARTURES:
                     del self.departures[next(iter(self.departures))]
+                self.on_departure(server_id, born_ms)
                 return True
         return False
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -182,6 +182,8 @@
         known = self._servers.get(server_id)
         if known is None or known.heartbeat.born_ms > born_ms:
             return
+        if known.heartbeat.state is ServerState.DRAINING:
+            return
         known.heartbeat = attrs.evolve(known.heartbeat, state=ServerState.DRAINING)
         known.revision = self._next_revision()
         self._log.write(Event.BACKEND_LEAVING, server_id=server_id, born_ms=born_ms)
--- a/bulrushlead/wire/__init__.py
+++ b/bulrushlead/wire/__init__.py
@@ -7,6 +7,7 @@
     codec,
     message,
 )
+from bulrushlead.wire._frame import PackedPayload
 from bulrushlead.wire._messages import ErrorReply
 from bulrushlead.wire._meter import ByteMeter
 from bulrushlead.wire._server import MessageServer
@@ -20,6 +21,7 @@
     "MessageClient",
     "MessageCodec",
     "MessageServer",
+    "PackedPayload",
     "PeerLink",
     "client_context",
     "codec",
--- a/bulrushlead/wire/_frame.py
+++ b/bulrushlead/wire/_frame.py
@@ -17,11 +17,29 @@
 
     A large message is compressed: links between regions are narrow.
     """
-    if len(payload) >= MIN_COMPRESSED_BYTES:
-        compressed = zlib.compress(payload, COMPRESSION_LEVEL)
-        if len(compressed) < len(payload):
-            return _HEADER.pack(call_id | _COMPRESSED) + compressed
-    return _HEADER.pack(call_id) + payload
+    return PackedPayload(payload).frame(call_id)
+
+
+class PackedPayload:
+    """The bytes of a message, compressed once for any number of frames.
+
+    Parameters
+    ----------
+    payload : bytes
+        The message.
+    """
+
+    def __init__(self, payload: bytes):
+        self._flags = 0
+        self._body = payload
+        if len(payload) >= MIN_COMPRESSED_BYTES:
+            compressed = zlib.compress(payload, COMPRESSION_LEVEL)
+            if len(compressed) < len(payload):
+                self._flags, self._body = _COMPRESSED, compressed
+
+    def frame(self, call_id: int) -> bytes:
+        """Return the frame that answers a call."""
+        return _HEADER.pack(call_id | self._flags) + self._body
 
 
 def unpack_frame(frame: bytes | str) -> tuple[int, bytes]:
--- a/bulrushlead/wire/_server.py
+++ b/bulrushlead/wire/_server.py
@@ -11,7 +11,7 @@
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire._codec import CLOSE_TIMEOUT_MS, MAX_MESSAGE_BYTES, codec
-from bulrushlead.wire._frame import pack_frame, unpack_frame
+from bulrushlead.wire._frame import PackedPayload, pack_frame, unpack_frame
 from bulrushlead.wire._messages import ErrorReply
 from bulrushlead.wire._meter import ByteMeter
 
@@ -125,7 +125,10 @@
         except Exception as error:
             self._log.write(Event.UNEXPECTED_ERROR, error=repr(error))
             reply = ErrorReply(ResultCode.INTERNAL.value, type(error).__name__)
-        frame = pack_frame(call_id, codec.encode(reply))
+        if isinstance(reply, PackedPayload):
+            frame = reply.frame(call_id)
+        else:
+            frame = pack_frame(call_id, codec.encode(reply))
         self.meter.record_sent(len(frame))
         try:
             await connection.send(frame)
