Treat damaged log files of a coordinator as a lost disk

Change: the files are moved to a folder damaged-N beside them, and the replica joins anew under another identity; it forms no new cluster.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -34,7 +34,12 @@
 )
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
-from bulrushlead.replication import FileStorage, ReplicaSettings, ReplicatedLog
+from bulrushlead.replication import (
+    FileStorage,
+    ReplicaSettings,
+    ReplicatedLog,
+    set_files_aside,
+)
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.traffic import TrafficPlan, check_plan
 from bulrushlead.wire import LinkFactory, MessageServer, codec
@@ -93,6 +98,7 @@
         self.view = FleetView(clock)
         self.cache = FleetCache(os.path.join(settings.data_folder, "fleet"))
         self.publisher = FleetPublisher(settings, clock, self.view, self.meters)
+        self._may_form_cluster = settings.bootstrap
         self.state, self.log = self._build_log()
         self._log_started = False
         self.session = LeaderSession(
@@ -156,12 +162,19 @@
         return state, log
 
     async def _start_log(self) -> None:
-        """Start the log; a disk that refuses writes is tried again later."""
+        """Start the log; a disk that refuses writes is tried again later.
+
+        Damaged files count as a lost disk: they are kept for the operators, and the
+        replica joins anew under another identity.
+        """
         self.log.register(self.messages)
         try:
             await self.log.start()
         except BulrushleadError as error:
-            if error.code is not ResultCode.STORAGE_FAILED:
+            if error.code is ResultCode.STORAGE_DAMAGED:
+                self._may_form_cluster = False
+                set_files_aside(self.settings.data_folder)
+            elif error.code is not ResultCode.STORAGE_FAILED:
                 raise
             self._events.write(
                 Event.STORAGE_FAILED, code=error.code.value, error=error.detail
@@ -256,7 +269,7 @@
             address=settings.peer_address,
             peers=tuple(s for s in settings.seeds if s != settings.peer_address),
             data_folder=settings.data_folder,
-            bootstrap=settings.bootstrap and is_seed,
+            bootstrap=self._may_form_cluster and is_seed,
             admit_newcomers=True,
             heartbeat_ms=HEARTBEAT_MS,
             lease_ms=LEASE_MS,
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -212,3 +212,24 @@
     await until(lambda: view.updated_ms is not None)
     await session.close()
     assert set(view.servers) == {"b1"}
+
+
+async def test_a_damaged_disk_counts_as_a_lost_one(coordinators, tmp_path):
+    await until(lambda: all(len(c.log.members) == 4 for c in coordinators))
+    await coordinators[0].accept_plan(TrafficPlan(7), b"document")
+    broken = followers(coordinators)[0]
+    old_id = broken.log.replica_id
+    await until(lambda: broken.state.plan is not None)
+    await broken.close()
+    folder = tmp_path / broken.settings.host_id
+    journal = next(folder.glob("journal-*"))
+    data = bytearray(journal.read_bytes())
+    data[len(data) // 3] ^= 0xFF
+    journal.write_bytes(bytes(data))
+    again = Coordinator(broken.settings, CLOCK, link_to, random.Random(99))
+    coordinators[coordinators.index(broken)] = again
+    await again.start()
+    await until(lambda: again.state.plan is not None)
+    assert again.state.plan.version == 7
+    assert again.log.replica_id != old_id
+    assert (folder / "damaged-1" / journal.name).read_bytes() == bytes(data)
--- a/bulrushlead/replication/__init__.py
+++ b/bulrushlead/replication/__init__.py
@@ -9,7 +9,7 @@
 from bulrushlead.replication._memory_storage import MemoryStorage
 from bulrushlead.replication._messages import Member, MemberRole
 from bulrushlead.replication._settings import ReplicaSettings
-from bulrushlead.replication._storage import FileStorage, Storage
+from bulrushlead.replication._storage import FileStorage, Storage, set_files_aside
 
 __all__ = [
     "MAX_COMMAND_BYTES",
@@ -23,4 +23,5 @@
     "ReplicatedLog",
     "StateMachine",
     "Storage",
+    "set_files_aside",
 ]
--- a/bulrushlead/replication/_storage.py
+++ b/bulrushlead/replication/_storage.py
@@ -11,6 +11,7 @@
 T = TypeVar("T")
 
 LOCK_NAME = "lock"
+ASIDE_PREFIX = "damaged-"  # folders of files that could not be read
 FILE_MODE = 0o600
 FOLDER_MODE = 0o700
 
@@ -165,6 +166,27 @@
         return self._descriptors[name]
 
 
+def set_files_aside(folder: str) -> str:
+    """Move the files of a data folder to a new folder inside it.
+
+    Returns
+    -------
+    str
+        Path of the new folder.
+    """
+    number = 1
+    while os.path.exists(target := os.path.join(folder, f"{ASIDE_PREFIX}{number}")):
+        number += 1
+    os.mkdir(target, FOLDER_MODE)
+    for name in os.listdir(folder):
+        path = os.path.join(folder, name)
+        if name != LOCK_NAME and os.path.isfile(path):
+            os.rename(path, os.path.join(target, name))
+    _sync_path(target)
+    _sync_path(folder)
+    return target
+
+
 def _sync_path(path: str) -> None:
     descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
     try:
