Tell callers of a new host when it may have a plan

Cause: without a plan, callers were told to come back in 500 ms. After a restart of all hosts the plan takes about 1.5 s from the start of a process (0.9 s election, then the first answer); most callers have one more try and lost it to a second refusal. Change: the rest of that time, 400 ms at least.

--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -23,7 +23,10 @@
 PATIENCE_FACTOR = 3.0  # of the expected time, before a second server is tried
 PATIENCE_MIN_MS = 250  # shorter pauses are usual
 MAX_UNSENT_TRIES = 4  # servers that did not even take the connection
-NO_PLAN_RETRY_AFTER_MS = 500
+# After all hosts lost power, an election and the first answer of the new leader take
+# about this long; callers that come back sooner would be refused again.
+FIRST_PLAN_MS = 1_500
+NO_PLAN_RETRY_AFTER_MS = 400  # once the plan is overdue; a round of the leader's search
 STOPPING_RETRY_AFTER_MS = 20  # another host can take the request at once
 
 REFUSED = Refusal(
@@ -72,6 +75,7 @@
         self.rng = rng
         self.meters = meters or CompactMeters()
         self._runner = AttemptRunner(clock, dialect, dispatcher, pool, self.meters)
+        self._started_ms = clock.now_ms()
         self._stopping = False
         self._plan: TrafficPlan | None = None
         self._table: RouteTable | None = None
@@ -104,8 +108,12 @@
                 request, ResultCode.STOPPING, STOPPING_RETRY_AFTER_MS, "stopping"
             )
         if self._table is None:
+            age_ms = self.clock.now_ms() - self._started_ms
             return self._refuse(
-                request, ResultCode.NO_CONFIGURATION, NO_PLAN_RETRY_AFTER_MS, "no plan"
+                request,
+                ResultCode.NO_CONFIGURATION,
+                max(NO_PLAN_RETRY_AFTER_MS, FIRST_PLAN_MS - age_ms),
+                f"no plan {age_ms:.0f} ms after the start",
             )
         route = self._table.find(request.header(b"host") or b"", request.target)
         if route is None:
--- a/bulrushlead/gateway/tests/test_forwarding.py
+++ b/bulrushlead/gateway/tests/test_forwarding.py
@@ -5,6 +5,7 @@
 
 from bulrushlead.dispatch import RetryBudget
 from bulrushlead.dispatch._server import FULL_HOLD_MS
+from bulrushlead.gateway._forwarding import FIRST_PLAN_MS, NO_PLAN_RETRY_AFTER_MS
 from bulrushlead.gateway.tests import world as w
 from bulrushlead.traffic import TrafficPlan
 
@@ -47,6 +48,20 @@
     assert retry_after(answer) > 0
 
 
+async def test_callers_of_a_new_host_come_back_when_it_may_have_a_plan(build):
+    """A restart of all hosts: with a second refusal a caller is lost."""
+    world = await build(w.good)
+    forwarder = world.forwarder
+    forwarder._table = None
+    told = {}
+    for age_ms in (0, 1_000, 60_000):
+        forwarder._started_ms = w.CLOCK.now_ms() - age_ms
+        told[age_ms] = 1_000 * retry_after(await world.ask(b"/read/1"))
+    assert told[0] == pytest.approx(FIRST_PLAN_MS, abs=300)
+    assert told[1_000] == pytest.approx(FIRST_PLAN_MS - 1_000, abs=300)
+    assert told[60_000] == NO_PLAN_RETRY_AFTER_MS
+
+
 @pytest.mark.parametrize("script", [w.full, w.misdirected])
 @pytest.mark.parametrize("path", [b"/read/1", b"/order/1"])
 async def test_what_did_not_run_goes_to_another_server(build, script, path):
