--- a/bulrushlead/dispatch/tests/model.py
+++ b/bulrushlead/dispatch/tests/model.py
@@ -28,6 +28,7 @@
     ServerState,
     SyncPosition,
 )
+from bulrushlead.fleet._registry import MIN_PRESSURE
 from bulrushlead.traffic import ServicePolicy, TrafficPlan
 
 KNOWN_GAIN = 0.7  # part of the work that a remembered object saves
@@ -166,15 +167,23 @@
                 ),
             ),
             hosts=self.records,
-            pressures={
-                server_id: round(s.mean_load() / s.record.slots, 1)
-                for server_id, s in self.servers.items()
-            },
+            pressures=self._told_pressures(),
         )
         self.view.apply(update)
         for host in self.hosts:
             host.update(self.view)
 
+    def _told_pressures(self):
+        loads = {
+            server_id: round(server.mean_load() / server.record.slots, 1)
+            for server_id, server in self.servers.items()
+        }
+        # 0 takes back what was told before.
+        return {
+            server_id: load if load >= MIN_PRESSURE else 0.0
+            for server_id, load in loads.items()
+        }
+
     def at(self, when_ms, action):
         heapq.heappush(self._events, (when_ms, next(self._order), action))
 
