Say in plain words what a few constants and calls do

Cause: read as a newcomer, some comments needed their neighbours to be understood. Change: comments and doc texts only. Conclusion: ready to land.

--- a/bulrushlead/coordinator/_cache.py
+++ b/bulrushlead/coordinator/_cache.py
@@ -67,7 +67,7 @@
         return snapshot.servers
 
     async def save(self, servers: list[ServerRecord]) -> None:
-        """Replace the file; a failure is logged and costs a cache only."""
+        """Replace the file; a failed write is logged and tried again next time."""
         payload = codec.encode(FleetSnapshot(_wall_ms(), tuple(servers)))
         data = xxhash.xxh64_digest(payload) + payload
         try:
--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -51,8 +51,8 @@
 READ_TIMEOUT_MS = 800
 RETIRE_TIMEOUT_MS = 500
 STORAGE_RETRY_MS = 500  # a full disk stays so for seconds
-SAVE_INTERVAL_MS = 2_000  # a server that comes later is heard again by itself
-FRESH_VIEW_MS = 3_000  # a host that is cut off must not call old news new
+SAVE_INTERVAL_MS = 2_000  # newer servers announce themselves soon anyway
+FRESH_VIEW_MS = 3_000  # without the leader, records are not saved as new
 # An election follows a lost leader; callers of a system that was powered off wait for
 # it. The shortest time still covers a stall of 100 ms on top of three round trips
 # between regions.
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -18,7 +18,7 @@
 # real queues are about twice as long as expected.
 WAIT_OVER_TARGET = 0.25
 URGENT_WAIT_OVER_TARGET = 0.5  # the same for the most urgent kind of a service
-HOME_SERVERS = 2  # the server that knows an object, and the one to go to if it ails
+HOME_SERVERS = 2  # the one that knows an object, and its replacement
 # An object that alone fills its server is shared with its second home, if that one is
 # not busy. In a rush all are: objects would spread over servers that do not know them,
 # and the work would grow until nothing is in time.
@@ -233,7 +233,7 @@
         return self._choose_home(options, work)
 
     def _choose_home(self, homes: list[_Option], work: Work) -> Placement:
-        """Return the first home, or the next one if the first ails or is too hot."""
+        """Return the first home; the next one if that is slow, failing or overfull."""
         first = homes[0]
         for other in homes[1:]:
             # Queues alone are no reason: the next home does not know the object.
--- a/bulrushlead/fleet/_search.py
+++ b/bulrushlead/fleet/_search.py
@@ -93,7 +93,7 @@
         )
 
     def _ask_more(self) -> bool:
-        """Ask hinted addresses, and others up to the width; false when all is said."""
+        """Ask more addresses; return whether any call is in progress."""
         for address in self._hinted - self._asked:
             self._start(address)
         if self._head_start_over or not self._waits_for_hinted():
@@ -116,7 +116,7 @@
         return None if self._left else SILENT_PATIENCE_MS
 
     async def _wait(self) -> set[asyncio.Task]:
-        """Return the calls that ended; none if patience ended first."""
+        """Return the calls that ended, none if the time for them ran out."""
         patience_ms = self._patience_ms()
         timers = set()
         if patience_ms is not None:
