Heed drains and pauses that servers state in their answers

Cause: a server that drains may say so in its answers before any coordinator knows, and a refusal may name the time for which the server wants no request of this host. Hosts ignored both, so that they kept sending requests.

Change: dispatch/_notices.py keeps both for one incarnation, also while the server is missing from the fleet view. Drains are reported to the leader with each sync request until its view says the same. Answers of another server at the address (421) say nothing about the expected one. A refusal for want of servers in a pause names the end of the first pause.

Ruled out: a log entry for each noticed drain; the notice is renewed by every answer, and a report that is lost with a leader is repeated.

--- a/bulrushlead/dispatch/__init__.py
+++ b/bulrushlead/dispatch/__init__.py
@@ -6,6 +6,7 @@
 
 from bulrushlead.dispatch._budget import RetryBudget
 from bulrushlead.dispatch._dispatcher import Dispatcher
+from bulrushlead.dispatch._notices import ServerNotices, parse_pause_ms
 from bulrushlead.dispatch._ranking import Ranking
 from bulrushlead.dispatch._server import Outcome, ServerStats
 from bulrushlead.dispatch._settings import DispatchSettings
@@ -20,7 +21,9 @@
     "Ranking",
     "Refusal",
     "RetryBudget",
+    "ServerNotices",
     "ServerStats",
     "WarmupLimiter",
     "Work",
+    "parse_pause_ms",
 ]
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -8,6 +8,7 @@
 from bulrushlead.clock import Clock
 from bulrushlead.dispatch._budget import RetryBudget
 from bulrushlead.dispatch._estimates import DurationEstimates
+from bulrushlead.dispatch._notices import ServerNotices
 from bulrushlead.dispatch._ranking import Ranking, offloads_object
 from bulrushlead.dispatch._server import ServerStats
 from bulrushlead.dispatch._settings import DispatchSettings
@@ -77,6 +78,8 @@
         Limit on the requests to cold servers.
     estimates : DurationEstimates
         Expected durations of requests.
+    notices : ServerNotices
+        What servers said about themselves in their answers to this host.
     """
 
     def __init__(self, clock: Clock, settings: DispatchSettings):
@@ -92,6 +95,7 @@
             clock, settings.host_id, settings.region, settings.warmup_slack
         )
         self.estimates = DurationEstimates()
+        self.notices = ServerNotices(clock, settings.host_id)
         self._servers: dict[str, ServerStats] = {}
         self._rankings: dict[str, Ranking] = {}
         self._policies: dict[str, ServicePolicy] = {}
@@ -192,7 +196,7 @@
         if placement is None:
             return Refusal(
                 ResultCode.NO_BACKEND_SERVER,
-                MAX_RETRY_AFTER_MS / 4,
+                self._retry_after_pauses_ms(ranking, work),
                 "no usable server: each is unavailable, over its warm-up rate, already "
                 "tried or outside the allowed regions",
             )
@@ -239,6 +243,22 @@
             f"ms in its queue and {placement.work_ms:.0f} ms of work",
         )
 
+    def _retry_after_pauses_ms(self, ranking: Ranking, work: Work) -> float:
+        """Return the retry delay of a request for which no server is usable.
+
+        If every server of the service is in a pause, this is the time until the first
+        one accepts requests again.
+        """
+        pauses_ms = [
+            self.notices.pause_left_ms(server.server_id, server.born_ms)
+            for members in ranking.order(work.key)
+            for server in members
+        ]
+        shortest_ms = min(pauses_ms, default=0.0)
+        if not shortest_ms:
+            return MAX_RETRY_AFTER_MS / 4
+        return min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, shortest_ms))
+
     def _longest_wait_ms(self, work: Work) -> float:
         ratio = (
             MAX_URGENT_WAIT_TO_TARGET_RATIO if work.urgent else MAX_WAIT_TO_TARGET_RATIO
@@ -351,7 +371,11 @@
         self, server: ServerStats, work: Work, now_ms: float, fleet_age_ms: float
     ) -> bool | None:
         """Return whether a server is or may be cold, or None if it is not usable."""
-        if server.server_id in work.excluded or not server.is_available(now_ms):
+        if (
+            server.server_id in work.excluded
+            or not server.is_available(now_ms)
+            or not self.notices.allows(server.server_id, server.born_ms)
+        ):
             return None
         cold = server.may_be_cold(now_ms, fleet_age_ms)
         if cold and not self.warmup.allows(
--- a/bulrushlead/fleet/_messages.py
+++ b/bulrushlead/fleet/_messages.py
@@ -101,6 +101,9 @@
     loads : dict of str to float
         Mean load that each server reported to this host since the last report of
         the host, as a multiple of the slots of the server.
+    draining : dict of str to int
+        Incarnation (``born_ms``) of each server whose answers say that it drains while
+        the fleet view still calls it ready, by identity of the server.
     """
 
     host_id: str
@@ -109,6 +112,7 @@
     region: str
     accepting: bool
     loads: dict[str, float] = attrs.field(factory=dict)
+    draining: dict[str, int] = attrs.field(factory=dict)
 
 
 @message("fleet.host")
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -230,6 +230,8 @@
     def record_host_report(self, report: HostReport) -> None:
         """Record the report of a host."""
         self._record_loads(report.loads)
+        for server_id, born_ms in report.draining.items():
+            self.mark_draining(server_id, born_ms)
         if not report.address:
             return  # a control host: it has no address for callers
         host = self._hosts.get(report.host_id)
--- a/bulrushlead/fleet/tests/test_registry.py
+++ b/bulrushlead/fleet/tests/test_registry.py
@@ -166,3 +166,16 @@
     registry.record_heartbeat(heartbeat(born_ms=born_ms + 1, address="10.0.0.77:80"))
     registry.record_heartbeat(heartbeat(server_id="b2", born_ms=born_ms))
     assert set(registry.ready_servers()) == {"b1", "b2"}
+
+
+def test_drain_that_a_host_noticed_is_published(registry):
+    """A server may drain for a while before it tells the coordinators."""
+    registry.record_heartbeat(heartbeat())
+    revision = registry.server_revision
+    born_ms = heartbeat().born_ms
+    earlier, later = {"b1": born_ms - 1, "b2": 1}, {"b1": born_ms}
+    registry.record_host_report(attrs.evolve(make_report(), draining=earlier))
+    assert registry.servers_since(revision) == ()
+    registry.record_host_report(attrs.evolve(make_report(), draining=later))
+    assert record_of(registry).state is ServerState.DRAINING
+    assert not registry.record_heartbeat(heartbeat(sequence=9))
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -3,7 +3,14 @@
 import attrs
 
 from bulrushlead.clock import Clock
-from bulrushlead.dispatch import Dispatcher, Outcome, Placement, ServerStats, Work
+from bulrushlead.dispatch import (
+    Dispatcher,
+    Outcome,
+    Placement,
+    ServerStats,
+    Work,
+    parse_pause_ms,
+)
 from bulrushlead.gateway._dialect import Dialect
 from bulrushlead.http1 import (
     Answer,
@@ -35,6 +42,7 @@
 # wait, which may be overestimated.
 MIN_WORK_SHARE = 0.2
 MISDIRECTED_STATUS = 421
+PAUSING_STATUS = 503  # may carry the time for which the server wants no request
 # Statuses of refusals in HTTP. Only the server's not-run header field confirms that the
 # request did not run. 421 is classified earlier, as misdirected.
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
@@ -225,6 +233,9 @@
     def _classify(
         self, answer: Answer, state: RequestState, server: ServerStats
     ) -> AttemptResult:
+        if answer.status != MISDIRECTED_STATUS:
+            # A misdirected request was answered by another server at the address.
+            self._record_notices(server, answer)
         load_value = answer.header(self.dialect.load)
         if load_value is not None:
             _record_reported_load(server, load_value, self.clock.now_ms())
@@ -263,6 +274,17 @@
             Outcome.ANSWERED, forwarded, final=True, may_have_run=True, detail=detail
         )
 
+    def _record_notices(self, server: ServerStats, answer: Answer) -> None:
+        notices = self.dispatcher.notices
+        if answer.header(self.dialect.draining) == b"1":
+            notices.record_draining(server.server_id, server.born_ms)
+        if answer.status != PAUSING_STATUS:
+            return
+        value = answer.header(self.dialect.retry_after)
+        pause_ms = None if value is None else parse_pause_ms(value)
+        if pause_ms is not None:
+            notices.record_pause(server.server_id, server.born_ms, pause_ms)
+
     def _server_headers(
         self, headers: HeaderList, server_id: str, remaining_ms: float
     ) -> HeaderList:
--- a/bulrushlead/gateway/_dialect.py
+++ b/bulrushlead/gateway/_dialect.py
@@ -21,6 +21,11 @@
         Present in the answer of a backend server that did not run the request.
     load : bytes
         Running requests, queued requests and slots, separated by commas.
+    draining : bytes
+        Present with the value 1 in every answer of a backend server that is draining.
+    retry_after : bytes
+        In a refusal of a backend server: seconds for which it wants no request of this
+        host.
     """
 
     request_id: bytes
@@ -29,3 +34,5 @@
     expected_server: bytes
     not_run: bytes
     load: bytes
+    draining: bytes
+    retry_after: bytes = b"retry-after"
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -130,6 +130,7 @@
             settings.region,
             self.is_ready,
             self.dispatcher.pop_mean_loads(),
+            self.dispatcher.notices.unpublished_drains(self.view.servers.get),
         )
 
     def _on_update(self, update: FleetUpdate) -> None:
--- a/bulrushlead/gateway/tests/harness.py
+++ b/bulrushlead/gateway/tests/harness.py
@@ -20,7 +20,9 @@
 from bulrushlead.traffic import Route, ServicePolicy, ServiceShare, TrafficPlan
 
 CLOCK = MonotonicClock()
-DIALECT = Dialect(b"id", b"deadline", b"key", b"expect", b"not-run", b"load")
+DIALECT = Dialect(
+    b"id", b"deadline", b"key", b"expect", b"not-run", b"load", b"draining"
+)
 SHARES = (ServiceShare("stock", 1.0),)
 ROUTES = (
     Route("read", "h", "/read/", SHARES, True, 3e3, 3e2, 2, max_attempts=2),
@@ -91,6 +93,18 @@
     return answer(421, b"")
 
 
+async def draining(server, head, writer):
+    return answer(body=server.server_id.encode(), draining=b"1")
+
+
+async def pausing(server, head, writer):
+    return answer(503, b"", not_run=b"1", retry_after=b"5")
+
+
+async def misdirected_to_draining(server, head, writer):
+    return answer(421, b"", draining=b"1", retry_after=b"5")
+
+
 async def failing(server, head, writer):
     return answer(500, b"oops")
 
--- /dev/null
+++ b/bulrushlead/gateway/tests/test_notices.py
@@ -0,0 +1,54 @@
+"""Notices of servers in their answers, with fake servers on loopback."""
+
+import pytest
+
+from bulrushlead.gateway.tests import harness as fakes
+
+
+@pytest.fixture
+async def build():
+    harnesses = []
+
+    async def start(*scripts):
+        harness = await fakes.build_harness(*scripts)
+        harnesses.append(harness)
+        return harness
+
+    yield start
+    for harness in harnesses:
+        harness.close()
+
+
+async def test_server_whose_answer_says_that_it_drains_gets_no_more_requests(build):
+    harness = await build(fakes.draining)
+    assert (await harness.send_request(b"/read/1")).status == 200
+    assert (await harness.send_request(b"/read/2")).status == 503
+    assert harness.requests_received() == 1
+    find_server = harness.view.servers.get
+    assert harness.dispatcher.notices.unpublished_drains(find_server) == {"s0": 1}
+
+
+async def test_server_that_asked_for_a_pause_gets_no_request_until_it_ends(build):
+    harness = await build(fakes.pausing)
+    answer = await harness.send_request(b"/order/1")
+    assert answer.status == 503
+    answer = await harness.send_request(b"/read/1")
+    assert answer.status == 503
+    assert float(answer.header(b"retry-after")) == pytest.approx(2.0)
+    assert harness.requests_received() == 1
+
+
+async def test_retry_avoids_a_paused_server(build):
+    harness = await build(fakes.pausing, fakes.good)
+    statuses = [
+        (await harness.send_request(b"/read/%d" % number)).status for number in range(9)
+    ]
+    assert statuses == [200] * 9
+    assert len(harness.servers[0].heads) <= 1
+
+
+async def test_notices_of_another_server_at_the_address_are_ignored(build):
+    """The server at an address that was reused speaks for itself only."""
+    harness = await build(fakes.misdirected_to_draining)
+    await harness.send_request(b"/order/1")
+    assert harness.dispatcher.notices.allows("s0", 1)
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -65,6 +65,8 @@
     ZONE_DISTRUSTED = 605
     ZONE_TRUSTED = 606
     BACKEND_SILENT = 607
+    BACKEND_DRAIN_NOTICED = 608
+    BACKEND_PAUSED = 609
     DRAIN_STARTED = 610
     DRAIN_ENDED = 611
     HOST_CHANGED = 620
@@ -158,6 +160,12 @@
     _E.ZONE_DISTRUSTED: EventInfo("WARNING", "An availability zone was ejected."),
     _E.ZONE_TRUSTED: EventInfo("INFO", "An ejected zone is used again."),
     _E.BACKEND_SILENT: EventInfo("WARNING", "Heartbeats of a server are missing."),
+    _E.BACKEND_DRAIN_NOTICED: EventInfo(
+        "INFO", "An answer of a backend server says that the server is draining."
+    ),
+    _E.BACKEND_PAUSED: EventInfo(
+        "INFO", "A backend server refused and asked this host to pause."
+    ),
     _E.DRAIN_STARTED: EventInfo("INFO", "A planned drain has started."),
     _E.DRAIN_ENDED: EventInfo("INFO", "A planned drain has ended."),
     _E.HOST_CHANGED: EventInfo("INFO", "A host started or stopped accepting callers."),
--- a/bulrushlead/platform/_dialect.py
+++ b/bulrushlead/platform/_dialect.py
@@ -9,4 +9,5 @@
     expected_server=b"expect-instance",
     not_run=b"not-executed",
     load=b"server-load",
+    draining=b"server-leaving",
 )
