--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -17,8 +17,10 @@
     ServerState,
     SyncPosition,
     SyncRequest,
+    owner_group,
 )
 from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.placement import OwnerTable, PlacementServer
 from bulrushlead.replication import ReplicatedLog
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire import PackedPayload, codec
@@ -53,6 +55,8 @@
     ----------
     registry : FleetRegistry
         Servers and entry hosts registered in the current leadership term.
+    owners : OwnerTable
+        Servers that own objects in the current leadership term.
     """
 
     def __init__(
@@ -67,6 +71,7 @@
         self.view = view
         self.meters = meters
         self.registry = FleetRegistry(clock, settings.heartbeat_ms)
+        self.owners = OwnerTable(clock)
         self._state: OrderState | None = None
         self._log: ReplicatedLog | None = None
         self._changed = asyncio.Event()
@@ -112,6 +117,7 @@
         """
         self.registry.check_silence()
         self.registry.update_published_loads()
+        self._update_owners()
         self._notify_if_changed()
 
     async def handle_heartbeats(self, request: AnnounceBatch) -> StatusReply:
@@ -126,6 +132,7 @@
         """Record the report of a host; answer after a change or after ``wait_ms``."""
         self.require_leader()
         self.registry.record_host_report(request.report)
+        self.owners.record_demand(request.report.demand)
         self._notify_if_changed()
         deadline_ms = self.clock.now_ms() + request.wait_ms
         while not self._has_changes(request.position):
@@ -171,6 +178,7 @@
             order_index=state.order_index,
             host_revision=registry.host_revision,
             pressure_revision=registry.load_revision,
+            owner_revision=self.owners.revision,
         )
 
     def _build_update(self, since: SyncPosition, position: SyncPosition) -> FleetUpdate:
@@ -196,6 +204,9 @@
             pressures=registry.loads_since(
                 since.pressure_revision if is_same_epoch else 0
             ),
+            owners=self.owners.owners_since(
+                since.owner_revision if is_same_epoch else 0
+            ),
         )
 
     def _has_changes(self, since: SyncPosition) -> bool:
@@ -226,6 +237,9 @@
             self.registry = FleetRegistry(self.clock, self.settings.heartbeat_ms)
             self.registry.restore(self.view.records(), list(self.view.hosts))
             self._mark_departures()
+            self.owners = OwnerTable(self.clock)
+            self.owners.restore(self.view.owners)
+            self._update_owners()
         else:
             self._leading_since_ms = None
         self._notify()
@@ -234,6 +248,18 @@
         if self._leading_since_ms is not None:
             self.registry.mark_draining(server_id, born_ms)
 
+    def _update_owners(self) -> None:
+        regions = self.settings.zone_regions
+        self.owners.update(
+            PlacementServer(
+                record.server_id,
+                owner_group(regions.get(record.zone, ""), record.service),
+                record.slots,
+                record.cold_left_ms > 0,
+            )
+            for record in self.registry.owner_candidates(self._state.evacuated_zones)
+        )
+
     def _mark_departures(self) -> None:
         for server_id in self.registry.ready_servers():
             born_ms = self.registry.born_ms_of(server_id)
--- a/bulrushlead/coordinator/_settings.py
+++ b/bulrushlead/coordinator/_settings.py
@@ -38,6 +38,8 @@
     listen_ip : str
         IP address on which to listen for other hosts; that of ``peer_address`` if
         empty.
+    zone_regions : dict of str to str
+        Region of each availability zone; objects move between servers of one region.
     """
 
     host_id: str
@@ -49,3 +51,4 @@
     bootstrap: bool
     heartbeat_ms: float = 1_500.0
     listen_ip: str = ""
+    zone_regions: dict[str, str] = attrs.field(factory=dict)
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -14,7 +14,8 @@
 from bulrushlead.dispatch._settings import DispatchSettings
 from bulrushlead.dispatch._warmup import WarmupLimiter
 from bulrushlead.dispatch._work import Placement, Refusal, Work
-from bulrushlead.fleet import FleetView, ServerState
+from bulrushlead.fleet import FleetView, ServerState, owner_group
+from bulrushlead.placement import DemandMeter
 from bulrushlead.results import ResultCode
 from bulrushlead.traffic import ServicePolicy
 
@@ -80,6 +81,8 @@
         Expected durations of requests.
     notices : ServerNotices
         What servers said about themselves in their answers to this host.
+    demand : DemandMeter
+        Work sent to each server since the last report, by object.
     """
 
     def __init__(self, clock: Clock, settings: DispatchSettings):
@@ -96,6 +99,7 @@
         )
         self.estimates = DurationEstimates()
         self.notices = ServerNotices(clock, settings.host_id)
+        self.demand = DemandMeter()
         self._servers: dict[str, ServerStats] = {}
         self._rankings: dict[str, Ranking] = {}
         self._policies: dict[str, ServicePolicy] = {}
@@ -173,6 +177,14 @@
                 loads[server_id] = load
         return loads
 
+    def pop_unreachable(self) -> tuple[str, ...]:
+        """Return the servers that were unreachable since the last call."""
+        return tuple(
+            server_id
+            for server_id, stats in self._servers.items()
+            if stats.pop_unreachable()
+        )
+
     def place(self, work: Work) -> Placement | Refusal:
         """Select the server for a request, or refuse the request."""
         ranking = self._rankings.get(work.service)
@@ -187,7 +199,9 @@
         for members in ranking.order(work.key):
             if work.allowed_regions and members[0].region not in work.allowed_regions:
                 continue
-            placement = self._best_in_region(members, work, now_ms)
+            placement = self._best_in_region(
+                self._owner_first(members, work), work, now_ms
+            )
             # The first region with a usable server is chosen, even if its queues are
             # long. Otherwise, under overload, objects would move to servers that have
             # not cached them, and the total work would grow.
@@ -214,6 +228,10 @@
         # Slowness is relative to this: the wait includes slowness, the work does not.
         expected_duration_ms = placement.wait_ms + placement.uncached_ms
         attempt = server.record_sent(self.clock.now_ms(), expected_duration_ms)
+        if placement.digest is not None:
+            self.demand.record(
+                server.server_id, placement.digest, placement.unqueued_ms
+            )
         if placement.cold:
             self.warmup.record_sent(
                 server.server_id, server.region, self._warmup_rate(server.service)
@@ -278,6 +296,19 @@
             return min(options, key=lambda option: option.cost).placement
         return self._choose_preferred(options, work)
 
+    def _owner_first(self, members: list[ServerStats], work: Work) -> list[ServerStats]:
+        """Return the servers of a region with the object's owner, if any, in front."""
+        if not work.sticky:
+            return members
+        group = owner_group(members[0].region, work.service)
+        owner = self._view.owners.get(group, {}).get(work.digest)
+        if owner is None or owner == members[0].server_id:
+            return members
+        server = self._servers.get(owner)
+        if server is None or not server.ready or server not in members:
+            return members
+        return [server, *(member for member in members if member is not server)]
+
     def _choose_preferred(self, preferred: list[_Option], work: Work) -> Placement:
         """Return the first preferred server, or another one in its place.
 
@@ -327,6 +358,8 @@
             estimate.uncached_ms,
             candidate.cold,
             load,
+            estimate.unqueued_ms,
+            work.digest if work.sticky else None,
         )
         return _Option(placement, wait_cost, work_ms * failure_penalty)
 
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -98,6 +98,7 @@
     _next_probe_ms: float = 0.0
     _last_answer_ms: float = -1e12
     _connection_lost_ms: float = -1e12
+    _unreachable_reported: bool = True
 
     def __attrs_post_init__(self):
         self.hash = xxhash.xxh32_intdigest(self.server_id.encode())
@@ -192,6 +193,11 @@
         self._load_sum, self._load_count = 0.0, 0
         return round(mean, 1)
 
+    def pop_unreachable(self) -> bool:
+        """Return whether the server was unreachable since the last call."""
+        reported, self._unreachable_reported = self._unreachable_reported, True
+        return not reported
+
     def record_duration_ratio(self, ratio: float, now_ms: float) -> None:
         """Record the ratio of an answer's duration to the expected one."""
         current = self.slowness(now_ms)
@@ -241,3 +247,4 @@
             backoff_ms, UNREACHABLE_MAX_BACKOFF_MS
         )
         self._unreachable_count += 1
+        self._unreachable_reported = False
--- a/bulrushlead/dispatch/_work.py
+++ b/bulrushlead/dispatch/_work.py
@@ -1,6 +1,7 @@
 """Inputs and results of a placement."""
 
 import attrs
+import xxhash
 
 from bulrushlead.dispatch._server import ServerStats
 from bulrushlead.results import ResultCode
@@ -42,6 +43,11 @@
     allowed_regions: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
 
+    @property
+    def digest(self) -> int:
+        """64-bit hash of the object key."""
+        return xxhash.xxh64_intdigest(self.key)
+
 
 @attrs.frozen
 class Placement:
@@ -64,6 +70,11 @@
         Whether the request counts against the rate limit of a cold server.
     load : float
         Estimated number of requests at the server, running and queued.
+    unqueued_ms : float
+        Time on a slot of a server that has cached the object, in milliseconds, as the
+        fastest answers took.
+    digest : int or None
+        Digest of the object key; None if the request concerns no object.
     """
 
     server: ServerStats
@@ -73,6 +84,8 @@
     uncached_ms: float
     cold: bool = False
     load: float = 0.0
+    unqueued_ms: float = 0.0
+    digest: int | None = None
 
 
 @attrs.frozen
--- a/bulrushlead/fleet/__init__.py
+++ b/bulrushlead/fleet/__init__.py
@@ -9,6 +9,7 @@
     ServerState,
     SyncPosition,
     SyncRequest,
+    owner_group,
 )
 from bulrushlead.fleet._registry import FleetRegistry
 from bulrushlead.fleet._session import LeaderSession
@@ -27,4 +28,5 @@
     "ServerState",
     "SyncPosition",
     "SyncRequest",
+    "owner_group",
 ]
--- a/bulrushlead/fleet/_messages.py
+++ b/bulrushlead/fleet/_messages.py
@@ -104,6 +104,11 @@
     draining : dict of str to int
         Incarnation (``born_ms``) of each server whose answers say that it drains while
         the fleet view still calls it ready, by identity of the server.
+    demand : dict of str to dict of int to float
+        Work in milliseconds that this host sent since its last report, by server and
+        64-bit digest of the object's key; see ``DemandMeter``.
+    unreachable : tuple of str
+        Servers to which this host could not connect since its last report.
     """
 
     host_id: str
@@ -113,6 +118,8 @@
     accepting: bool
     loads: dict[str, float] = attrs.field(factory=dict)
     draining: dict[str, int] = attrs.field(factory=dict)
+    demand: dict[str, dict[int, float]] = attrs.field(factory=dict)
+    unreachable: tuple[str, ...] = ()
 
 
 @message("fleet.host")
@@ -154,6 +161,8 @@
         Revision of the newest list of hosts received.
     pressure_revision : int
         Revision of the newest fleet-wide load received.
+    owner_revision : int
+        Revision of the newest change of the objects' owners received.
     """
 
     epoch: str = ""
@@ -162,6 +171,7 @@
     order_index: int = 0
     host_revision: int = 0
     pressure_revision: int = 0
+    owner_revision: int = 0
 
 
 @message("fleet.sync")
@@ -209,6 +219,9 @@
     pressures : dict of str to float
         Changed fleet-wide loads by server, as a multiple of the slots; 0 for a server
         whose load has fallen below the published minimum.
+    owners : dict of str to dict of int to str
+        Changed owners of objects: the server by group (``owner_group``) and digest of
+        the object's key; empty for an object that left the table.
     """
 
     term: int
@@ -220,3 +233,9 @@
     hosts: tuple[HostRecord, ...] | None = None
     control_addresses: tuple[str, ...] = ()
     pressures: dict[str, float] = attrs.field(factory=dict)
+    owners: dict[str, dict[int, str]] = attrs.field(factory=dict)
+
+
+def owner_group(region: str, service: str) -> str:
+    """Return the name of the group of servers that share objects among themselves."""
+    return f"{region}/{service}"
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -1,6 +1,7 @@
 """Registry of backend servers and entry hosts on the leader."""
 
 import math
+from collections.abc import Container
 
 import attrs
 
@@ -26,6 +27,9 @@
 MIN_LOAD_CHANGE = 0.2
 HOST_SILENT_AFTER_MS = 1_500  # more than three intervals of host reports
 HOST_REMOVED_AFTER_MS = 60_000
+# Reports of this age still count; hosts try an unreachable server again within 4 s.
+ACCUSATION_TTL_MS = 5_000
+MIN_ACCUSING_ZONES = 2
 MIN_COLD_CHANGE_MS = 500  # smaller changes of the end of the warm-up are jitter
 
 
@@ -40,6 +44,8 @@
     load_updated_ms: float = 0.0
     published_load: float = 0.0
     load_revision: int = 0
+    # Time of the last report that the server is unreachable, by zone of the host.
+    accused_ms: dict[str, float] = attrs.field(factory=dict)
 
     def load_at(self, now_ms: float) -> float:
         return decayed(self.load, now_ms - self.load_updated_ms, LOAD_HALF_LIFE_MS)
@@ -190,6 +196,32 @@
             if server.heartbeat.state is ServerState.READY
         ]
 
+    def owner_candidates(self, evacuated_zones: Container[str]) -> list[ServerRecord]:
+        """Return the servers that may own objects.
+
+        Servers that drain, are silent, unreachable or in an evacuated zone may not.
+        """
+        return [
+            self._build_record(server)
+            for server in self._servers.values()
+            if server.heartbeat.state is ServerState.READY
+            and not server.silent
+            and server.heartbeat.zone not in evacuated_zones
+            and not self._is_unreachable(server)
+        ]
+
+    def _is_unreachable(self, server: _Server) -> bool:
+        """Return whether hosts of several zones failed to connect to a server.
+
+        Hosts of one zone may be cut off themselves. A heartbeat after their reports
+        shows that the server runs.
+        """
+        oldest_ms = max(
+            server.last_heartbeat_ms, self.clock.now_ms() - ACCUSATION_TTL_MS
+        )
+        accusers = sum(time_ms > oldest_ms for time_ms in server.accused_ms.values())
+        return accusers >= MIN_ACCUSING_ZONES
+
     def mark_draining(self, server_id: str, born_ms: int) -> None:
         """Mark a server as draining, unless a newer incarnation is registered."""
         server = self._servers.get(server_id)
@@ -232,10 +264,13 @@
         self._record_loads(report.loads)
         for server_id, born_ms in report.draining.items():
             self.mark_draining(server_id, born_ms)
+        now_ms = self.clock.now_ms()
+        for server_id in report.unreachable:
+            if server_id in self._servers:
+                self._servers[server_id].accused_ms[report.zone] = now_ms
         if not report.address:
             return  # a control host: it has no address for callers
         host = self._hosts.get(report.host_id)
-        now_ms = self.clock.now_ms()
         if host is None or host.report.address != report.address:
             self._hosts[report.host_id] = _Host(report, now_ms, report.accepting)
             self.host_revision += 1
--- a/bulrushlead/fleet/_view.py
+++ b/bulrushlead/fleet/_view.py
@@ -51,6 +51,8 @@
     fleet_loads : dict of str to float
         Fleet-wide load by server, as a multiple of its slots; only servers above the
         published minimum.
+    owners : dict of str to dict of int to str
+        Server that owns an object, by group (``owner_group``) and digest of the key.
     updated_ms : float or None
         Time when the last update was applied, in milliseconds.
     """
@@ -64,6 +66,7 @@
         self.position = SyncPosition()
         self.control_addresses: tuple[str, ...] = ()
         self.fleet_loads: dict[str, float] = {}
+        self.owners: dict[str, dict[int, str]] = {}
         self.updated_ms: float | None = None
         self._term = 0
 
@@ -94,6 +97,7 @@
         if update.control_addresses:
             self.control_addresses = update.control_addresses
         self._apply_loads(update)
+        self._apply_owners(update)
         plan_version = -1 if self.plan is None else self.plan.version
         self.position = attrs.evolve(update.position, plan_version=plan_version)
         self.updated_ms = now_ms
@@ -134,6 +138,23 @@
             if not load:
                 del self.fleet_loads[server_id]
 
+    def _apply_owners(self, update: FleetUpdate) -> None:
+        if update.is_full:
+            # Owners outlive a change of the leader, which may not know them, since
+            # objects are cached there. Those of removed servers are of no use.
+            for group, objects in self.owners.items():
+                self.owners[group] = {
+                    digest: owner
+                    for digest, owner in objects.items()
+                    if owner in self.servers
+                }
+        for group, changes in update.owners.items():
+            objects = self.owners.setdefault(group, {})
+            objects.update(changes)
+            for digest, owner in changes.items():
+                if not owner:
+                    del objects[digest]
+
     def _remove(self, server_id: str) -> None:
         self.servers.pop(server_id, None)
         self.fleet_loads.pop(server_id, None)
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -131,6 +131,8 @@
             self.is_ready,
             self.dispatcher.pop_mean_loads(),
             self.dispatcher.notices.unpublished_drains(self.view.servers.get),
+            self.dispatcher.demand.pop(),
+            self.dispatcher.pop_unreachable(),
         )
 
     def _on_update(self, update: FleetUpdate) -> None:
--- /dev/null
+++ b/bulrushlead/placement/__init__.py
@@ -0,0 +1,14 @@
+"""Decides which backend server owns each frequently requested object.
+
+The package does no I/O: its inputs are a clock, the demand that hosts report, and the
+servers of the fleet.
+"""
+
+from bulrushlead.placement._demand import DemandMeter
+from bulrushlead.placement._owners import OwnerTable, PlacementServer
+
+__all__ = [
+    "DemandMeter",
+    "OwnerTable",
+    "PlacementServer",
+]
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -143,6 +143,7 @@
             bootstrap=self.is_first_start,
             heartbeat_ms=self.heartbeat_ms,
             listen_ip=self.peer_listen_ip,
+            zone_regions=self.zone_regions,
         )
 
 
