--- a/bulrushlead/dispatch/_estimates.py
+++ b/bulrushlead/dispatch/_estimates.py
@@ -5,8 +5,8 @@
 # Weight of the newest answer in the moving average, which thus covers about the last 20
 # answers.
 NEWEST_WEIGHT = 0.05
-# Weights of an answer that is faster or slower than the fast answers before it. Together
-# they keep the mean near the fastest tenth, which waited in no queue.
+# Weights of an answer that is faster or slower than the fast answers before it: they
+# keep the mean near the fastest answers, which waited in no queue.
 FASTER_WEIGHT = 0.2
 SLOWER_WEIGHT = 0.01
 # Assumed ratio of a request's duration with the object cached to its duration without,
--- a/bulrushlead/placement/_owners.py
+++ b/bulrushlead/placement/_owners.py
@@ -24,7 +24,7 @@
 MAX_LOAD_RATIO = 1.3  # highest load of a server beyond that, by the mean of its group
 # Objects that a group moves in one update for balance: each one is not cached at its
 # new server.
-MAX_MOVES = 6
+MAX_MOVES = 3
 # Load that a cold server counts with in addition, by the mean of its group: it is slow
 # and accepts a limited rate.
 COLD_LOAD_RATIO = 0.5
@@ -250,6 +250,10 @@
         penalty = COLD_LOAD_RATIO * self.mean if server.cold else 0.0
         return self.loads[server_id] / server.slots + penalty
 
+    def _has_room(self, server_id: str, load: float) -> bool:
+        room = UNDISTURBED_UTILISATION * self.servers[server_id].slots
+        return self.loads[server_id] + load <= room
+
     def _relieve(self, max_moves: int) -> int:
         """Move objects away from the most loaded servers; return how many."""
         moves = 0
@@ -263,8 +267,8 @@
                 if self.loads[name] <= limit or moves >= max_moves:
                     break
                 target = self._least_loaded()
-                # An object that fills a server alone gains nothing from a move.
-                if not load or self.loads[target] + load >= self.loads[name]:
+                # When all servers are full, moves only add work that is not cached.
+                if not load or not self._has_room(target, load):
                     continue
                 self._hand_over(known, target)
                 moves += 1
