--- a/bulrushlead/placement/_owners.py
+++ b/bulrushlead/placement/_owners.py
@@ -182,7 +182,14 @@
 
     def _expire(self, group: str, objects: dict[int, _Object]) -> None:
         oldest_ms = self.clock.now_ms() - OBJECT_TTL_MS
-        for digest in [d for d, o in objects.items() if o.updated_ms < oldest_ms]:
+        expired = [
+            digest
+            for digest, known in objects.items()
+            if known.updated_ms < oldest_ms
+            # Without a known demand, hashing places an object better than a guess.
+            or (known.owner not in self._servers and not known.work_ms)
+        ]
+        for digest in expired:
             del objects[digest]
             self._removed[(group, digest)] = self._next_revision()
             while len(self._removed) > MAX_OBJECTS:
@@ -243,7 +250,10 @@
         return self._least_loaded()
 
     def _least_loaded(self) -> str:
-        return min(self.servers, key=lambda name: (self._utilisation(name), name))
+        return min(
+            self.servers,
+            key=lambda name: (self._utilisation(name), len(self.owned[name]), name),
+        )
 
     def _utilisation(self, server_id: str) -> float:
         server = self.servers[server_id]
