--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -199,13 +199,13 @@
     def owner_candidates(self, evacuated_zones: Container[str]) -> list[ServerRecord]:
         """Return the servers that may own objects.
 
-        Servers that drain, are silent, unreachable or in an evacuated zone may not.
+        Servers that drain, are unreachable or in an evacuated zone may not. A silent
+        server may: it may be cut off from the coordinators only.
         """
         return [
             self._build_record(server)
             for server in self._servers.values()
             if server.heartbeat.state is ServerState.READY
-            and not server.silent
             and server.heartbeat.zone not in evacuated_zones
             and not self._is_unreachable(server)
         ]
@@ -214,11 +214,12 @@
         """Return whether hosts of several zones failed to connect to a server.
 
         Hosts of one zone may be cut off themselves. A heartbeat after their reports
-        shows that the server runs.
+        shows that the server runs. The reports on a silent server do not expire, since
+        no host tries it any more.
         """
-        oldest_ms = max(
-            server.last_heartbeat_ms, self.clock.now_ms() - ACCUSATION_TTL_MS
-        )
+        oldest_ms = server.last_heartbeat_ms
+        if not server.silent:
+            oldest_ms = max(oldest_ms, self.clock.now_ms() - ACCUSATION_TTL_MS)
         accusers = sum(time_ms > oldest_ms for time_ms in server.accused_ms.values())
         return accusers >= MIN_ACCUSING_ZONES
 
