--- a/bulrushlead/coordinator/tests/test_publisher.py
+++ b/bulrushlead/coordinator/tests/test_publisher.py
@@ -18,7 +18,16 @@
 from bulrushlead.wire import codec
 from bulrushlead.wire._frame import unpack_frame
 
-SETTINGS = CoordinatorSettings("core-1", "a", "north", "10.0.0.1:7000", (), "", True)
+SETTINGS = CoordinatorSettings(
+    "core-1",
+    "a",
+    "north",
+    "10.0.0.1:7000",
+    (),
+    "",
+    True,
+    zone_regions={"casa-a": "casa"},
+)
 
 
 class FakeLeaderLog:
@@ -116,3 +125,40 @@
     assert attrs.evolve(later.position, epoch="") == attrs.evolve(
         update.position, epoch=""
     )
+
+
+def report_demand(publisher, host_id, demand):
+    report = HostReport(host_id, f"{host_id}:80", "a", "north", True, demand=demand)
+    return publisher.handle_sync(SyncRequest(SyncPosition(), report))
+
+
+async def test_owners_of_objects_are_published_once(publisher):
+    await announce(publisher, 2)
+    publisher.check_silence()
+    await report_demand(publisher, "e1", {"b1": {7: 200.0}})
+    publisher.check_silence()
+    _, update = await sync(publisher, "e1")
+    assert update.owners == {"casa/stock": {7: "b1"}}
+    _, update = await sync(publisher, "e1", update.position)
+    assert update.owners == {}
+
+
+async def test_owner_moves_when_its_departure_is_recorded(publisher, state):
+    await announce(publisher, 2)
+    publisher.check_silence()
+    await report_demand(publisher, "e1", {"b1": {7: 200.0}})
+    publisher.check_silence()
+    state.apply(1, codec.encode(RecordDeparture("b1", heartbeat().born_ms)))
+    publisher.check_silence()
+    _, update = await sync(publisher, "e1")
+    assert update.owners == {"casa/stock": {7: "b0"}}
+
+
+async def test_new_leader_publishes_the_owners_that_it_received(publisher):
+    await announce(publisher, 2)
+    _, update = await sync(publisher, "e1")
+    publisher.view.apply(attrs.evolve(update, owners={"casa/stock": {7: "b1"}}))
+    publisher._log.term = 2
+    publisher._log.callback(True)
+    _, update = await sync(publisher, "e1", update.position)
+    assert update.owners == {"casa/stock": {7: "b1"}}
--- a/bulrushlead/dispatch/tests/test_parts.py
+++ b/bulrushlead/dispatch/tests/test_parts.py
@@ -19,6 +19,7 @@
 from bulrushlead.dispatch._dispatcher import OVERLOADED_FLEET_LOAD
 from bulrushlead.dispatch._ranking import OFFLOAD_FLEET_LOAD
 from bulrushlead.dispatch.tests.model import SimulationHarness, build_servers
+from bulrushlead.fleet import owner_group
 
 ZONES = {"a": "north", "b": "south"}
 WORK = Work("stock", "read", b"k", True, 300.0, 2_000.0)
@@ -277,3 +278,62 @@
     placement.server.record_load(2.0, 0.0)
     assert dispatcher.pop_mean_loads() == {placement.server.server_id: 1.0}
     assert dispatcher.pop_mean_loads() == {}
+
+
+def set_owner(harness, dispatcher, key, owner):
+    work = attrs.evolve(WORK, key=key)
+    group = owner_group(dispatcher.settings.region, work.service)
+    harness.view.owners = {group: {work.digest: owner}}
+
+
+def other_servers(dispatcher, key=b"k"):
+    first = first_choice(dispatcher, key)
+    return [
+        stats
+        for stats in dispatcher._servers.values()
+        if stats.region == dispatcher.settings.region and stats.server_id != first
+    ]
+
+
+def test_owner_of_an_object_comes_before_the_first_server_by_hash():
+    harness = build_harness()
+    dispatcher = harness.hosts[0]
+    owner = other_servers(dispatcher)[0]
+    set_owner(harness, dispatcher, b"k", owner.server_id)
+    placement = dispatcher.place(WORK)
+    assert (placement.server, placement.rank) == (owner, 0)
+
+
+def test_unusable_owner_is_replaced_by_the_first_server_by_hash():
+    harness = build_harness()
+    dispatcher = harness.hosts[0]
+    first = first_choice(dispatcher)
+    owner = other_servers(dispatcher)[0]
+    set_owner(harness, dispatcher, b"k", owner.server_id)
+    dispatcher.notices.record_draining(owner.server_id, owner.born_ms)
+    assert first_choice(dispatcher) == first
+    set_owner(harness, dispatcher, b"k", "unknown")
+    assert first_choice(dispatcher) == first
+
+
+def test_owner_in_another_region_does_not_move_an_object_there():
+    harness = build_harness()
+    dispatcher = harness.hosts[0]
+    first = first_choice(dispatcher)
+    remote = next(s for s in dispatcher._servers.values() if s.region == "south")
+    set_owner(harness, dispatcher, b"k", remote.server_id)
+    assert first_choice(dispatcher) == first
+
+
+def test_demand_counts_unqueued_work_of_requests_about_objects():
+    """Work with its queueing would make full servers look even fuller."""
+    harness = build_harness()
+    dispatcher = harness.hosts[0]
+    for work_ms in [100.0] * 30 + [900.0] * 5:
+        dispatcher.estimates.record_answer("read", "stock", True, work_ms)
+    dispatcher.record_sent(dispatcher.place(WORK))
+    dispatcher.record_sent(dispatcher.place(attrs.evolve(WORK, sticky=False)))
+    demand = dispatcher.demand.pop()
+    assert sum(len(objects) for objects in demand.values()) == 1
+    (work_ms,) = next(iter(demand.values())).values()
+    assert 100 <= work_ms < 160
--- a/bulrushlead/fleet/tests/test_view.py
+++ b/bulrushlead/fleet/tests/test_view.py
@@ -78,3 +78,18 @@
     view = view_with(update(servers=(RECORD,), pressures={"b1": 1.6}))
     view.apply(update(servers=(attrs.evolve(RECORD, state=ServerState.GONE),)))
     assert view.fleet_loads == {}
+
+
+def test_changed_owners_are_merged_and_outlive_a_change_of_the_leader():
+    """Objects stay cached at their owners while a new leader learns of them."""
+    view = view_with(update(servers=(RECORD,), owners={"g": {1: "b1", 2: "b1"}}))
+    view.apply(update(owners={"g": {2: "", 3: "b1"}}))
+    assert view.owners == {"g": {1: "b1", 3: "b1"}}
+    view.apply(update(position=SyncPosition("e2", 1, order_index=5)))
+    assert view.owners == {"g": {1: "b1", 3: "b1"}}
+
+
+def test_full_update_drops_owners_that_were_removed():
+    view = view_with(update(servers=(RECORD,), owners={"g": {1: "b1", 2: "gone"}}))
+    view.apply(update(servers=(RECORD,), is_full=True))
+    assert view.owners == {"g": {1: "b1"}}
