--- a/benchmarks/dispatch_rules.py
+++ b/benchmarks/dispatch_rules.py
@@ -14,7 +14,13 @@
 import attrs
 import defopt
 
-from bulrushlead.dispatch import Dispatcher, WarmupLimiter, _dispatcher, _ranking
+from bulrushlead.dispatch import (
+    Dispatcher,
+    WarmupLimiter,
+    _admission,
+    _choice,
+    _ranking,
+)
 from bulrushlead.dispatch.tests.model import (
     CACHE_HIT_SAVING,
     Result,
@@ -140,20 +146,18 @@
 RULES: dict[str, Callable[[], contextlib.AbstractContextManager]] = {
     "all rules": contextlib.nullcontext,
     "without: refuse what waits too long": lambda: _patched(
-        _dispatcher,
+        _admission,
         MAX_WAIT_TO_TARGET_RATIO=math.inf,
         MAX_URGENT_WAIT_TO_TARGET_RATIO=math.inf,
     ),
     "without: urgent requests wait longer": lambda: _patched(
-        _dispatcher,
-        MAX_URGENT_WAIT_TO_TARGET_RATIO=_dispatcher.MAX_WAIT_TO_TARGET_RATIO,
+        _admission,
+        MAX_URGENT_WAIT_TO_TARGET_RATIO=_admission.MAX_WAIT_TO_TARGET_RATIO,
     ),
     "without: a second home for a hot object": lambda: _patched(
-        _dispatcher, OVERLOADED_FLEET_LOAD=math.inf
-    ),
-    "without: no home at slow servers": lambda: _patched(
-        _dispatcher, SLOW_RATIO=math.inf
+        _choice, OVERLOADED_FLEET_LOAD=math.inf
     ),
+    "without: no home at slow servers": lambda: _patched(_choice, SLOW_RATIO=math.inf),
     "without: busy servers hand objects on": lambda: _patched(
         _ranking, OFFLOAD_FLEET_LOAD=math.inf
     ),
--- a/bulrushlead/dispatch/_budget.py
+++ b/bulrushlead/dispatch/_budget.py
@@ -40,6 +40,7 @@
         self.slack = slack
         self.window_ms = window_ms
         self.host_count = 1
+        self._started_ms = clock.now_ms()
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
 
@@ -47,6 +48,11 @@
         """Count a caller's request."""
         self._append(self._requests, service)
 
+    def request_rate_per_s(self, service: str) -> float:
+        """Return this host's requests per second, as the mean over the window."""
+        age_ms = min(self.window_ms, self.clock.now_ms() - self._started_ms)
+        return self._count(self._requests, service) * 1_000.0 / max(1_000.0, age_ms)
+
     def allows(self, service: str) -> bool:
         """Return whether the budget allows one more retry."""
         requests = self._count(self._requests, service)
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -3,13 +3,23 @@
 Hosts have no queue of their own: the queues in this module are at the servers.
 """
 
-import attrs
-
 from bulrushlead.clock import Clock
+from bulrushlead.dispatch._admission import (
+    MAX_RETRY_AFTER_MS,
+    admit_or_refuse,
+    bounded_retry_after_ms,
+)
 from bulrushlead.dispatch._budget import RetryBudget
+from bulrushlead.dispatch._choice import (
+    Candidate,
+    Option,
+    choose_preferred,
+    preferred_candidates,
+)
+from bulrushlead.dispatch._eligibility import Eligibility
 from bulrushlead.dispatch._estimates import DurationEstimates
 from bulrushlead.dispatch._notices import ServerNotices
-from bulrushlead.dispatch._ranking import Ranking, offloads_object
+from bulrushlead.dispatch._ranking import Ranking
 from bulrushlead.dispatch._server import ServerStats
 from bulrushlead.dispatch._settings import DispatchSettings
 from bulrushlead.dispatch._warmup import WarmupLimiter
@@ -17,48 +27,6 @@
 from bulrushlead.fleet import FleetView, ServerState, owner_group
 from bulrushlead.placement import DemandMeter
 from bulrushlead.results import ResultCode
-from bulrushlead.traffic import ServicePolicy
-
-# Maximum ratio of the expected wait in a server's queue to the target latency. It
-# allows for actual queues that are about twice as long as expected, because hosts see
-# each other's requests with a delay.
-MAX_WAIT_TO_TARGET_RATIO = 0.25
-MAX_URGENT_WAIT_TO_TARGET_RATIO = 0.5  # the same for urgent work
-PREFERRED_SERVERS = 2  # usually the object's owner and the next in the ranking
-# Fleet-wide load of a server, as a multiple of its slots, from which its objects may be
-# shared with their second preferred server: one object alone may fill its owner. The
-# second server must have free slots. When all servers are full, sharing would move
-# objects to servers that have not cached them, and the added work would make every
-# answer late.
-OVERLOADED_FLEET_LOAD = 2.0
-# Share of the second preferred server's slots that may be used, this request included.
-MAX_SECOND_SERVER_UTILISATION = 0.6
-# Ratio of a server's recent durations to the expected ones from which it is slow. A
-# slow server is preferred only if ``_candidates`` finds no faster one to prefer.
-SLOW_RATIO = 3.0
-# Share of the remaining time for the queue and the work; the rest is left for the
-# answer's transfer.
-DEADLINE_SHARE = 0.9
-# Limits of the time after which a refused caller should retry.
-MIN_RETRY_AFTER_MS = 100
-MAX_RETRY_AFTER_MS = 2_000
-
-
-@attrs.frozen
-class _Candidate:
-    server: ServerStats
-    cold: bool  # limited to the warm-up rate, since its caches may be empty
-
-
-@attrs.frozen
-class _Option:
-    placement: Placement
-    wait_cost: float
-    work_cost: float
-
-    @property
-    def cost(self) -> float:
-        return self.wait_cost + self.work_cost
 
 
 class Dispatcher:
@@ -102,7 +70,7 @@
         self.demand = DemandMeter()
         self._servers: dict[str, ServerStats] = {}
         self._rankings: dict[str, Ranking] = {}
-        self._policies: dict[str, ServicePolicy] = {}
+        self._eligibility = Eligibility(self.warmup, self.notices, self.budget)
         self._view: FleetView | None = None
 
     def reload(self, settings: DispatchSettings) -> None:
@@ -120,7 +88,9 @@
         self.budget.host_count = max(1, len(accepting))
         self.warmup.set_hosts([(host.host_id, host.region) for host in accepting])
         if view.plan is not None:
-            self._policies = {policy.name: policy for policy in view.plan.services}
+            self._eligibility.policies = {
+                policy.name: policy for policy in view.plan.services
+            }
         servers = {}
         changed = set()
         for server_id, fleet_server in view.servers.items():
@@ -153,6 +123,7 @@
         for service in changed:
             members = [s for s in servers.values() if s.service == service and s.ready]
             self._rankings[service] = Ranking(members, self.settings.region)
+            self._eligibility.server_counts[service] = len(members)
 
     def fleet_age_ms(self) -> int:
         """Return the age of the fleet view in whole milliseconds, or -1 without one."""
@@ -214,7 +185,7 @@
                 "no usable server: each is unavailable, over its warm-up rate, already "
                 "tried or outside the allowed regions",
             )
-        return self._admit_or_refuse(placement, work)
+        return admit_or_refuse(placement, work)
 
     def record_sent(self, placement: Placement) -> int:
         """Count an attempt that is about to be sent.
@@ -234,33 +205,12 @@
             )
         if placement.cold:
             self.warmup.record_sent(
-                server.server_id, server.region, self._warmup_rate(server.service)
+                server.server_id,
+                server.region,
+                self._eligibility.warmup_rate_per_s(server.service),
             )
         return attempt
 
-    def _admit_or_refuse(self, placement: Placement, work: Work) -> Placement | Refusal:
-        """Refuse a request if its wait, or its wait and work together, are too long.
-
-        Without a queue, a request is sent even if its work may miss the deadline.
-        """
-        longest_wait_ms = self._longest_wait_ms(work)
-        expected_ms = placement.wait_ms + placement.work_ms
-        if placement.wait_ms > longest_wait_ms:
-            over_ms = placement.wait_ms - longest_wait_ms
-            code = ResultCode.OVERLOADED
-        elif expected_ms > DEADLINE_SHARE * work.remaining_ms and placement.wait_ms > 0:
-            over_ms = expected_ms - DEADLINE_SHARE * work.remaining_ms
-            code = ResultCode.DEADLINE_TOO_SHORT
-        else:
-            return placement
-        retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, over_ms))
-        return Refusal(
-            code,
-            retry_after_ms,
-            f"{placement.server.server_id} is expected to need {placement.wait_ms:.0f} "
-            f"ms in its queue and {placement.work_ms:.0f} ms of work",
-        )
-
     def _retry_after_pauses_ms(self, ranking: Ranking, work: Work) -> float:
         """Return the retry delay of a request for which no server is usable.
 
@@ -275,26 +225,29 @@
         shortest_ms = min(pauses_ms, default=0.0)
         if not shortest_ms:
             return MAX_RETRY_AFTER_MS / 4
-        return min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, shortest_ms))
-
-    def _longest_wait_ms(self, work: Work) -> float:
-        ratio = (
-            MAX_URGENT_WAIT_TO_TARGET_RATIO if work.urgent else MAX_WAIT_TO_TARGET_RATIO
-        )
-        return ratio * work.target_latency_ms
+        return bounded_retry_after_ms(shortest_ms)
 
     def _best_in_region(
         self, members: list[ServerStats], work: Work, now_ms: float
     ) -> Placement | None:
+        fleet_age_ms = self._view.age_ms()
+        candidates = preferred_candidates(
+            members,
+            work,
+            now_ms,
+            lambda server: self._eligibility.cold_if_usable(
+                server, work, now_ms, fleet_age_ms
+            ),
+        )
         options = [
             self._option(rank, candidate, work, now_ms)
-            for rank, candidate in enumerate(self._candidates(members, work, now_ms))
+            for rank, candidate in enumerate(candidates)
         ]
         if not options:
             return None
         if not work.sticky:
             return min(options, key=lambda option: option.cost).placement
-        return self._choose_preferred(options, work)
+        return choose_preferred(options, work)
 
     def _owner_first(self, members: list[ServerStats], work: Work) -> list[ServerStats]:
         """Return the servers of a region with the object's owner, if any, in front."""
@@ -309,27 +262,9 @@
             return members
         return [server, *(member for member in members if member is not server)]
 
-    def _choose_preferred(self, preferred: list[_Option], work: Work) -> Placement:
-        """Return the first preferred server, or another one in its place.
-
-        Another one is returned if it costs less, slowness and failures included, or if
-        the first is overloaded, its wait over the limit, and the other has free slots.
-        """
-        first = preferred[0]
-        for other in preferred[1:]:
-            # Only the other's queue counts, since a queue alone must not move an object
-            # to a server that has not cached it.
-            if other.cost < first.work_cost:
-                return other.placement
-            if first.placement.wait_ms > self._longest_wait_ms(work) and _should_share(
-                first.placement, other.placement
-            ):
-                return other.placement
-        return first.placement
-
     def _option(
-        self, rank: int, candidate: _Candidate, work: Work, now_ms: float
-    ) -> _Option:
+        self, rank: int, candidate: Candidate, work: Work, now_ms: float
+    ) -> Option:
         estimate = self.estimates.for_route(work.route, work.target_latency_ms)
         mean_ms = self.estimates.service_mean_ms(work.service, work.target_latency_ms)
         server = candidate.server
@@ -361,65 +296,7 @@
             estimate.unqueued_ms,
             work.digest if work.sticky else None,
         )
-        return _Option(placement, wait_cost, work_ms * failure_penalty)
-
-    def _candidates(
-        self, members: list[ServerStats], work: Work, now_ms: float
-    ) -> list[_Candidate]:
-        """Return all usable servers or, for sticky work, the preferred ones.
-
-        A server is responsible for an object unless it offloads it because of its load.
-        The preferred servers are the first in ranking order, at most
-        ``PREFERRED_SERVERS``, of the first of these groups that is not empty:
-
-        1. responsible servers that are not slow
-        2. responsible servers
-        3. servers that are not slow
-        4. all usable servers
-        """
-        fleet_age_ms = self._view.age_ms()
-        usable: list[_Candidate] = []
-        responsible: list[_Candidate] = []
-        not_slow: list[_Candidate] = []
-        for server in members:
-            cold = self._cold_if_usable(server, work, now_ms, fleet_age_ms)
-            if cold is None:
-                continue
-            candidate = _Candidate(server, cold)
-            usable.append(candidate)
-            if not work.sticky or offloads_object(server, work.key):
-                continue
-            responsible.append(candidate)
-            if server.slowness(now_ms) < SLOW_RATIO:
-                not_slow.append(candidate)
-            if len(not_slow) == PREFERRED_SERVERS:
-                return not_slow
-        if not work.sticky:
-            return usable
-        if not responsible:
-            not_slow = [c for c in usable if c.server.slowness(now_ms) < SLOW_RATIO]
-        return (not_slow or responsible or usable)[:PREFERRED_SERVERS]
-
-    def _cold_if_usable(
-        self, server: ServerStats, work: Work, now_ms: float, fleet_age_ms: float
-    ) -> bool | None:
-        """Return whether a server is or may be cold, or None if it is not usable."""
-        if (
-            server.server_id in work.excluded
-            or not server.is_available(now_ms)
-            or not self.notices.allows(server.server_id, server.born_ms)
-        ):
-            return None
-        cold = server.may_be_cold(now_ms, fleet_age_ms)
-        if cold and not self.warmup.allows(
-            server.server_id, server.region, self._warmup_rate(work.service)
-        ):
-            return None
-        return cold
-
-    def _warmup_rate(self, service: str) -> float:
-        policy = self._policies.get(service)
-        return policy.warmup_per_s if policy is not None else 0.0  # 0 is no limit
+        return Option(placement, wait_cost, work_ms * failure_penalty)
 
     def _new_stats(self, record) -> ServerStats:
         # Servers in zones without a configured region form a region of their own.
@@ -435,18 +312,6 @@
         )
 
 
-def _should_share(first: Placement, other: Placement) -> bool:
-    """Return whether the first server is overloaded and the other has free slots.
-
-    A fleet-wide load of 0 means that the load is below the published minimum.
-    """
-    return (
-        first.server.fleet_load >= OVERLOADED_FLEET_LOAD
-        and not other.server.fleet_load
-        and other.load + 1.0 <= MAX_SECOND_SERVER_UTILISATION * other.server.slots
-    )
-
-
 def _matches_record(stats: ServerStats, record) -> bool:
     """Return whether incarnation, address, service and slots equal the record's."""
     return (stats.born_ms, stats.address, stats.service, stats.slots) == (
--- a/bulrushlead/dispatch/_warmup.py
+++ b/bulrushlead/dispatch/_warmup.py
@@ -27,6 +27,8 @@
 
     Attributes
     ----------
+    slack : int
+        Requests per second that are tolerated beyond the rate.
     warming_hosts : int
         Number of hosts that share the rate of a cold server.
     """
@@ -47,6 +49,7 @@
         Fewer hosts than that share the rate (but at least one), since all of them may
         send a request at the same moment.
         """
+        self.slack = slack
         self.warming_hosts = max(1, min(MAX_WARMING_HOSTS, slack - 1))
         self._shares.clear()
 
--- a/bulrushlead/dispatch/tests/test_parts.py
+++ b/bulrushlead/dispatch/tests/test_parts.py
@@ -16,7 +16,7 @@
     WarmupLimiter,
     Work,
 )
-from bulrushlead.dispatch._dispatcher import OVERLOADED_FLEET_LOAD
+from bulrushlead.dispatch._choice import OVERLOADED_FLEET_LOAD
 from bulrushlead.dispatch._ranking import OFFLOAD_FLEET_LOAD
 from bulrushlead.dispatch.tests.model import SimulationHarness, build_servers
 from bulrushlead.fleet import owner_group
