--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -19,6 +19,7 @@
     SyncRequest,
     owner_group,
 )
+from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.placement import OwnerTable, PlacementServer
 from bulrushlead.replication import ReplicatedLog
@@ -80,6 +81,10 @@
         self._packed: dict[SyncPosition, PackedPayload] = {}
         self._packed_position: SyncPosition | None = None
         self._packed_ms = -math.inf
+        meters.register_gauge(
+            Metric.OWNED_OBJECTS, lambda: float(self.owners.object_count)
+        )
+        self._events = EventLogger("coordinator")
 
     def reload(self, settings: CoordinatorSettings) -> None:
         """Apply changed settings."""
@@ -250,7 +255,7 @@
 
     def _update_owners(self) -> None:
         regions = self.settings.zone_regions
-        self.owners.update(
+        moves = self.owners.update(
             PlacementServer(
                 record.server_id,
                 owner_group(regions.get(record.zone, ""), record.service),
@@ -259,6 +264,18 @@
             )
             for record in self.registry.owner_candidates(self._state.evacuated_zones)
         )
+        if not moves:
+            return
+        for reason, count in moves.items():
+            self.meters.count(
+                Metric.OWNER_MOVES_TOTAL, amount=count, reason=reason.value
+            )
+        self._events.write(
+            Event.OWNERS_CHANGED,
+            moves={reason.value: count for reason, count in moves.items()},
+            objects=self.owners.object_count,
+            revision=self.owners.revision,
+        )
 
     def _mark_departures(self) -> None:
         for server_id in self.registry.ready_servers():
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -69,6 +69,7 @@
     BACKEND_PAUSED = 609
     DRAIN_STARTED = 610
     DRAIN_ENDED = 611
+    OWNERS_CHANGED = 612
     HOST_CHANGED = 620
 
     # Idempotency keys.
@@ -168,6 +169,9 @@
     ),
     _E.DRAIN_STARTED: EventInfo("INFO", "A planned drain has started."),
     _E.DRAIN_ENDED: EventInfo("INFO", "A planned drain has ended."),
+    _E.OWNERS_CHANGED: EventInfo(
+        "INFO", "The leader gave objects to other backend servers."
+    ),
     _E.HOST_CHANGED: EventInfo("INFO", "A host started or stopped accepting callers."),
     _E.KEY_CLAIMED: EventInfo("INFO", "An idempotency key was claimed."),
     _E.KEY_FINISHED: EventInfo("INFO", "The outcome of a key was recorded."),
--- a/bulrushlead/metrics/_catalogue.py
+++ b/bulrushlead/metrics/_catalogue.py
@@ -26,6 +26,8 @@
     ORDERS_TOTAL = "bulrushlead_orders_total"  # commands for the replicated log
     FLEET_AGE_MS = "bulrushlead_fleet_age_ms"
     SERVERS = "bulrushlead_servers"
+    OWNED_OBJECTS = "bulrushlead_owned_objects"
+    OWNER_MOVES_TOTAL = "bulrushlead_owner_moves_total"
     LINES_DROPPED_TOTAL = "bulrushlead_log_lines_dropped_total"
 
 
@@ -97,6 +99,10 @@
     ),
     _M.FLEET_AGE_MS: MetricInfo(_K.GAUGE, "Age of the news from the leader."),
     _M.SERVERS: MetricInfo(_K.GAUGE, "Backend servers known."),
+    _M.OWNED_OBJECTS: MetricInfo(_K.GAUGE, "Objects with an owner; on the leader."),
+    _M.OWNER_MOVES_TOTAL: MetricInfo(
+        _K.COUNTER, "Objects that the leader gave to another server.", ("reason",)
+    ),
     _M.LINES_DROPPED_TOTAL: MetricInfo(_K.COUNTER, "Log lines dropped."),
 }
 
--- a/bulrushlead/placement/__init__.py
+++ b/bulrushlead/placement/__init__.py
@@ -5,10 +5,11 @@
 """
 
 from bulrushlead.placement._demand import DemandMeter
-from bulrushlead.placement._owners import OwnerTable, PlacementServer
+from bulrushlead.placement._owners import MoveReason, OwnerTable, PlacementServer
 
 __all__ = [
     "DemandMeter",
+    "MoveReason",
     "OwnerTable",
     "PlacementServer",
 ]
--- a/bulrushlead/placement/_owners.py
+++ b/bulrushlead/placement/_owners.py
@@ -8,7 +8,9 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable
+from enum import Enum
 
 import attrs
 
@@ -24,12 +26,20 @@
 MAX_LOAD_RATIO = 1.3  # highest load of a server beyond that, by the mean of its group
 # Objects that a group moves in one update for balance: each one is not cached at its
 # new server.
-MAX_MOVES = 3
+MAX_MOVES = 2
 # Load that a cold server counts with in addition, by the mean of its group: it is slow
 # and accepts a limited rate.
 COLD_LOAD_RATIO = 0.5
 
 
+class MoveReason(Enum):
+    """Why an object got another owner."""
+
+    OWNER_LOST = "owner_lost"
+    OWNER_LOADED = "owner_loaded"
+    SERVER_IDLE = "server_idle"
+
+
 @attrs.frozen
 class PlacementServer:
     """A server that may own objects.
@@ -127,14 +137,25 @@
                     known.add(work_ms, now_ms)
                     known.last_server = server_id
 
-    def update(self, servers: Iterable[PlacementServer]) -> None:
+    @property
+    def object_count(self) -> int:
+        """Number of objects with an owner."""
+        return sum(len(objects) for objects in self._groups.values())
+
+    def update(self, servers: Iterable[PlacementServer]) -> Counter[MoveReason]:
         """Move objects after a change of the usable servers or of the demand.
 
         Parameters
         ----------
         servers : iterable of PlacementServer
             Every server that may own objects now.
+
+        Returns
+        -------
+        Counter of MoveReason
+            Number of objects that got another owner.
         """
+        moves: Counter[MoveReason] = Counter()
         self._servers = {server.server_id: server for server in servers}
         members: dict[str, list[PlacementServer]] = {}
         for server in self._servers.values():
@@ -142,10 +163,11 @@
         for group, objects in self._groups.items():
             self._expire(group, objects)
             if group in members and objects:
-                _GroupBalance(self, members[group], objects).run()
+                moves += _GroupBalance(self, members[group], objects).run()
         if self._has_changed:
             self.revision += 1
             self._has_changed = False
+        return moves
 
     def owners_since(self, revision: int) -> dict[str, dict[int, str]]:
         """Return the owners changed after a revision; empty for a removed object."""
@@ -172,7 +194,7 @@
     def _insert(
         self, group: str, digest: int, owner: str, now_ms: float
     ) -> _Object | None:
-        if sum(len(objects) for objects in self._groups.values()) >= MAX_OBJECTS:
+        if self.object_count >= MAX_OBJECTS:
             return None
         known = _Object(owner, updated_ms=now_ms)
         self._groups.setdefault(group, {})[digest] = known
@@ -216,8 +238,8 @@
         self.mean = sum(self.load_of.values()) / slots
         self.limit = max(UNDISTURBED_UTILISATION, MAX_LOAD_RATIO * self.mean)
 
-    def run(self) -> None:
-        """Replace unusable owners, relieve loaded ones, then use idle servers."""
+    def run(self) -> Counter[MoveReason]:
+        """Replace lost owners, relieve loaded ones, then use idle servers."""
         orphans = []
         for known in self.objects:
             if known.owner in self.servers:
@@ -227,8 +249,15 @@
         for known in sorted(orphans, key=lambda o: -self.load_of[id(o)]):
             self.table.move(known, self._new_owner(known))
             self._own(known)
-        moves = self._relieve(MAX_MOVES)
-        self._fill_idle_servers(MAX_MOVES - moves)
+        relieved = self._relieve(MAX_MOVES)
+        filled = self._fill_idle_servers(MAX_MOVES - relieved)
+        return Counter(
+            {
+                MoveReason.OWNER_LOST: len(orphans),
+                MoveReason.OWNER_LOADED: relieved,
+                MoveReason.SERVER_IDLE: filled,
+            }
+        )
 
     def _own(self, known: _Object) -> None:
         self.loads[known.owner] += self.load_of[id(known)]
@@ -284,8 +313,9 @@
                 moves += 1
         return moves
 
-    def _fill_idle_servers(self, max_moves: int) -> None:
-        """Give one object to each warm server without any."""
+    def _fill_idle_servers(self, max_moves: int) -> int:
+        """Give one object to warm servers without any; return how many got one."""
+        moves = 0
         idle = [
             name
             for name, owned in self.owned.items()
@@ -294,6 +324,8 @@
         for name in idle[: max(0, max_moves)]:
             donor = max(self.owned, key=lambda n: (len(self.owned[n]), n))
             if len(self.owned[donor]) < 2:
-                return
+                break
             known = min(self.owned[donor], key=lambda o: self.load_of[id(o)])
             self._hand_over(known, name)
+            moves += 1
+        return moves
--- a/bulrushlead/placement/tests/test_owners.py
+++ b/bulrushlead/placement/tests/test_owners.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from bulrushlead.clock import ManualClock
-from bulrushlead.placement import OwnerTable, PlacementServer
+from bulrushlead.placement import MoveReason, OwnerTable, PlacementServer
 from bulrushlead.placement import _owners as owners_module
 from bulrushlead.placement._owners import (
     DEMAND_HALF_LIFE_MS,
@@ -237,3 +237,12 @@
         if names:
             assert set(current.values()) <= names
         clock._now_ms += pause_ms
+
+
+def test_update_counts_moves_by_reason(table):
+    servers = build_servers("a", "b")
+    assert not table.update(servers)
+    report(table, {"a": dict.fromkeys(range(9), 0.1)})
+    assert table.update(servers) == {MoveReason.OWNER_LOADED: MAX_MOVES}
+    assert table.update(build_servers("b")) == {MoveReason.OWNER_LOST: 9 - MAX_MOVES}
+    assert table.object_count == 9
