Answer all hosts of a new leader with one packed list

Each of 185 hosts asked with another position, and each report changed the list of hosts, so that every answer was encoded anew.

Change: hosts without the state of this leader get one answer, packed at most every 250 ms; it holds every acknowledged command, and the rest follows with their next request.

Test: test_all_hosts_of_a_new_leader_get_one_packed_answer fails without the change.

--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -36,6 +36,10 @@
 # ``cold_left_ms`` values count from the time of encoding, so this age makes them wrong
 # by a few per cent.
 MAX_PACKED_AGE_MS = 100
+# Hosts without the state of this leader get the same full answer for this time, also if
+# a few records have changed since: after an election all hosts ask at once, and each of
+# their reports changes the list of hosts. They get the rest with their next request.
+MAX_FULL_AGE_MS = 250
 
 
 class FleetPublisher:
@@ -81,6 +85,9 @@
         self._packed: dict[SyncPosition, PackedPayload] = {}
         self._packed_position: SyncPosition | None = None
         self._packed_ms = -math.inf
+        self._full_packed: dict[int, PackedPayload] = {}  # by version of the plan
+        self._full_version: tuple[str, int] | None = None
+        self._full_packed_ms = -math.inf
         meters.register_gauge(
             Metric.OWNED_OBJECTS, lambda: float(self.owners.object_count)
         )
@@ -159,6 +166,8 @@
             self.meters.count(Metric.ANNOUNCEMENTS_TOTAL, service=heartbeat.service)
 
     def _pack_update(self, since: SyncPosition) -> PackedPayload:
+        if since.epoch != self._epoch():
+            return self._pack_full_update(since.plan_version)
         position = self._current_position()
         now_ms = self.clock.now_ms()
         if (
@@ -173,6 +182,27 @@
             packed = self._packed[since] = PackedPayload(codec.encode(update))
         return packed
 
+    def _pack_full_update(self, plan_version: int) -> PackedPayload:
+        """Return the answer for a host that lacks the state of this leader."""
+        now_ms = self.clock.now_ms()
+        # A command that was acknowledged must be in every later answer.
+        version = (self._epoch(), self._state.order_index)
+        if (
+            version != self._full_version
+            or now_ms - self._full_packed_ms > MAX_FULL_AGE_MS
+        ):
+            self._full_packed.clear()
+            self._full_version, self._full_packed_ms = version, now_ms
+        packed = self._full_packed.get(plan_version)
+        if packed is None:
+            update = self._build_update(
+                SyncPosition(plan_version=plan_version), self._current_position()
+            )
+            packed = self._full_packed[plan_version] = PackedPayload(
+                codec.encode(update)
+            )
+        return packed
+
     def _current_position(self) -> SyncPosition:
         """Return the position of a host that has received every change."""
         state, registry = self._state, self.registry
