Limit uncertain servers earlier; reports of unreachable servers in a module of their own

Cause: twice the mean leaves no room for a burst; a server that restarted unnoticed in a small fleet could have got more than it tolerates. Now three times the mean counts.

--- a/bulrushlead/dispatch/_choice.py
+++ b/bulrushlead/dispatch/_choice.py
@@ -19,7 +19,7 @@
 # Share of the second preferred server's slots that may be used, this request included.
 MAX_SECOND_SERVER_UTILISATION = 0.6
 # Ratio of a server's recent durations to the expected ones from which it is slow. A
-# slow server is preferred only if ``_candidates`` finds no faster one to prefer.
+# slow server is preferred only if there is no faster one to prefer.
 SLOW_RATIO = 3.0
 
 
--- a/bulrushlead/dispatch/_eligibility.py
+++ b/bulrushlead/dispatch/_eligibility.py
@@ -7,8 +7,9 @@
 from bulrushlead.dispatch._work import Work
 from bulrushlead.traffic import ServicePolicy
 
-# Requests at the busiest server of a service, as a multiple of the mean.
-BUSIEST_TO_MEAN_RATIO = 2.0
+# Requests at the busiest server of a service in a burst, as a multiple of the mean: its
+# objects are requested twice as often, and a burst adds half.
+BUSIEST_TO_MEAN_RATIO = 3.0
 
 
 class Eligibility:
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -13,6 +13,7 @@
     ServerRecord,
     ServerState,
 )
+from bulrushlead.fleet._reachability import Reachability
 from bulrushlead.logs import Event, EventLogger
 
 SILENT_AFTER_HEARTBEATS = 3.0  # single heartbeats are often late, three in a row rarely
@@ -27,9 +28,6 @@
 MIN_LOAD_CHANGE = 0.2
 HOST_SILENT_AFTER_MS = 1_500  # more than three intervals of host reports
 HOST_REMOVED_AFTER_MS = 60_000
-# Reports of this age still count; hosts try an unreachable server again within 4 s.
-ACCUSATION_TTL_MS = 5_000
-MIN_ACCUSING_ZONES = 2
 MIN_COLD_CHANGE_MS = 500  # smaller changes of the end of the warm-up are jitter
 
 
@@ -44,8 +42,7 @@
     load_updated_ms: float = 0.0
     published_load: float = 0.0
     load_revision: int = 0
-    # Time of the last report that the server is unreachable, by zone of the host.
-    accused_ms: dict[str, float] = attrs.field(factory=dict)
+    reachability: Reachability = attrs.field(factory=Reachability)
 
     def load_at(self, now_ms: float) -> float:
         return decayed(self.load, now_ms - self.load_updated_ms, LOAD_HALF_LIFE_MS)
@@ -202,27 +199,17 @@
         Servers that drain, are unreachable or in an evacuated zone may not. A silent
         server may: it may be cut off from the coordinators only.
         """
+        now_ms = self.clock.now_ms()
         return [
             self._build_record(server)
             for server in self._servers.values()
             if server.heartbeat.state is ServerState.READY
             and server.heartbeat.zone not in evacuated_zones
-            and not self._is_unreachable(server)
+            and not server.reachability.is_unreachable(
+                now_ms, server.last_heartbeat_ms, server.silent
+            )
         ]
 
-    def _is_unreachable(self, server: _Server) -> bool:
-        """Return whether hosts of several zones failed to connect to a server.
-
-        Hosts of one zone may be cut off themselves. A heartbeat after their reports
-        shows that the server runs. The reports on a silent server do not expire, since
-        no host tries it any more.
-        """
-        oldest_ms = server.last_heartbeat_ms
-        if not server.silent:
-            oldest_ms = max(oldest_ms, self.clock.now_ms() - ACCUSATION_TTL_MS)
-        accusers = sum(time_ms > oldest_ms for time_ms in server.accused_ms.values())
-        return accusers >= MIN_ACCUSING_ZONES
-
     def mark_draining(self, server_id: str, born_ms: int) -> None:
         """Mark a server as draining, unless a newer incarnation is registered."""
         server = self._servers.get(server_id)
@@ -268,7 +255,8 @@
         now_ms = self.clock.now_ms()
         for server_id in report.unreachable:
             if server_id in self._servers:
-                self._servers[server_id].accused_ms[report.zone] = now_ms
+                server = self._servers[server_id]
+                server.reachability.record_unreachable(report.zone, now_ms)
         if not report.address:
             return  # a control host: it has no address for callers
         host = self._hosts.get(report.host_id)
--- a/bulrushlead/fleet/tests/test_registry.py
+++ b/bulrushlead/fleet/tests/test_registry.py
@@ -3,7 +3,7 @@
 
 from bulrushlead.clock import ManualClock
 from bulrushlead.fleet import FleetRegistry, HostReport, ServerState
-from bulrushlead.fleet._registry import ACCUSATION_TTL_MS
+from bulrushlead.fleet._reachability import REPORT_TTL_MS
 from bulrushlead.fleet.tests.samples import draining, heartbeat
 
 HEARTBEAT_MS = 1_500
@@ -182,7 +182,7 @@
     assert not registry.record_heartbeat(heartbeat(sequence=9))
 
 
-def accuse(registry, *zones):
+def report_unreachable(registry, *zones):
     for zone in zones:
         report = attrs.evolve(make_report(), host_id=f"e-{zone}", zone=zone)
         registry.record_host_report(attrs.evolve(report, unreachable=("b1", "gone")))
@@ -197,7 +197,7 @@
 ):
     registry.record_heartbeat(heartbeat())
     await clock.advance_ms(100)
-    accuse(registry, "casa-a", "fes-a")
+    report_unreachable(registry, "casa-a", "fes-a")
     assert candidates(registry) == []
     await clock.advance_ms(100)
     registry.record_heartbeat(heartbeat(sequence=2))
@@ -208,7 +208,7 @@
     """The zone itself may be cut off."""
     registry.record_heartbeat(heartbeat())
     await clock.advance_ms(100)
-    accuse(registry, "casa-a", "casa-a")
+    report_unreachable(registry, "casa-a", "casa-a")
     assert candidates(registry) == ["b1"]
 
 
@@ -218,7 +218,7 @@
     await clock.advance_ms(HEARTBEAT_MS * 4)
     registry.check_silence()
     assert candidates(registry) == ["b1"]
-    accuse(registry, "casa-a", "fes-a")
+    report_unreachable(registry, "casa-a", "fes-a")
     await clock.advance_ms(HEARTBEAT_MS * 6)
     assert candidates(registry) == []
 
@@ -226,8 +226,8 @@
 async def test_reports_on_a_server_with_heartbeats_expire(registry, clock):
     registry.record_heartbeat(heartbeat())
     await clock.advance_ms(100)
-    accuse(registry, "casa-a", "fes-a")
-    await clock.advance_ms(ACCUSATION_TTL_MS)
+    report_unreachable(registry, "casa-a", "fes-a")
+    await clock.advance_ms(REPORT_TTL_MS)
     assert candidates(registry) == ["b1"]
 
 
