Record, log and count the request limits that servers name

ServerLimits keeps the limit of each incarnation; 613 and 614 log changes and malformed fields, bulrushlead_limited_servers and bulrushlead_limited_attempts_total count them. An overtaken answer neither raises nor withdraws a limit. Placement is unchanged: the limits have no effect yet.

--- a/bulrushlead/dispatch/__init__.py
+++ b/bulrushlead/dispatch/__init__.py
@@ -9,6 +9,7 @@
 from bulrushlead.dispatch._notices import ServerNotices, parse_pause_ms
 from bulrushlead.dispatch._ranking import Ranking
 from bulrushlead.dispatch._server import Outcome, ServerStats
+from bulrushlead.dispatch._server_limits import ServerLimits, parse_limit_per_s
 from bulrushlead.dispatch._settings import DispatchSettings
 from bulrushlead.dispatch._warmup import WarmupLimiter
 from bulrushlead.dispatch._work import Placement, Refusal, Work
@@ -21,9 +22,11 @@
     "Ranking",
     "Refusal",
     "RetryBudget",
+    "ServerLimits",
     "ServerNotices",
     "ServerStats",
     "WarmupLimiter",
     "Work",
+    "parse_limit_per_s",
     "parse_pause_ms",
 ]
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -21,6 +21,7 @@
 from bulrushlead.dispatch._notices import ServerNotices
 from bulrushlead.dispatch._ranking import Ranking
 from bulrushlead.dispatch._server import ServerStats
+from bulrushlead.dispatch._server_limits import ServerLimits
 from bulrushlead.dispatch._settings import DispatchSettings
 from bulrushlead.dispatch._warmup import WarmupLimiter
 from bulrushlead.dispatch._work import Placement, Refusal, Work
@@ -49,6 +50,8 @@
         Expected durations of requests.
     notices : ServerNotices
         What servers said about themselves in their answers to this host.
+    limits : ServerLimits
+        Request limits that servers named.
     demand : DemandMeter
         Work sent to each server since the last report, by object.
     """
@@ -67,6 +70,7 @@
         )
         self.estimates = DurationEstimates()
         self.notices = ServerNotices(clock, settings.host_id)
+        self.limits = ServerLimits(clock)
         self.demand = DemandMeter()
         self._servers: dict[str, ServerStats] = {}
         self._rankings: dict[str, Ranking] = {}
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -9,6 +9,7 @@
     Placement,
     ServerStats,
     Work,
+    parse_limit_per_s,
     parse_pause_ms,
 )
 from bulrushlead.gateway._dialect import Dialect
@@ -22,6 +23,7 @@
     forwardable_headers,
     render_request,
 )
+from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.traffic import Route
 
@@ -138,6 +140,7 @@
         self.dispatcher = dispatcher
         self.pool = pool
         self.meters = meters
+        self._log = EventLogger("gateway")
 
     async def run(
         self, state: RequestState, work: Work, placement: Placement
@@ -145,6 +148,9 @@
         """Send a request to a server and return the result of the attempt."""
         server = placement.server
         attempt = self.dispatcher.record_sent(placement)
+        limits = self.dispatcher.limits
+        if limits.limit_per_s(server.server_id, server.born_ms) is not None:
+            self.meters.count(Metric.LIMITED_ATTEMPTS_TOTAL, service=server.service)
         started_ms = self.clock.now_ms()
         # The result if this task is cancelled during the exchange.
         result = AttemptResult(Outcome.ABANDONED, may_have_run=True)
@@ -228,14 +234,16 @@
             connection.close()
             return AttemptResult(Outcome.OVERDUE, Answer(504), may_have_run=True)
         self.pool.release(server.address, connection)
-        return self._classify(answer, state, server)
+        result = self._classify(answer, state, server)
+        if answer.status != MISDIRECTED_STATUS:
+            # A misdirected request was answered by another server at the address.
+            self._record_notices(server, answer)
+            self._record_limit(server, answer, result.outcome, sent_ms)
+        return result
 
     def _classify(
         self, answer: Answer, state: RequestState, server: ServerStats
     ) -> AttemptResult:
-        if answer.status != MISDIRECTED_STATUS:
-            # A misdirected request was answered by another server at the address.
-            self._record_notices(server, answer)
         load_value = answer.header(self.dialect.load)
         if load_value is not None:
             _record_reported_load(server, load_value, self.clock.now_ms())
@@ -285,6 +293,26 @@
         if pause_ms is not None:
             notices.record_pause(server.server_id, server.born_ms, pause_ms)
 
+    def _record_limit(
+        self, server: ServerStats, answer: Answer, outcome: Outcome, sent_ms: float
+    ) -> None:
+        value = answer.header(self.dialect.limit)
+        # A refusal or a failure may be written before the server adds its fields, so
+        # that only a success without the field withdraws the limit.
+        if value is None and outcome is not Outcome.ANSWERED:
+            return
+        limit_per_s = None if value is None else parse_limit_per_s(value)
+        if value is not None and limit_per_s is None:
+            self._log.write(
+                Event.BACKEND_LIMIT_MALFORMED,
+                server_id=server.server_id,
+                value=value[:40].decode("latin-1"),
+            )
+            return
+        self.dispatcher.limits.record_answer(
+            server.server_id, server.born_ms, limit_per_s, sent_ms
+        )
+
     def _server_headers(
         self, headers: HeaderList, server_id: str, remaining_ms: float
     ) -> HeaderList:
--- a/bulrushlead/gateway/_dialect.py
+++ b/bulrushlead/gateway/_dialect.py
@@ -23,6 +23,9 @@
         Running requests, queued requests and slots, separated by commas.
     draining : bytes
         Present with the value 1 in every answer of a backend server that is draining.
+    limit : bytes
+        In every answer of a backend server that limits its load: the requests per
+        second that it accepts from all hosts together.
     retry_after : bytes
         In a refusal of a backend server: seconds for which it wants no request of this
         host.
@@ -35,4 +38,5 @@
     not_run: bytes
     load: bytes
     draining: bytes
+    limit: bytes
     retry_after: bytes = b"retry-after"
--- a/bulrushlead/gateway/tests/harness.py
+++ b/bulrushlead/gateway/tests/harness.py
@@ -6,7 +6,7 @@
 import attrs
 
 from bulrushlead.clock import MonotonicClock
-from bulrushlead.dispatch import Dispatcher, DispatchSettings
+from bulrushlead.dispatch import Dispatcher, DispatchSettings, Placement, Work
 from bulrushlead.fleet import (
     FleetUpdate,
     FleetView,
@@ -16,12 +16,13 @@
     SyncPosition,
 )
 from bulrushlead.gateway import Dialect, RequestForwarder
+from bulrushlead.gateway._attempts import RequestState
 from bulrushlead.http1 import ConnectionPool, Request
 from bulrushlead.traffic import Route, ServicePolicy, ServiceShare, TrafficPlan
 
 CLOCK = MonotonicClock()
 DIALECT = Dialect(
-    b"id", b"deadline", b"key", b"expect", b"not-run", b"load", b"draining"
+    b"id", b"deadline", b"key", b"expect", b"not-run", b"load", b"draining", b"limit"
 )
 SHARES = (ServiceShare("stock", 1.0),)
 ROUTES = (
@@ -101,6 +102,17 @@
     return answer(503, b"", not_run=b"1", retry_after=b"5")
 
 
+def limited(next_limit):
+    """Return a script whose answers name the limits that a function returns."""
+
+    async def script(server, head, writer):
+        limit = next_limit()
+        fields = {} if limit is None else {"limit": limit}
+        return answer(body=server.server_id.encode(), **fields)
+
+    return script
+
+
 async def misdirected_to_draining(server, head, writer):
     return answer(421, b"", draining=b"1", retry_after=b"5")
 
@@ -122,6 +134,15 @@
     return answer()
 
 
+def _headers(deadline_ms):
+    return [
+        (b"host", b"h"),
+        (b"id", b"r1"),
+        (b"deadline", b"%d" % deadline_ms),
+        (b"expect", b"somebody"),
+    ]
+
+
 @attrs.define(eq=False)
 class ForwarderHarness:
     """A forwarder, its dispatcher and its fake servers."""
@@ -133,16 +154,20 @@
     servers: list[ScriptedServer]
 
     async def send_request(self, path, deadline_ms=2_000, method=b"GET"):
-        headers = [
-            (b"host", b"h"),
-            (b"id", b"r1"),
-            (b"deadline", b"%d" % deadline_ms),
-            (b"expect", b"somebody"),
-        ]
         return await self.forwarder.answer(
-            Request(method, path, headers, b"", CLOCK.now_ms())
+            Request(method, path, _headers(deadline_ms), b"", CLOCK.now_ms())
         )
 
+    async def send_to_server(self, path):
+        """Send one attempt to the only server, whatever the dispatcher would do."""
+        (server,) = self.dispatcher._servers.values()
+        now_ms = CLOCK.now_ms()
+        request = Request(b"GET", path, _headers(2_000), b"", now_ms)
+        state = RequestState(request, b"r1", ROUTES[0], now_ms + 2_000)
+        work = Work("stock", "read", path, True, 300.0, 2_000.0)
+        placement = Placement(server, 0, 0.0, 300.0, 300.0)
+        return await self.forwarder._runner.run(state, work, placement)
+
     def requests_received(self):
         return sum(len(server.heads) for server in self.servers)
 
--- a/bulrushlead/gateway/tests/test_notices.py
+++ b/bulrushlead/gateway/tests/test_notices.py
@@ -52,3 +52,13 @@
     harness = await build(fakes.misdirected_to_draining)
     await harness.send_request(b"/order/1")
     assert harness.dispatcher.notices.allows("s0", 1)
+
+
+async def test_limit_that_a_server_names_is_recorded_until_it_is_withdrawn(build):
+    values = iter([b"2.5", b"not a number", None])
+    harness = await build(fakes.limited(lambda: next(values)))
+    seen = []
+    for number in range(3):
+        await harness.send_to_server(b"/read/%d" % number)
+        seen.append(harness.dispatcher.limits.limit_per_s("s0", 1))
+    assert seen == [2.5, 2.5, None]
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -70,6 +70,8 @@
     DRAIN_STARTED = 610
     DRAIN_ENDED = 611
     OWNERS_CHANGED = 612
+    BACKEND_LIMIT_CHANGED = 613
+    BACKEND_LIMIT_MALFORMED = 614
     HOST_CHANGED = 620
 
     # Idempotency keys.
@@ -172,6 +174,12 @@
     _E.OWNERS_CHANGED: EventInfo(
         "INFO", "The leader gave objects to other backend servers."
     ),
+    _E.BACKEND_LIMIT_CHANGED: EventInfo(
+        "INFO", "A backend server named, changed or withdrew its request limit."
+    ),
+    _E.BACKEND_LIMIT_MALFORMED: EventInfo(
+        "WARNING", "A backend server named a request limit that is not a number."
+    ),
     _E.HOST_CHANGED: EventInfo("INFO", "A host started or stopped accepting callers."),
     _E.KEY_CLAIMED: EventInfo("INFO", "An idempotency key was claimed."),
     _E.KEY_FINISHED: EventInfo("INFO", "The outcome of a key was recorded."),
--- a/bulrushlead/metrics/_catalogue.py
+++ b/bulrushlead/metrics/_catalogue.py
@@ -28,6 +28,8 @@
     SERVERS = "bulrushlead_servers"
     OWNED_OBJECTS = "bulrushlead_owned_objects"
     OWNER_MOVES_TOTAL = "bulrushlead_owner_moves_total"
+    LIMITED_SERVERS = "bulrushlead_limited_servers"
+    LIMITED_ATTEMPTS_TOTAL = "bulrushlead_limited_attempts_total"
     LINES_DROPPED_TOTAL = "bulrushlead_log_lines_dropped_total"
 
 
@@ -103,6 +105,12 @@
     _M.OWNER_MOVES_TOTAL: MetricInfo(
         _K.COUNTER, "Objects that the leader gave to another server.", ("reason",)
     ),
+    _M.LIMITED_SERVERS: MetricInfo(
+        _K.GAUGE, "Backend servers that named a request limit."
+    ),
+    _M.LIMITED_ATTEMPTS_TOTAL: MetricInfo(
+        _K.COUNTER, "Attempts at servers that had named a request limit.", ("service",)
+    ),
     _M.LINES_DROPPED_TOTAL: MetricInfo(_K.COUNTER, "Log lines dropped."),
 }
 
--- a/bulrushlead/platform/_dialect.py
+++ b/bulrushlead/platform/_dialect.py
@@ -10,4 +10,5 @@
     not_run=b"not-executed",
     load=b"server-load",
     draining=b"server-leaving",
+    limit=b"server-limit",
 )
