Add failing tests of the limits that servers name and of concurrent cold requests

Ten requests that one host places in the same turn of its event loop all reach a cold server that tolerates one a second.

--- a/bulrushlead/dispatch/tests/model.py
+++ b/bulrushlead/dispatch/tests/model.py
@@ -51,6 +51,8 @@
     placement: Placement | None = None
     work: Work | None = None
     attempt: int = 0
+    sent_ms: float = 0.0
+    named_per_s: float | None = None  # limit in the answer
 
 
 @attrs.define(eq=False)
--- a/bulrushlead/gateway/tests/harness.py
+++ b/bulrushlead/gateway/tests/harness.py
@@ -177,8 +177,11 @@
             server.close()
 
 
-async def build_harness(*scripts, routes=ROUTES):
-    """Start one server for each script and return the harness."""
+async def build_harness(*scripts, routes=ROUTES, cold_per_s=0.0):
+    """Start one server for each script and return the harness.
+
+    With ``cold_per_s``, the servers are cold and tolerate that many requests a second.
+    """
     servers = [ScriptedServer(f"s{i}", script) for i, script in enumerate(scripts)]
     for server in servers:
         await server.start()
@@ -189,14 +192,21 @@
     )
     pool = ConnectionPool(CLOCK, DIALECT.request_id)
     forwarder = RequestForwarder(CLOCK, DIALECT, dispatcher, pool, random.Random(2))
-    plan = TrafficPlan(1, routes, (ServicePolicy("stock"),))
+    plan = TrafficPlan(1, routes, (ServicePolicy("stock", warmup_per_s=cold_per_s),))
     view.apply(
         FleetUpdate(
             term=1,
             position=SyncPosition("e", 1),
             servers=tuple(
                 ServerRecord(
-                    s.server_id, 1, "stock", s.address, "a", 4, ServerState.READY
+                    s.server_id,
+                    1,
+                    "stock",
+                    s.address,
+                    "a",
+                    4,
+                    ServerState.READY,
+                    cold_left_ms=60_000.0 if cold_per_s else 0.0,
                 )
                 for s in servers
             ),
--- a/bulrushlead/gateway/tests/test_notices.py
+++ b/bulrushlead/gateway/tests/test_notices.py
@@ -1,5 +1,7 @@
 """Notices of servers in their answers, with fake servers on loopback."""
 
+import asyncio
+
 import pytest
 
 from bulrushlead.gateway.tests import harness as fakes
@@ -9,8 +11,8 @@
 async def build():
     harnesses = []
 
-    async def start(*scripts):
-        harness = await fakes.build_harness(*scripts)
+    async def start(*scripts, **options):
+        harness = await fakes.build_harness(*scripts, **options)
         harnesses.append(harness)
         return harness
 
@@ -62,3 +64,12 @@
         await harness.send_to_server(b"/read/%d" % number)
         seen.append(harness.dispatcher.limits.limit_per_s("s0", 1))
     assert seen == [2.5, 2.5, None]
+
+
+# Requests that were placed in the same turn of the event loop all passed the limit.
+async def test_concurrent_requests_share_the_rate_of_a_cold_server(build):
+    harness = await build(fakes.good, cold_per_s=1.0)
+    await asyncio.gather(
+        *(harness.send_request(b"/read/%d" % number) for number in range(10))
+    )
+    assert harness.requests_received() == 1
