Count an attempt when it is placed, not when its task starts

Callers saw nothing; a cold server got every request that a host placed in the same turn of its event loop, ten instead of one in the test, and the load that the next placement reads lacked them as well.

Cause: AttemptRunner.run counted the attempt in the first step of its task, which the event loop runs after the other requests that were ready. Class: a check and its count with a switch of tasks between them. AttemptRunner.start counts at once and returns the task; a task that is cancelled before its first step gives its place back.

Ruled out: counting in place() itself, since a placement may still be refused afterwards.

--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -232,6 +232,10 @@
             self._connection_lost_ms = now_ms
             self._last_answer_ms = -1e12
 
+    def discard_attempt(self, attempt: int) -> None:
+        """Forget an attempt that was not sent, if it is still in progress."""
+        self._attempts.pop(attempt, None)
+
     def _other_hosts_load_at(self, now_ms: float) -> float:
         return decayed(
             self._other_hosts_load,
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -1,5 +1,7 @@
 """One attempt of a request at one backend server."""
 
+import asyncio
+
 import attrs
 
 from bulrushlead.clock import Clock
@@ -142,12 +144,25 @@
         self.meters = meters
         self._log = EventLogger("gateway")
 
-    async def run(
+    def start(
         self, state: RequestState, work: Work, placement: Placement
-    ) -> AttemptResult:
-        """Send a request to a server and return the result of the attempt."""
+    ) -> asyncio.Task[AttemptResult]:
+        """Start sending a request to a server; the task returns the attempt's result.
+
+        The attempt counts from this call on, not from the first step of the task, so
+        that requests placed before that step find it in the server's load and rates.
+        """
         server = placement.server
         attempt = self.dispatcher.record_sent(placement)
+        task = asyncio.ensure_future(self._run(state, work, placement, attempt))
+        # A task that is cancelled before its first step records no outcome.
+        task.add_done_callback(lambda _: server.discard_attempt(attempt))
+        return task
+
+    async def _run(
+        self, state: RequestState, work: Work, placement: Placement, attempt: int
+    ) -> AttemptResult:
+        server = placement.server
         limits = self.dispatcher.limits
         if limits.limit_per_s(server.server_id, server.born_ms) is not None:
             self.meters.count(Metric.LIMITED_ATTEMPTS_TOTAL, service=server.service)
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -219,7 +219,7 @@
         tuple
             The result, and the servers that got an attempt.
         """
-        task = asyncio.ensure_future(self._runner.run(state, work, placement))
+        task = self._runner.start(state, work, placement)
         tasks = {task}
         servers = frozenset({placement.server.server_id})
         try:
@@ -233,9 +233,7 @@
                 hedge = self._hedge_placement(state, work, servers, sent)
                 if hedge is not None:
                     servers |= {hedge.server.server_id}
-                    tasks.add(
-                        asyncio.ensure_future(self._runner.run(state, work, hedge))
-                    )
+                    tasks.add(self._runner.start(state, work, hedge))
             return await _first_success(tasks), servers
         except asyncio.CancelledError:
             state.caller_disconnected = True
--- a/bulrushlead/gateway/tests/harness.py
+++ b/bulrushlead/gateway/tests/harness.py
@@ -158,15 +158,15 @@
             Request(method, path, _headers(deadline_ms), b"", CLOCK.now_ms())
         )
 
-    async def send_to_server(self, path):
-        """Send one attempt to the only server, whatever the dispatcher would do."""
+    def start_attempt(self, path):
+        """Start an attempt at the only server, whatever the dispatcher would do."""
         (server,) = self.dispatcher._servers.values()
         now_ms = CLOCK.now_ms()
         request = Request(b"GET", path, _headers(2_000), b"", now_ms)
         state = RequestState(request, b"r1", ROUTES[0], now_ms + 2_000)
         work = Work("stock", "read", path, True, 300.0, 2_000.0)
         placement = Placement(server, 0, 0.0, 300.0, 300.0)
-        return await self.forwarder._runner.run(state, work, placement)
+        return self.forwarder._runner.start(state, work, placement)
 
     def requests_received(self):
         return sum(len(server.heads) for server in self.servers)
--- a/bulrushlead/gateway/tests/test_notices.py
+++ b/bulrushlead/gateway/tests/test_notices.py
@@ -61,7 +61,7 @@
     harness = await build(fakes.limited(lambda: next(values)))
     seen = []
     for number in range(3):
-        await harness.send_to_server(b"/read/%d" % number)
+        await harness.start_attempt(b"/read/%d" % number)
         seen.append(harness.dispatcher.limits.limit_per_s("s0", 1))
     assert seen == [2.5, 2.5, None]
 
@@ -73,3 +73,14 @@
         *(harness.send_request(b"/read/%d" % number) for number in range(10))
     )
     assert harness.requests_received() == 1
+
+
+async def test_attempt_cancelled_before_its_first_step_leaves_no_load(build):
+    harness = await build(fakes.good)
+    task = harness.start_attempt(b"/read/1")
+    (server,) = harness.dispatcher._servers.values()
+    assert server.in_flight == 1
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert server.in_flight == 0
+    assert harness.requests_received() == 0
