Let the hosts that share a limit begin one after the other

A host without answers kept a limit of zero for forty seconds after its withdrawal: all four hosts that share it waited a whole interval before their first request. Each now begins by its position, so that the first request comes after the gap of the limit, ten seconds for the lowest.

test_withdrawn_limit_ends_on_every_host now checks every host and failed before (0 requests a second was still known).

--- a/bulrushlead/dispatch/_limit_shares.py
+++ b/bulrushlead/dispatch/_limit_shares.py
@@ -106,23 +106,20 @@
             and share.hosts_version == self._hosts_version
         ):
             return share
-        interval_ms = self._compute_interval_ms(server_id, region, limit_per_s)
-        if share is not None and math.isfinite(share.interval_ms):
-            sent_ms = share.sent_ms
-        else:
-            # The first request of a new share waits like any later one.
-            sent_ms = self.clock.now_ms() + max(0.0, SETTLE_MS - interval_ms)
-        share = _Share(limit_per_s, interval_ms, sent_ms, self._hosts_version)
-        self._shares[server_id] = share
-        return share
-
-    def _compute_interval_ms(
-        self, server_id: str, region: str, limit_per_s: float
-    ) -> float:
-        shared_per_s = max(limit_per_s, MIN_LIMIT_PER_S)
         hosts = select_sharing_hosts(
             self._hosts, server_id, region, sharing_host_count(limit_per_s)
         )
         if self.host_id not in hosts:
-            return math.inf
-        return 1_000.0 * len(hosts) / shared_per_s
+            interval_ms, sent_ms = math.inf, 0.0
+        else:
+            gap_ms = 1_000.0 / max(limit_per_s, MIN_LIMIT_PER_S)
+            interval_ms = gap_ms * len(hosts)
+            if share is not None and math.isfinite(share.interval_ms):
+                sent_ms = share.sent_ms
+            else:
+                # The hosts begin one after the other, as if each had sent before.
+                first_wait_ms = max(SETTLE_MS, gap_ms * (1 + hosts.index(self.host_id)))
+                sent_ms = self.clock.now_ms() + first_wait_ms - interval_ms
+        share = _Share(limit_per_s, interval_ms, sent_ms, self._hosts_version)
+        self._shares[server_id] = share
+        return share
--- a/bulrushlead/dispatch/tests/test_limited_servers.py
+++ b/bulrushlead/dispatch/tests/test_limited_servers.py
@@ -48,6 +48,8 @@
     assert fleet.worst_excess() <= 0
     until = [fleet.arrivals_per_s(s, 12_000, UNTIL_MS) for s in limited]
     assert until[0] >= 0.5 * usual[0]
+    for server_id in limited:
+        assert {host.limits.limit_per_s(server_id, 1) for host in fleet.hosts} == {None}
 
 
 def test_host_that_restarts_learns_the_limits_from_the_leader():
