Move the state of a registered server into a module of its own

RegisteredServer now holds the state of one server, decides whether a heartbeat is newer or changes the record, and builds it; the registry keeps the tables.

--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from bulrushlead.clock import Clock, decayed
+from bulrushlead.clock import Clock
 from bulrushlead.fleet._messages import (
     Announcement,
     HostRecord,
@@ -14,14 +14,13 @@
     ServerRecord,
     ServerState,
 )
-from bulrushlead.fleet._observed_limit import ObservedLimit, newer_limit
-from bulrushlead.fleet._reachability import Reachability
+from bulrushlead.fleet._observed_limit import newer_limit
+from bulrushlead.fleet._registered_server import RegisteredServer
 from bulrushlead.logs import Event, EventLogger
 
 SILENT_AFTER_HEARTBEATS = 3.0  # single heartbeats are often late, three in a row rarely
 # 30 s at the default heartbeat interval; a network partition usually heals sooner.
 REMOVED_AFTER_HEARTBEATS = 20.0
-LOAD_HALF_LIFE_MS = 2_000  # about as long as a queue of a few requests lasts
 LOAD_WEIGHT = 0.3  # weight of each new report in a server's moving average
 # Multiple of the slots. Lower loads are published as 0, since hosts offload objects
 # only above 1.4.
@@ -30,25 +29,6 @@
 MIN_LOAD_CHANGE = 0.2
 HOST_SILENT_AFTER_MS = 1_500  # more than three intervals of host reports
 HOST_REMOVED_AFTER_MS = 60_000
-MIN_COLD_CHANGE_MS = 500  # smaller changes of the end of the warm-up are jitter
-
-
-@attrs.define(eq=False)
-class _Server:
-    heartbeat: Announcement  # the newest one
-    last_heartbeat_ms: float
-    cold_until_ms: float
-    revision: int  # of the server record; that of the load is ``load_revision``
-    silent: bool = False
-    load: float = 0.0
-    load_updated_ms: float = 0.0
-    published_load: float = 0.0
-    load_revision: int = 0
-    reachability: Reachability = attrs.field(factory=Reachability)
-    limit: ObservedLimit | None = None
-
-    def load_at(self, now_ms: float) -> float:
-        return decayed(self.load, now_ms - self.load_updated_ms, LOAD_HALF_LIFE_MS)
 
 
 @attrs.define(eq=False)
@@ -82,7 +62,7 @@
         self.server_revision = 0
         self.host_revision = 0
         self.load_revision = 0
-        self._servers: dict[str, _Server] = {}
+        self._servers: dict[str, RegisteredServer] = {}
         self._by_address: dict[str, str] = {}
         self._removed: dict[str, ServerRecord] = {}
         self._hosts: dict[str, _Host] = {}
@@ -105,7 +85,7 @@
                 state=record.state,
             )
             cold_until_ms = now_ms + record.cold_left_ms
-            self._servers[record.server_id] = server = _Server(
+            self._servers[record.server_id] = server = RegisteredServer(
                 heartbeat, now_ms, cold_until_ms, self._next_revision()
             )
             if record.limit is not None:
@@ -129,20 +109,20 @@
             to a newer server. Otherwise another server with the address is removed.
         """
         previous = self._servers.get(heartbeat.server_id)
-        if previous is not None and not _is_newer(heartbeat, previous.heartbeat):
+        if previous is not None and not previous.precedes(heartbeat):
             return False
         if self._resolve_address_conflict(heartbeat):
             return False
         received_ms = self.clock.now_ms() - heartbeat.age_ms
         cold_until_ms = received_ms + heartbeat.cold_left_ms
-        if previous is not None and not _has_changed(
-            previous, heartbeat, cold_until_ms
-        ):
+        if previous is not None and not previous.differs(heartbeat, cold_until_ms):
             previous.heartbeat = heartbeat
             previous.last_heartbeat_ms = max(previous.last_heartbeat_ms, received_ms)
             return True
         self._removed.pop(heartbeat.server_id, None)
-        server = _Server(heartbeat, received_ms, cold_until_ms, self._next_revision())
+        server = RegisteredServer(
+            heartbeat, received_ms, cold_until_ms, self._next_revision()
+        )
         if previous is not None:
             self._release_address(previous)
             # Hosts still use the published load of the previous record. It is copied so
@@ -179,7 +159,7 @@
         del self._servers[server_id]
         self._release_address(server)
         record = attrs.evolve(
-            self._build_record(server),
+            server.record_at(self.clock.now_ms()),
             state=ServerState.GONE,
             revision=self._next_revision(),
         )
@@ -207,7 +187,7 @@
         """
         now_ms = self.clock.now_ms()
         return [
-            self._build_record(server)
+            server.record_at(self.clock.now_ms())
             for server in self._servers.values()
             if server.heartbeat.state is ServerState.READY
             and server.heartbeat.zone not in evacuated_zones
@@ -282,7 +262,7 @@
         if revision >= self.server_revision:
             return ()
         records = [
-            self._build_record(server)
+            server.record_at(self.clock.now_ms())
             for server in self._servers.values()
             if server.revision > revision
         ]
@@ -385,51 +365,11 @@
         self.remove(server_id, other.born_ms, "another server announced the address")
         return False
 
-    def _release_address(self, server: _Server) -> None:
+    def _release_address(self, server: RegisteredServer) -> None:
         heartbeat = server.heartbeat
         if self._by_address.get(heartbeat.address) == heartbeat.server_id:
             del self._by_address[heartbeat.address]
 
-    def _build_record(self, server: _Server) -> ServerRecord:
-        heartbeat = server.heartbeat
-        return ServerRecord(
-            server_id=heartbeat.server_id,
-            born_ms=heartbeat.born_ms,
-            service=heartbeat.service,
-            address=heartbeat.address,
-            zone=heartbeat.zone,
-            slots=heartbeat.slots,
-            state=heartbeat.state,
-            version=heartbeat.version,
-            cold_left_ms=max(0.0, server.cold_until_ms - self.clock.now_ms()),
-            silent=server.silent,
-            revision=server.revision,
-            limit=None
-            if server.limit is None
-            else server.limit.at(self.clock.now_ms()),
-        )
-
     def _next_revision(self) -> int:
         self.server_revision += 1
         return self.server_revision
-
-
-def _is_newer(heartbeat: Announcement, previous: Announcement) -> bool:
-    if heartbeat.born_ms != previous.born_ms:
-        return heartbeat.born_ms > previous.born_ms
-    if previous.state is ServerState.DRAINING and heartbeat.state is ServerState.READY:
-        return False  # an incarnation cannot return from draining
-    return heartbeat.sequence > previous.sequence
-
-
-def _has_changed(server: _Server, new: Announcement, cold_until_ms: float) -> bool:
-    old = server.heartbeat
-    # A heartbeat of a silent server is a change, since it is not silent any more. A
-    # changed end of the warm-up counts only while the server is still cold.
-    return (
-        server.silent
-        or math.fabs(cold_until_ms - server.cold_until_ms) > MIN_COLD_CHANGE_MS
-        and new.cold_left_ms > 0
-        or (old.born_ms, old.service, old.address, old.zone, old.slots, old.state)
-        != (new.born_ms, new.service, new.address, new.zone, new.slots, new.state)
-    )
