Keep the shares of limits while a new leader meets the hosts one by one

After a restart of all coordinators the leader lists the hosts that have reported to it so far. Each host divided the retry slack and the rate of cold servers among those: in the test 80 hosts together allowed themselves 3,840 retries where 60 are allowed. The shares of servers' limits would have moved too.

The dispatcher now counts a host for five more seconds after it left the list (RecentHosts). The view itself stays as the leader says, so that look-ups name no lost host longer than before.

Evidence: test_retries_stay_within_the_slack_while_few_hosts_are_listed (3840 <= 60 failed) and test_hosts_that_share_a_rate_stay_the_same_while_few_hosts_are_listed failed before. Ruled out: holding hosts in the view, which the directory answers from.

--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -20,6 +20,7 @@
 from bulrushlead.dispatch._estimates import DurationEstimates
 from bulrushlead.dispatch._notices import ServerNotices
 from bulrushlead.dispatch._ranking import Ranking
+from bulrushlead.dispatch._recent_hosts import RecentHosts
 from bulrushlead.dispatch._server import ServerStats
 from bulrushlead.dispatch._server_limits import ServerLimits
 from bulrushlead.dispatch._settings import DispatchSettings
@@ -72,6 +73,7 @@
         self.notices = ServerNotices(clock, settings.host_id)
         self.limits = ServerLimits(clock, settings.host_id)
         self.demand = DemandMeter()
+        self._recent_hosts = RecentHosts(clock)
         self._servers: dict[str, ServerStats] = {}
         self._rankings: dict[str, Ranking] = {}
         self._eligibility = Eligibility(
@@ -90,12 +92,13 @@
     def update(self, view: FleetView) -> None:
         """Apply the fleet view that the leader published."""
         self._view = view
-        accepting = [host for host in view.hosts if host.accepting]
+        hosts = self._recent_hosts.update(view.hosts)
+        accepting = [host for host in hosts if host.accepting]
         self.budget.host_count = max(1, len(accepting))
         self.warmup.set_hosts([(host.host_id, host.region) for host in accepting])
         # Hosts that do not accept callers for a moment keep their shares, so that a
         # restart of each host in turn moves none.
-        self.limits.set_hosts([(host.host_id, host.region) for host in view.hosts])
+        self.limits.set_hosts([(host.host_id, host.region) for host in hosts])
         if view.plan is not None:
             self._eligibility.policies = {
                 policy.name: policy for policy in view.plan.services
