--- a/bulrushlead/dispatch/tests/limited_fleet.py
+++ b/bulrushlead/dispatch/tests/limited_fleet.py
@@ -90,12 +90,12 @@
         return [server_id for server_id, _ in owned.most_common()]
 
     def worst_excess(self):
-        return max(observer.worst_excess() for observer in self.observers.values())
+        return max(observer.worst_excess for observer in self.observers.values())
 
     def arrivals_per_s(self, server_id, from_ms, until_ms):
         count = sum(
             from_ms <= when_ms < until_ms
-            for when_ms, _ in self.observers[server_id].arrivals
+            for when_ms in self.observers[server_id].arrivals
         )
         return count * 1_000.0 / (until_ms - from_ms)
 
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -46,6 +46,7 @@
         self.born_ms = harness.wall_ms()
         self.sequence = 0
         self.state = "ready"
+        self.limit_field = None
         self.in_flight = 0
         self.slots = asyncio.Semaphore(SLOTS)
         self._runner = None
@@ -74,6 +75,15 @@
         await asyncio.sleep(4.0)
         await self.crash()
 
+    def name_limit(self, limit_per_s):
+        """Name a limit in all later answers; None withdraws it."""
+        self.limit_field = None if limit_per_s is None else f"{limit_per_s:.2f}"
+        self.harness.checker.record_limit(self.server_id, limit_per_s)
+
+    def name_malformed_limit(self):
+        """Name a limit that is no number; the one before still holds."""
+        self.limit_field = "few"
+
     async def _heartbeat_loop(self):
         while True:
             if self.state == "ready":
@@ -104,14 +114,15 @@
             return web.Response(status=421)
         await request.read()
         checker.record_arrival(self.server_id, request_id)
-        headers = {"Request-Id": request_id}
         if self.in_flight >= SLOTS + MAX_QUEUED:
+            headers = self._answer_headers(request_id)
             return web.Response(status=503, headers={**headers, "Not-Executed": "1"})
         self.in_flight += 1
         try:
             async with self.slots:
                 checker.record_run(self.server_id, request_id)
                 await asyncio.sleep(self.rng.uniform(*SERVICE_TIME_RANGE_S))
+            headers = self._answer_headers(request_id)
             headers["Server-Seal"] = self.server_id
             return web.Response(
                 body=expected_body(self.server_id, request_id), headers=headers
@@ -119,6 +130,13 @@
         finally:
             self.in_flight -= 1
 
+    def _answer_headers(self, request_id):
+        headers = {"Request-Id": request_id}
+        if self.limit_field is not None:
+            headers["Server-Limit"] = self.limit_field
+            self.harness.checker.record_limited_answer(self.server_id, request_id)
+        return headers
+
 
 class Caller:
     """A caller that looks up hosts and sends each request once.
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -11,6 +11,7 @@
 DENIED      A valid request was rejected with a status such as 400 or 404.
 LOST        A connection was closed without a fault after its request ran, or an
             accepted configuration was lost.
+LIMIT       A server got more requests than the limit that it had named.
 DRAIN       A request reached a server too long after its drain was acknowledged.
 CONFIG      A configuration was refused, is stale, or has other content.
 GRACE       A process was still running after its grace period.
@@ -23,6 +24,8 @@
 
 import attrs
 
+from bulrushlead.dispatch.tests.limit_rule import LimitObserver
+
 # From an acknowledged drain to the last new request, for hosts that are connected.
 DRAIN_DEADLINE_S = 2.5
 # From the last fault until every host is connected again.
@@ -67,6 +70,7 @@
         self.requests = {}
         self.runs = collections.defaultdict(list)
         self.departed_s = {}
+        self.limits = collections.defaultdict(LimitObserver)
         self.versions = collections.defaultdict(list)
         self.first_read = {}
         self.acked = []
@@ -125,8 +129,26 @@
                 f"{request_id} reached {server_id} "
                 f"{now - departed_s:.1f} s after it left",
             )
-        if request_id not in self.requests:
+        request = self.requests.get(request_id)
+        if request is None:
             self.record_violation("UNASKED", f"{server_id} got {request_id!r}")
+            return
+        excess = self.limits[server_id].record_arrival(now * 1_000.0, request.host)
+        if excess > 0 and self.is_fault_free():
+            self.record_violation(
+                "LIMIT", f"{server_id} got {excess:.1f} requests too many in 4 s"
+            )
+
+    def record_limit(self, server_id, limit_per_s):
+        """Record that a server names a limit from now on, or none."""
+        self.limits[server_id].name_limit(self.clock() * 1_000.0, limit_per_s)
+        self.counts["limits named"] += limit_per_s is not None
+
+    def record_limited_answer(self, server_id, request_id):
+        """Record that a server answers a request with its limit."""
+        request = self.requests.get(request_id)
+        if request is not None:
+            self.limits[server_id].record_told(self.clock() * 1_000.0, request.host)
 
     def record_run(self, server_id, request_id):
         """Record that a server starts to run a request."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -178,6 +178,22 @@
     await harness.backends[number].start()
 
 
+async def limit_backends(harness):
+    """Let servers name limits, change them, name malformed ones, and withdraw them."""
+    backends = harness.rng.sample(harness.backends, harness.rng.randrange(1, 4))
+    for backend in backends:
+        backend.name_limit(harness.rng.uniform(0.5, 8.0))
+    await harness.sleep_between(1.0, 5.0)
+    for backend in backends:
+        backend.name_malformed_limit()
+    await harness.sleep_between(0.2, 2.0)
+    for backend in backends:
+        backend.name_limit(harness.rng.uniform(0.0, 8.0))
+    await harness.sleep_between(1.0, 5.0)
+    for backend in backends:
+        backend.name_limit(None)
+
+
 async def change_configuration(harness):
     harness.version += harness.rng.randrange(1, 4)
     await harness.rng.choice(harness.operators).put(harness.version)
@@ -222,6 +238,8 @@
     reset_backend_links,  # listed twice: the only fault that loses many answers
     crash_backend,
     drain_backend,
+    limit_backends,
+    limit_backends,
     change_configuration,
     race_configurations,
     resend_old_configuration,
@@ -234,6 +252,8 @@
     reload_edge,
     drain_backend,
     drain_backend,
+    limit_backends,
+    limit_backends,
     change_configuration,
     race_configurations,
     resend_old_configuration,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -183,3 +183,23 @@
     await asyncio.gather(host.start(), host.start())
     assert started == [host.process]
     harness._folder.cleanup()
+
+
+def test_requests_beyond_a_limit_are_reported(checker, clock):
+    checker.record_limit("s1", 2.0)
+    checker.record_limited_answer("s1", "r1")
+    clock.now_s += 1.0
+    for _ in range(18):
+        checker.record_arrival("s1", "r1")
+    assert violated_invariants(checker) == ["LIMIT"]
+
+
+def test_requests_beyond_a_withdrawn_limit_are_allowed(checker, clock):
+    checker.record_limit("s1", 2.0)
+    checker.record_limited_answer("s1", "r1")
+    clock.now_s += 1.0
+    checker.record_limit("s1", None)
+    clock.now_s += 0.1
+    for _ in range(40):
+        checker.record_arrival("s1", "r1")
+    assert violated_invariants(checker) == []
