--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -123,12 +123,13 @@
             )
 
     def check_silence(self) -> None:
-        """Mark or remove silent servers and hosts, and update the published loads.
+        """Mark or remove silent servers and hosts; publish changed loads and limits.
 
         Waiting hosts are notified of changed servers and hosts, not of changed loads.
         """
         self.registry.check_silence()
         self.registry.update_published_loads()
+        self.registry.publish_limits()
         self._update_owners()
         self._notify_if_changed()
 
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -66,6 +66,7 @@
         self._by_address: dict[str, str] = {}
         self._removed: dict[str, ServerRecord] = {}
         self._hosts: dict[str, _Host] = {}
+        self._changed_limits: set[str] = set()
         self._log = EventLogger("fleet")
 
     def restore(self, records: list[ServerRecord], hosts: list[HostRecord]) -> None:
@@ -287,6 +288,20 @@
                 self.load_revision += 1
                 server.load_revision = self.load_revision
 
+    def publish_limits(self) -> None:
+        """Give the records of servers whose limits have changed one new revision.
+
+        Servers often name limits together, and hosts apply what they observe without
+        the leader, so that one update for all of them is soon enough.
+        """
+        changed = self._changed_limits & self._servers.keys()
+        self._changed_limits.clear()
+        if not changed:
+            return
+        revision = self._next_revision()
+        for server_id in changed:
+            self._servers[server_id].revision = revision
+
     def loads_since(self, revision: int) -> dict[str, float]:
         """Return the fleet-wide loads that changed after a revision.
 
@@ -320,7 +335,7 @@
         server.limit = limit
         if notice.limit_per_s == previous:
             return
-        server.revision = self._next_revision()
+        self._changed_limits.add(server_id)
         self._log.write(
             Event.BACKEND_LIMIT_CHANGED,
             server_id=server_id,
--- a/bulrushlead/fleet/tests/test_limits.py
+++ b/bulrushlead/fleet/tests/test_limits.py
@@ -38,6 +38,7 @@
             limits={"s1": LimitNotice(born_ms, limit_per_s, age_ms)},
         )
     )
+    registry.publish_limits()
 
 
 def published(registry):
@@ -94,3 +95,18 @@
     other.restore(view.records(), [])
     (record,) = other.servers_since(0)
     assert record.limit == LimitNotice(7, 2.2, 800.0)
+
+
+def test_limits_that_change_together_are_one_update(registry):
+    other = attrs.evolve(HEARTBEAT, server_id="s2", address="h:81")
+    registry.record_heartbeat(other)
+    revision = registry.server_revision
+    limits = {name: LimitNotice(7, 2.2) for name in ("s1", "s2", "unknown")}
+    registry.record_host_report(
+        HostReport("e1", "e1:80", "a", "north", True, limits=limits)
+    )
+    assert registry.server_revision == revision
+    registry.publish_limits()
+    records = registry.servers_since(revision)
+    assert {record.server_id for record in records} == {"s1", "s2"}
+    assert registry.server_revision == revision + 1
