--- a/bulrushlead/coordinator/tests/test_publisher.py
+++ b/bulrushlead/coordinator/tests/test_publisher.py
@@ -9,6 +9,7 @@
 from bulrushlead.fleet import (
     FleetView,
     HostReport,
+    LimitNotice,
     ServerState,
     SyncPosition,
     SyncRequest,
@@ -193,3 +194,14 @@
     _, update = await sync(publisher, "e2")
     states = {record.server_id: record.state for record in update.servers}
     assert states["b1"] is ServerState.DRAINING
+
+
+async def test_limit_that_one_host_reports_reaches_the_others(publisher):
+    await announce(publisher, 1)
+    _, update = await sync(publisher, "e2")
+    notice = LimitNotice(heartbeat().born_ms, 2.2, 30.0)
+    report = HostReport("e1", "e1:80", "a", "north", True, limits={"b0": notice})
+    await publisher.handle_sync(SyncRequest(update.position, report))
+    publisher.check_silence()
+    _, update = await sync(publisher, "e2", update.position)
+    assert [server.limit for server in update.servers] == [notice]
--- a/bulrushlead/dispatch/tests/test_limit_shares.py
+++ b/bulrushlead/dispatch/tests/test_limit_shares.py
@@ -1,6 +1,7 @@
 """Shares of hosts in the limits of servers."""
 
 import math
+import random
 
 import pytest
 from hypothesis import given
@@ -16,6 +17,7 @@
     LimitShares,
     sharing_host_count,
 )
+from bulrushlead.dispatch.tests.limit_rule import NOTICE_MS, LimitObserver
 
 HOSTS = [(f"e{n}", "north" if n < 20 else "south") for n in range(185)]
 WINDOW_S = WINDOW_MS / 1_000.0
@@ -92,3 +94,27 @@
     clock._now_ms += 60_000
     share.drop("s1")
     assert share.wait_ms("s1", "north", 2.2) >= SETTLE_MS
+
+
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.7, 2.2, 6.0, 25.0])
+@pytest.mark.parametrize("count", [1, 3, 11, 40])
+def test_hosts_that_send_whenever_they_may_stay_within_the_tolerance(
+    clock, limit_per_s, count
+):
+    """Pattern: every host wants to use a server; one host leaves and returns."""
+    rng = random.Random(f"{limit_per_s}/{count}")
+    hosts = HOSTS[:count]
+    fleet = [LimitShares(clock, host_id) for host_id, _ in hosts]
+    observer = LimitObserver()
+    observer.name_limit(0.0, limit_per_s)
+    for host_id, _ in hosts:
+        observer.record_told(-NOTICE_MS, host_id)
+    for step in range(300):
+        clock._now_ms += rng.expovariate(1 / 60.0)
+        listed = hosts[1:] if count > 1 and 100 < step < 200 else hosts
+        for share in fleet:
+            share.set_hosts(listed)
+            while not share.wait_ms("s1", "north", limit_per_s):
+                share.record_sent("s1")
+                observer.record_arrival(clock.now_ms(), share.host_id)
+    assert observer.worst_excess <= 0
