--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from tests.soak.harness import Harness
+from tests.soak.harness import EDGES, Harness
 
 
 def main():
@@ -23,10 +23,15 @@
     parser.add_argument(
         "--logs", default="build/soak", help="folder for the logs of failed runs"
     )
+    parser.add_argument(
+        "--edges", type=int, default=EDGES, help="number of gateways, 200 at most"
+    )
     arguments = parser.parse_args()
     failed = 0
     for seed in _seeds(arguments.seeds, arguments.count):
-        harness = Harness(seed, arguments.seconds, arguments.logs)
+        harness = Harness(
+            seed, arguments.seconds, arguments.logs, edges=arguments.edges
+        )
         violations = asyncio.run(_run(harness))
         failed += bool(violations)
         print(
