Log which servers the leader holds to be unreachable, and count them on hosts

The leader's lines told how many objects lost their owners, not which servers it had given up nor on whose word; on a host nothing told a host without links from servers that are gone. 615, 616 and a gauge; no change of routing.

--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -172,6 +172,11 @@
             if stats.pop_unreachable()
         )
 
+    def unreachable_count(self) -> int:
+        """Return the number of servers to which this host could not connect lately."""
+        now_ms = self.clock.now_ms()
+        return sum(stats.is_unreachable(now_ms) for stats in self._servers.values())
+
     def place(self, work: Work) -> Placement | Refusal:
         """Select the server for a request, or refuse the request."""
         ranking = self._rankings.get(work.service)
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -133,12 +133,16 @@
 
     def is_available(self, now_ms: float) -> bool:
         """Return whether the server may get an attempt now, probes included."""
-        if not self.ready or now_ms < self._unreachable_until_ms:
+        if not self.ready or self.is_unreachable(now_ms):
             return False
         if self.failure_rate(now_ms) > MAX_FAILURE_RATE:
             return now_ms >= self._next_probe_ms
         return True
 
+    def is_unreachable(self, now_ms: float) -> bool:
+        """Return whether it gets no attempt because this host could not connect."""
+        return now_ms < self._unreachable_until_ms
+
     def may_be_cold(self, now_ms: float, fleet_age_ms: float) -> bool:
         """Return whether the server is cold, or may have restarted unnoticed."""
         if now_ms < self.cold_until_ms:
--- a/bulrushlead/fleet/_reachability.py
+++ b/bulrushlead/fleet/_reachability.py
@@ -34,3 +34,7 @@
             oldest_ms = max(oldest_ms, now_ms - REPORT_TTL_MS)
         zones = sum(time_ms > oldest_ms for time_ms in self._reported_ms.values())
         return zones >= MIN_REPORTING_ZONES
+
+    def report_ages_ms(self, now_ms: float) -> dict[str, int]:
+        """Return the age of the newest report of each zone, in milliseconds."""
+        return {zone: round(now_ms - ms) for zone, ms in self._reported_ms.items()}
--- a/bulrushlead/fleet/_registered_server.py
+++ b/bulrushlead/fleet/_registered_server.py
@@ -33,6 +33,8 @@
         published value, as multiples of the slots.
     reachability : Reachability
         Reports of hosts that could not connect to it.
+    unreachable : bool
+        Whether these reports showed last time that it is unreachable.
     limit : ObservedLimit or None
         Request limit that it named.
     """
@@ -47,6 +49,7 @@
     published_load: float = 0.0
     load_revision: int = 0
     reachability: Reachability = attrs.field(factory=Reachability)
+    unreachable: bool = False
     limit: ObservedLimit | None = None
 
     def load_at(self, now_ms: float) -> float:
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -131,6 +131,7 @@
             # load, which starts from 0 for a new incarnation.
             server.published_load = previous.published_load
             server.load_revision = previous.load_revision
+            server.unreachable = previous.unreachable  # so that its end is logged
             if previous.heartbeat.born_ms == heartbeat.born_ms:
                 server.limit = previous.limit
                 server.load = previous.load
@@ -187,15 +188,30 @@
         server may: it may be cut off from the coordinators only.
         """
         now_ms = self.clock.now_ms()
+        self._update_reachability(now_ms)
         return [
-            server.record_at(self.clock.now_ms())
+            server.record_at(now_ms)
             for server in self._servers.values()
             if server.heartbeat.state is ServerState.READY
             and server.heartbeat.zone not in evacuated_zones
-            and not server.reachability.is_unreachable(
+            and not server.unreachable
+        ]
+
+    def _update_reachability(self, now_ms: float) -> None:
+        for server_id, server in self._servers.items():
+            unreachable = server.reachability.is_unreachable(
                 now_ms, server.last_heartbeat_ms, server.silent
             )
-        ]
+            if unreachable == server.unreachable:
+                continue
+            server.unreachable = unreachable
+            self._log.write(
+                Event.BACKEND_UNREACHABLE if unreachable else Event.BACKEND_REACHABLE,
+                server_id=server_id,
+                born_ms=server.heartbeat.born_ms,
+                heartbeat_age_ms=round(now_ms - server.last_heartbeat_ms),
+                reports=server.reachability.report_ages_ms(now_ms),
+            )
 
     def mark_draining(self, server_id: str, born_ms: int) -> None:
         """Mark a server as draining, unless a newer incarnation is registered."""
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -74,6 +74,9 @@
         )
         self.meters.register_gauge(Metric.FLEET_AGE_MS, self.dispatcher.fleet_age_ms)
         self.meters.register_gauge(Metric.SERVERS, lambda: len(self.view.servers))
+        self.meters.register_gauge(
+            Metric.UNREACHABLE_SERVERS, self.dispatcher.unreachable_count
+        )
         self.meters.register_gauge(
             Metric.LIMITED_SERVERS, lambda: self.dispatcher.limits.limited_count
         )
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -72,6 +72,8 @@
     OWNERS_CHANGED = 612
     BACKEND_LIMIT_CHANGED = 613
     BACKEND_LIMIT_MALFORMED = 614
+    BACKEND_UNREACHABLE = 615
+    BACKEND_REACHABLE = 616
     HOST_CHANGED = 620
 
     # Idempotency keys.
@@ -180,6 +182,12 @@
     _E.BACKEND_LIMIT_MALFORMED: EventInfo(
         "WARNING", "A backend server named a request limit that is not a number."
     ),
+    _E.BACKEND_UNREACHABLE: EventInfo(
+        "WARNING", "The leader takes objects from a server that hosts cannot reach."
+    ),
+    _E.BACKEND_REACHABLE: EventInfo(
+        "INFO", "The leader gives objects to a server again that hosts did not reach."
+    ),
     _E.HOST_CHANGED: EventInfo("INFO", "A host started or stopped accepting callers."),
     _E.KEY_CLAIMED: EventInfo("INFO", "An idempotency key was claimed."),
     _E.KEY_FINISHED: EventInfo("INFO", "The outcome of a key was recorded."),
--- a/bulrushlead/metrics/_catalogue.py
+++ b/bulrushlead/metrics/_catalogue.py
@@ -28,6 +28,7 @@
     SERVERS = "bulrushlead_servers"
     OWNED_OBJECTS = "bulrushlead_owned_objects"
     OWNER_MOVES_TOTAL = "bulrushlead_owner_moves_total"
+    UNREACHABLE_SERVERS = "bulrushlead_unreachable_servers"
     LIMITED_SERVERS = "bulrushlead_limited_servers"
     LIMITED_ATTEMPTS_TOTAL = "bulrushlead_limited_attempts_total"
     LINES_DROPPED_TOTAL = "bulrushlead_log_lines_dropped_total"
@@ -105,6 +106,9 @@
     _M.OWNER_MOVES_TOTAL: MetricInfo(
         _K.COUNTER, "Objects that the leader gave to another server.", ("reason",)
     ),
+    _M.UNREACHABLE_SERVERS: MetricInfo(
+        _K.GAUGE, "Backend servers to which this host could not connect lately."
+    ),
     _M.LIMITED_SERVERS: MetricInfo(
         _K.GAUGE, "Backend servers that named a request limit."
     ),
