--- a/bulrushlead/fleet/tests/test_registry.py
+++ b/bulrushlead/fleet/tests/test_registry.py
@@ -236,3 +236,21 @@
     assert candidates(registry, {heartbeat().zone}) == []
     registry.record_heartbeat(draining(sequence=2))
     assert candidates(registry) == []
+
+
+async def test_hosts_that_are_cut_off_do_not_take_the_objects_of_sound_servers(
+    registry, clock
+):
+    """Guards against believing hosts that reach no server at all (RECOVER, inc1)."""
+    registry.record_heartbeat(heartbeat())
+    candidate_rounds = 0
+    rounds = 40
+    for number in range(rounds):
+        await clock.advance_ms(400)
+        if number % 4 == 0:
+            registry.record_heartbeat(heartbeat(sequence=number + 2))
+        report_unreachable(registry, "casa-a", "fes-a", "fes-b", "agadir-a")
+        answered = attrs.evolve(make_report(), host_id="e-sound", zone="casa-b")
+        registry.record_host_report(attrs.evolve(answered, loads={"b1": 0.5}))
+        candidate_rounds += candidates(registry) == ["b1"]
+    assert candidate_rounds == rounds
--- /dev/null
+++ b/bulrushlead/gateway/tests/test_cut_off_hosts.py
@@ -0,0 +1,54 @@
+"""Tests of hosts that lose their links to all servers, and of their callers."""
+
+import pytest
+
+from bulrushlead.gateway.tests.harness import good
+from bulrushlead.gateway.tests.host_fleet import HostFleet, served_share
+
+# As RECOVER asks: first tries at hosts that are cut off, against those at the others.
+MIN_RELATIVE_SHARE = 2 / 3
+
+
+@pytest.fixture
+async def build():
+    fleets = []
+
+    async def start(zones, servers=6, script=good, **options):
+        fleet = HostFleet(zones, [script] * servers, **options)
+        fleets.append(fleet)
+        await fleet.start()
+        return fleet
+
+    yield start
+    for fleet in fleets:
+        await fleet.close()
+
+
+@pytest.mark.parametrize("open_connections", ["live", "hang", "reset"])
+@pytest.mark.parametrize("new", ["hang", "refused"])
+@pytest.mark.parametrize(
+    "zones, cut",
+    [
+        ("ab", [0]),
+        ("aabbcc", [0, 2, 4]),
+        ("aabbcc", [0, 1]),
+        ("aabbcc", [0, 1, 2, 3, 5]),
+    ],
+    ids=["one", "several-zones", "whole-zone", "most"],
+)
+async def test_callers_of_cut_off_hosts_are_served(
+    build, zones, cut, new, open_connections
+):
+    """Guards against refusing requests that another host can send (RECOVER, inc1)."""
+    fleet = await build(zones)
+    await fleet.send_everywhere(200)
+    fleet.cut(cut, new, open_connections)
+    await fleet.send_everywhere(1_500)  # until the hosts notice
+    fleet.publish()
+    answers = await fleet.send_everywhere(500)
+    others = [a for n, sent in answers.items() if n not in cut for a in sent]
+    for number in cut:
+        assert served_share(answers[number]) >= MIN_RELATIVE_SHARE * served_share(
+            others
+        )
+    assert served_share(others) > 0.9
