Keep objects at servers that any host has an answer from

Cause: the leader held a server to be unreachable on the word of hosts of two zones, and hosts that reach nothing report every server; 1,310 objects lost their owners in ten seconds. Why it works: hosts report whose answers they had (those that tell their load did already), and an answer later than the reports outweighs them, as a heartbeat does. Ruled out: more zones before a report counts, since cut-off hosts may stand in every zone. The records of hosts move to a module of their own.

--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -164,6 +164,17 @@
                 loads[server_id] = load
         return loads
 
+    def pop_answered(self) -> tuple[str, ...]:
+        """Return the servers that answered since the last call without their load.
+
+        Called before ``pop_mean_loads``, which returns those that told it.
+        """
+        return tuple(
+            server_id
+            for server_id, stats in self._servers.items()
+            if stats.pop_answered()
+        )
+
     def pop_unreachable(self) -> tuple[str, ...]:
         """Return the servers that were unreachable since the last call."""
         return tuple(
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -37,6 +37,9 @@
     ABANDONED = "abandoned"
 
 
+_ANSWERS = (Outcome.ANSWERED, Outcome.FAILED, Outcome.REFUSED, Outcome.SHED)
+
+
 @attrs.frozen
 class _Attempt:
     sent_ms: float
@@ -99,6 +102,7 @@
     _last_answer_ms: float = -1e12
     _connection_lost_ms: float = -1e12
     _unreachable_reported: bool = True
+    _answer_reported: bool = True
 
     def __attrs_post_init__(self):
         self.hash = xxhash.xxh32_intdigest(self.server_id.encode())
@@ -202,6 +206,11 @@
         reported, self._unreachable_reported = self._unreachable_reported, True
         return not reported
 
+    def pop_answered(self) -> bool:
+        """Return whether the server answered since the last call without its load."""
+        reported, self._answer_reported = self._answer_reported, True
+        return not reported and not self._load_count
+
     def record_duration_ratio(self, ratio: float, now_ms: float) -> None:
         """Record the ratio of an answer's duration to the expected one."""
         current = self.slowness(now_ms)
@@ -218,6 +227,8 @@
             )
         if outcome is Outcome.ABANDONED:
             return
+        if outcome in _ANSWERS:
+            self._answer_reported = False
         if outcome in (Outcome.REFUSED, Outcome.SHED):
             if outcome is Outcome.REFUSED:
                 self._full_until_ms = now_ms + FULL_AFTER_REFUSAL_MS
--- a/bulrushlead/fleet/_messages.py
+++ b/bulrushlead/fleet/_messages.py
@@ -135,6 +135,9 @@
     limits : dict of str to LimitNotice
         Request limits that this host observed and the fleet view does not show yet,
         by identity of the server.
+    answered : tuple of str
+        Servers that answered this host since its last report without telling their
+        load; those in ``loads`` have answered too.
     """
 
     host_id: str
@@ -147,6 +150,7 @@
     demand: dict[str, dict[int, float]] = attrs.field(factory=dict)
     unreachable: tuple[str, ...] = ()
     limits: dict[str, LimitNotice] = attrs.field(factory=dict)
+    answered: tuple[str, ...] = ()
 
 
 @message("fleet.host")
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -15,6 +15,7 @@
     ServerState,
 )
 from bulrushlead.fleet._observed_limit import newer_limit
+from bulrushlead.fleet._registered_hosts import RegisteredHosts
 from bulrushlead.fleet._registered_server import RegisteredServer
 from bulrushlead.logs import Event, EventLogger
 
@@ -27,15 +28,6 @@
 MIN_PUBLISHED_LOAD = 1.2
 # To save bandwidth, smaller changes are not sent, except the change to 0.
 MIN_LOAD_CHANGE = 0.2
-HOST_SILENT_AFTER_MS = 1_500  # more than three intervals of host reports
-HOST_REMOVED_AFTER_MS = 60_000
-
-
-@attrs.define(eq=False)
-class _Host:
-    report: HostReport
-    last_report_ms: float
-    accepting: bool
 
 
 class FleetRegistry:
@@ -60,15 +52,19 @@
         self.clock = clock
         self.heartbeat_ms = heartbeat_ms
         self.server_revision = 0
-        self.host_revision = 0
         self.load_revision = 0
         self._servers: dict[str, RegisteredServer] = {}
         self._by_address: dict[str, str] = {}
         self._removed: dict[str, ServerRecord] = {}
-        self._hosts: dict[str, _Host] = {}
+        self._hosts = RegisteredHosts(clock)
         self._changed_limits: set[str] = set()
         self._log = EventLogger("fleet")
 
+    @property
+    def host_revision(self) -> int:
+        """Revision of the newest change of the list of hosts."""
+        return self._hosts.revision
+
     def restore(self, records: list[ServerRecord], hosts: list[HostRecord]) -> None:
         """Register the servers and hosts that this host received as a follower."""
         now_ms = self.clock.now_ms()
@@ -92,12 +88,7 @@
             if record.limit is not None:
                 server.limit = newer_limit(None, record.limit, now_ms)
             self._by_address[record.address] = record.server_id
-        for host in hosts:
-            report = HostReport(
-                host.host_id, host.address, host.zone, host.region, host.accepting
-            )
-            self._hosts[host.host_id] = _Host(report, now_ms, host.accepting)
-        self.host_revision += 1
+        self._hosts.restore(hosts)
 
     def record_heartbeat(self, heartbeat: Announcement) -> bool:
         """Record a heartbeat.
@@ -211,6 +202,7 @@
                 born_ms=server.heartbeat.born_ms,
                 heartbeat_age_ms=round(now_ms - server.last_heartbeat_ms),
                 reports=server.reachability.report_ages_ms(now_ms),
+                answer_age_ms=server.reachability.answer_age_ms(now_ms),
             )
 
     def mark_draining(self, server_id: str, born_ms: int) -> None:
@@ -242,13 +234,7 @@
                 self._log.write(
                     Event.BACKEND_SILENT, server_id=server_id, silence_ms=silence_ms
                 )
-        for host_id, host in list(self._hosts.items()):
-            silence_ms = now_ms - host.last_report_ms
-            if silence_ms > HOST_REMOVED_AFTER_MS:
-                del self._hosts[host_id]
-                self.host_revision += 1
-            elif host.accepting and silence_ms > HOST_SILENT_AFTER_MS:
-                self._set_accepting(host, False)
+        self._hosts.check_silence()
 
     def record_host_report(self, report: HostReport) -> None:
         """Record the report of a host."""
@@ -256,23 +242,11 @@
         for server_id, born_ms in report.draining.items():
             self.mark_draining(server_id, born_ms)
         now_ms = self.clock.now_ms()
-        for server_id in report.unreachable:
-            if server_id in self._servers:
-                server = self._servers[server_id]
-                server.reachability.record_unreachable(report.zone, now_ms)
+        self._record_reachability(report, now_ms)
         for server_id, notice in report.limits.items():
             self._record_limit(server_id, notice, report.host_id)
-        if not report.address:
-            return  # a control host: it has no address for callers
-        host = self._hosts.get(report.host_id)
-        if host is None or host.report.address != report.address:
-            self._hosts[report.host_id] = _Host(report, now_ms, report.accepting)
-            self.host_revision += 1
-            return
-        host.report = report
-        host.last_report_ms = now_ms
-        if host.accepting != report.accepting:
-            self._set_accepting(host, report.accepting)
+        if report.address:  # a control host has none
+            self._hosts.record_report(report)
 
     def servers_since(self, revision: int) -> tuple[ServerRecord, ...]:
         """Return the records changed after a revision, including removed servers."""
@@ -340,6 +314,18 @@
                 server.load = average + LOAD_WEIGHT * (load - average)
                 server.load_updated_ms = now_ms
 
+    def _record_reachability(self, report: HostReport, now_ms: float) -> None:
+        for server_id in report.unreachable:
+            server = self._servers.get(server_id)
+            if server is not None:
+                server.reachability.record_unreachable(
+                    report.host_id, report.zone, now_ms
+                )
+        for server_id in (*report.loads, *report.answered):
+            server = self._servers.get(server_id)
+            if server is not None:
+                server.reachability.record_answer(now_ms)
+
     def _record_limit(self, server_id: str, notice: LimitNotice, host_id: str) -> None:
         server = self._servers.get(server_id)
         if server is None or server.heartbeat.born_ms != notice.born_ms:
@@ -364,23 +350,7 @@
 
     def hosts(self) -> tuple[HostRecord, ...]:
         """Return the records of all entry hosts."""
-        return tuple(
-            HostRecord(
-                host.report.host_id,
-                host.report.address,
-                host.report.zone,
-                host.report.region,
-                host.accepting,
-            )
-            for host in self._hosts.values()
-        )
-
-    def _set_accepting(self, host: _Host, accepting: bool) -> None:
-        host.accepting = accepting
-        self.host_revision += 1
-        self._log.write(
-            Event.HOST_CHANGED, host_id=host.report.host_id, accepting=accepting
-        )
+        return self._hosts.records()
 
     def _resolve_address_conflict(self, heartbeat: Announcement) -> bool:
         """Remove another server with the address unless that server is newer.
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -129,6 +129,7 @@
 
     def _report(self) -> HostReport:
         settings = self.settings
+        answered = self.dispatcher.pop_answered()
         return HostReport(
             settings.host_id,
             settings.front_address,
@@ -140,6 +141,7 @@
             self.dispatcher.demand.pop(),
             self.dispatcher.pop_unreachable(),
             self.dispatcher.limits.unpublished(self.view.servers.get),
+            answered,
         )
 
     def _on_update(self, update: FleetUpdate) -> None:
