Let other hosts send the requests of a host that reaches no server

Cause: a host had no way to serve but its own links. It spent up to five connects of 400 ms on a request, counted attempts that hung as load, put all servers into back-off and refused.

A host that cannot connect to several servers in a row probes further ones in other zones; if all fail it holds itself to be cut off, tells the leader, and lets a host that reaches servers send its requests, over the peer port. The order carries what the traffic plan says of the request, so that the plan of the carrying host does not matter; the verdict says whether it may have run. A request is passed on once, so there are no loops; the carrying host applies its own limits, warm-up shares and retry budget. Look-ups name hosts that reach servers first; limits and warm-up shares leave out those that do not. Ruled out: refusing with a short Retry-After until the next look-up, since callers keep answers of look-ups for three times their life.

--- a/bulrushlead/dispatch/_budget.py
+++ b/bulrushlead/dispatch/_budget.py
@@ -48,6 +48,12 @@
         """Count a caller's request."""
         self._append(self._requests, service)
 
+    def withdraw_request(self, service: str) -> None:
+        """Withdraw the newest request: another host sends its attempts."""
+        times = self._requests.get(service)
+        if times:
+            times.pop()
+
     def request_rate_per_s(self, service: str) -> float:
         """Return this host's requests per second, as the mean over the window."""
         age_ms = min(self.window_ms, self.clock.now_ms() - self._started_ms)
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -93,12 +93,16 @@
         """Apply the fleet view that the leader published."""
         self._view = view
         hosts = self._recent_hosts.update(view.hosts)
-        accepting = [host for host in hosts if host.accepting]
-        self.budget.host_count = max(1, len(accepting))
+        # Hosts that are cut off from all servers would leave their shares unused. If
+        # all are, the list says nothing.
+        senders = [host for host in hosts if host.reaches_servers] or hosts
+        accepting = [host for host in senders if host.accepting]
         self.warmup.set_hosts([(host.host_id, host.region) for host in accepting])
         # Hosts that do not accept callers for a moment keep their shares, so that a
         # restart of each host in turn moves none.
-        self.limits.set_hosts([(host.host_id, host.region) for host in hosts])
+        self.limits.set_hosts([(host.host_id, host.region) for host in senders])
+        # Retries of a host count for a whole window, also if it is cut off in it.
+        self.budget.host_count = max(1, sum(host.accepting for host in hosts))
         if view.plan is not None:
             self._eligibility.policies = {
                 policy.name: policy for policy in view.plan.services
@@ -188,6 +192,24 @@
         now_ms = self.clock.now_ms()
         return sum(stats.is_unreachable(now_ms) for stats in self._servers.values())
 
+    def has_unreachable(self, service: str) -> bool:
+        """Return whether a server of a service gets nothing from this host only.
+
+        One whose heartbeats have stopped is probably unreachable from all hosts.
+        """
+        now_ms = self.clock.now_ms()
+        return any(
+            stats.service == service
+            and not stats.silent
+            and stats.is_unreachable(now_ms)
+            for stats in self._servers.values()
+        )
+
+    def reset_unreachable(self) -> None:
+        """Use all servers again, as the links of this host were cut and are back."""
+        for stats in self._servers.values():
+            stats.reset_unreachable()
+
     def place(self, work: Work) -> Placement | Refusal:
         """Select the server for a request, or refuse the request."""
         ranking = self._rankings.get(work.service)
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -147,6 +147,13 @@
         """Return whether it gets no attempt because this host could not connect."""
         return now_ms < self._unreachable_until_ms
 
+    def reset_unreachable(self) -> None:
+        """Forget that no connection to it could be opened."""
+        self._unreachable_until_ms = 0.0
+        self._unreachable_count = 0
+        self._unreachable_reported = True
+        self._failure_rate = 0.0
+
     def may_be_cold(self, now_ms: float, fleet_age_ms: float) -> bool:
         """Return whether the server is cold, or may have restarted unnoticed."""
         if now_ms < self.cold_until_ms:
--- a/bulrushlead/fleet/_messages.py
+++ b/bulrushlead/fleet/_messages.py
@@ -138,6 +138,10 @@
     answered : tuple of str
         Servers that answered this host since its last report without telling their
         load; those in ``loads`` have answered too.
+    peer_address : str
+        Address on which the host carries the requests of others; empty if it does not.
+    reaches_servers : bool
+        Whether the host can open connections to any backend server.
     """
 
     host_id: str
@@ -151,6 +155,8 @@
     unreachable: tuple[str, ...] = ()
     limits: dict[str, LimitNotice] = attrs.field(factory=dict)
     answered: tuple[str, ...] = ()
+    peer_address: str = ""
+    reaches_servers: bool = True
 
 
 @message("fleet.host")
@@ -159,7 +165,7 @@
 
     Parameters
     ----------
-    host_id, address, zone, region
+    host_id, address, zone, region, peer_address, reaches_servers
         See ``HostReport``.
     accepting : bool
         Whether the host accepts callers and its last report is recent.
@@ -170,6 +176,8 @@
     zone: str
     region: str
     accepting: bool
+    peer_address: str = ""
+    reaches_servers: bool = True
 
 
 @message("fleet.position")
--- a/bulrushlead/fleet/_registered_hosts.py
+++ b/bulrushlead/fleet/_registered_hosts.py
@@ -76,11 +76,20 @@
         host.record = record
         self.revision += 1
         self._log.write(
-            Event.HOST_CHANGED, host_id=record.host_id, accepting=record.accepting
+            Event.HOST_CHANGED,
+            host_id=record.host_id,
+            accepting=record.accepting,
+            reaches_servers=record.reaches_servers,
         )
 
 
 def _record_of(report: HostReport) -> HostRecord:
     return HostRecord(
-        report.host_id, report.address, report.zone, report.region, report.accepting
+        report.host_id,
+        report.address,
+        report.zone,
+        report.region,
+        report.accepting,
+        report.peer_address,
+        report.reaches_servers,
     )
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -321,6 +321,9 @@
                 server.reachability.record_unreachable(
                     report.host_id, report.zone, now_ms
                 )
+        if not report.reaches_servers:
+            for server in self._servers.values():
+                server.reachability.withdraw(report.host_id)
         for server_id in (*report.loads, *report.answered):
             server = self._servers.get(server_id)
             if server is not None:
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -17,6 +17,7 @@
 from bulrushlead.gateway._dialect import Dialect
 from bulrushlead.http1 import (
     Answer,
+    ClientConnection,
     ConnectionPool,
     ExchangeError,
     ExchangeFault,
@@ -27,6 +28,7 @@
 )
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.relay import Connectivity
 from bulrushlead.traffic import Route
 
 CONNECT_TIMEOUT_MS = 400  # several round trips to the farthest region
@@ -74,6 +76,14 @@
         Whether a server may have started to run it.
     caller_disconnected : bool
         Whether its caller disconnected.
+    sent_servers : list of str
+        Servers that got it or may still get it.
+    may_not_relay : bool
+        Whether it was passed on to another host already, or by another one.
+    may_be_elsewhere : bool
+        Whether it was refused for a reason that concerns this host only.
+    received_by : str
+        Host that passed it on; empty if this host received it from its caller.
     """
 
     request: Request
@@ -84,6 +94,10 @@
     refusal: str = ""
     may_have_run: bool = False
     caller_disconnected: bool = False
+    sent_servers: list[str] = attrs.field(factory=list)
+    may_not_relay: bool = False
+    may_be_elsewhere: bool = False
+    received_by: str = ""
 
 
 @attrs.frozen(eq=False)
@@ -127,6 +141,8 @@
         Connections to servers.
     meters : CompactMeters
         Metrics in which attempts are counted.
+    connectivity : Connectivity
+        Learns whether connections to servers can be opened.
     """
 
     def __init__(
@@ -136,12 +152,14 @@
         dispatcher: Dispatcher,
         pool: ConnectionPool,
         meters: CompactMeters,
+        connectivity: Connectivity,
     ):
         self.clock = clock
         self.dialect = dialect
         self.dispatcher = dispatcher
         self.pool = pool
         self.meters = meters
+        self.connectivity = connectivity
         self._log = EventLogger("gateway")
 
     def start(
@@ -153,6 +171,7 @@
         that requests placed before that step find it in the server's load and rates.
         """
         server = placement.server
+        state.sent_servers.append(server.server_id)
         attempt = self.dispatcher.record_sent(placement)
         task = asyncio.ensure_future(self._run(state, work, placement, attempt))
         # A task that is cancelled before its first step records no outcome.
@@ -183,6 +202,8 @@
             if result.outcome is Outcome.ANSWERED:
                 self._record_duration(work, placement, elapsed_ms)
             state.may_have_run = state.may_have_run or result.may_have_run
+            if result.outcome is Outcome.UNREACHABLE:
+                state.sent_servers.remove(server.server_id)
             state.attempts.append(
                 f"{server.server_id} rank={placement.rank} load={placement.load:.1f} "
                 f"wait={placement.wait_ms:.0f} work={placement.work_ms:.0f} "
@@ -202,19 +223,11 @@
     async def _exchange(
         self, state: RequestState, server: ServerStats
     ) -> AttemptResult:
-        request, idempotent = state.request, state.route.idempotent
-        max_idle_ms = (
-            IDEMPOTENT_MAX_IDLE_MS if idempotent else NON_IDEMPOTENT_MAX_IDLE_MS
-        )
-        connection = self.pool.acquire_idle(server.address, max_idle_ms)
-        if connection is None:
-            remaining_ms = state.deadline_ms - self.clock.now_ms()
-            try:
-                connection = await self.pool.connect(
-                    server.address, min(CONNECT_TIMEOUT_MS, remaining_ms)
-                )
-            except ExchangeError as error:
-                return AttemptResult(Outcome.UNREACHABLE, detail=error.detail)
+        request = state.request
+        try:
+            connection = await self._open_connection(state, server)
+        except ExchangeError as error:
+            return AttemptResult(Outcome.UNREACHABLE, detail=error.detail)
         remaining_ms = state.deadline_ms - self.clock.now_ms()
         if remaining_ms < MIN_ATTEMPT_MS or state.caller_disconnected:
             # The server did not cause this, so its statistics must not change.
@@ -249,6 +262,7 @@
             connection.close()
             return AttemptResult(Outcome.OVERDUE, Answer(504), may_have_run=True)
         self.pool.release(server.address, connection)
+        self.connectivity.record_answer()
         result = self._classify(answer, state, server)
         if answer.status != MISDIRECTED_STATUS:
             # A misdirected request was answered by another server at the address.
@@ -256,6 +270,39 @@
             self._record_limit(server, answer, result.outcome, sent_ms)
         return result
 
+    async def _open_connection(
+        self, state: RequestState, server: ServerStats
+    ) -> ClientConnection:
+        """Return an idle connection to a server, or a new one.
+
+        Raises
+        ------
+        ExchangeError
+            With ``NOT_SENT`` if there is none.
+        """
+        max_idle_ms = (
+            IDEMPOTENT_MAX_IDLE_MS
+            if state.route.idempotent
+            else NON_IDEMPOTENT_MAX_IDLE_MS
+        )
+        connection = self.pool.acquire_idle(server.address, max_idle_ms)
+        if connection is not None:
+            return connection
+        if self.connectivity.is_cut_off:
+            raise ExchangeError(ExchangeFault.NOT_SENT, "this host is cut off")
+        remaining_ms = state.deadline_ms - self.clock.now_ms()
+        try:
+            connection = await self.pool.connect(
+                server.address, min(CONNECT_TIMEOUT_MS, remaining_ms)
+            )
+        except ExchangeError:
+            # A connection that had less time says nothing about the server's links.
+            if remaining_ms >= CONNECT_TIMEOUT_MS:
+                self.connectivity.record_failure(server.address)
+            raise
+        self.connectivity.record_connected()
+        return connection
+
     def _classify(
         self, answer: Answer, state: RequestState, server: ServerStats
     ) -> AttemptResult:
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -14,9 +14,23 @@
     RequestState,
 )
 from bulrushlead.gateway._dialect import Dialect
+from bulrushlead.gateway._refusals import (
+    CUT_OFF,
+    LOCAL_REFUSALS,
+    REFUSED,
+    SHED,
+    not_run_answer,
+)
+from bulrushlead.gateway._relaying import (
+    HostRelay,
+    carried_state,
+    carried_verdict,
+    carried_work,
+)
 from bulrushlead.http1 import Answer, ConnectionPool, Request
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.relay import Connectivity, RelayOrder, RelayVerdict
 from bulrushlead.results import ResultCode
 from bulrushlead.traffic import Route, RouteTable, TrafficPlan, WeightedSplit
 
@@ -26,6 +40,8 @@
 # Unreachable servers tolerated per request. They do not count against the route's limit
 # of attempts, since nothing was sent to them.
 MAX_UNREACHABLE_SERVERS = 4
+# The same while this host has had no contact with any server since the request began.
+MAX_UNREACHABLE_WITHOUT_CONTACT = 2
 # After a power loss of all hosts, the election and the new leader's first reply take
 # about this long; a caller that retries earlier would be refused again.
 FIRST_PLAN_MS = 1_500
@@ -33,17 +49,6 @@
 NO_PLAN_RETRY_AFTER_MS = 400
 STOPPING_RETRY_AFTER_MS = 20  # another host can accept the request immediately
 
-REFUSED = Refusal(
-    ResultCode.BACKEND_REFUSED,
-    retry_after_ms=300,  # about the time in which a full server frees a slot
-    detail="every server that was tried refused or was unreachable",
-)
-SHED = Refusal(
-    ResultCode.BACKEND_REFUSED,
-    retry_after_ms=20,  # slots are free, so the next attempt may be accepted
-    detail="refused by servers with free slots, and no retries are left",
-)
-
 
 class RequestForwarder:
     """Forwards callers' requests to backend servers and returns their answers.
@@ -62,6 +67,10 @@
         Source of keys for requests with neither a key nor an identifier.
     meters : CompactMeters, optional
         Metrics in which requests are counted.
+    connectivity : Connectivity, optional
+        Whether this host reaches servers.
+    relay : HostRelay, optional
+        Passes requests on to other hosts; without one none is passed on.
     """
 
     def __init__(
@@ -72,13 +81,19 @@
         pool: ConnectionPool,
         rng: random.Random,
         meters: CompactMeters | None = None,
+        connectivity: Connectivity | None = None,
+        relay: HostRelay | None = None,
     ):
         self.clock = clock
         self.dialect = dialect
         self.dispatcher = dispatcher
         self.rng = rng
         self.meters = meters or CompactMeters()
-        self._runner = AttemptRunner(clock, dialect, dispatcher, pool, self.meters)
+        self.connectivity = connectivity or Connectivity(clock)
+        self.relay = relay
+        self._runner = AttemptRunner(
+            clock, dialect, dispatcher, pool, self.meters, self.connectivity
+        )
         self._started_ms = clock.now_ms()
         self._stopping = False
         self._plan: TrafficPlan | None = None
@@ -148,36 +163,62 @@
             urgent=route.priority <= self._top_priorities[service],
             allowed_regions=route.allowed_regions,
         )
-        plan_version = self._plan.version
+        return await self._handle(state, work)
+
+    async def carry(
+        self, request: Request, order: RelayOrder
+    ) -> tuple[Answer, RelayVerdict]:
+        """Send a request that another host received; return the verdict for it."""
+        if self._stopping:
+            return Answer(503), RelayVerdict.DECLINED
+        state = carried_state(request, order)
+        state.request_id = request.header(self.dialect.request_id) or b""
+        work = carried_work(order)
+        if not order.previous_attempts:
+            self.dispatcher.budget.record_request(work.service)
+        elif not self._may_retry(state, work, order.previous_attempts):
+            return Answer(503), RelayVerdict.DECLINED
+        answer = await self._handle(state, work, order.previous_attempts)
+        return answer, carried_verdict(state)
+
+    async def _handle(self, state: RequestState, work: Work, sent: int = 0) -> Answer:
+        """Return the answer to a request, and write its log line."""
+        plan_version = -1 if self._plan is None else self._plan.version
         status = 0
         try:
-            answer = await self._try_servers(state, work)
+            answer = await self._try_servers(state, work, sent)
             status = answer.status
             return answer
         finally:
-            total_ms = self.clock.now_ms() - request.received_ms
+            total_ms = self.clock.now_ms() - state.request.received_ms
+            service = work.service
             self.meters.count(Metric.REQUESTS_TOTAL, service=service, code=str(status))
             self.meters.observe(Metric.REQUEST_DURATION_MS, total_ms, service=service)
             self._log.write(
                 _request_event(state, status),
-                request_id=_text(request_id),
-                route=route.name,
+                request_id=_text(state.request_id),
+                route=work.route,
                 service=service,
-                key=_text(key),
+                key=_text(state.request.header(self.dialect.affinity_key)),
                 status=status,
                 total_ms=round(total_ms, 1),
-                allowed_ms=round(allowed_ms),
+                allowed_ms=round(state.deadline_ms - state.request.received_ms),
                 attempts=state.attempts,
                 refusal=state.refusal,
                 abandoned=state.caller_disconnected,
                 may_have_run=state.may_have_run,
                 plan_version=plan_version,
                 fleet_age_ms=self.dispatcher.fleet_age_ms(),
+                received_by=state.received_by,
             )
 
-    async def _try_servers(self, state: RequestState, work: Work) -> Answer:
-        """Send attempts to one server after another until one answers."""
-        sent = unreachable = 0
+    async def _try_servers(self, state: RequestState, work: Work, sent: int) -> Answer:
+        """Send attempts to one server after another until one answers.
+
+        A request that this host cannot send goes to another host once.
+        """
+        started_ms = self.clock.now_ms()
+        unreachable = 0
         last: Answer | None = None
         refusal: Refusal | None = None
         while True:
@@ -186,9 +227,20 @@
             )
             if work.remaining_ms < MIN_ATTEMPT_MS:
                 return last or self._timeout_answer(state)
+            if self._suspects_links(unreachable, started_ms):
+                relayed = await self._relay(state, work, sent)
+                if relayed is not None:
+                    return relayed
+                if not self.connectivity.has_recent_answer():
+                    return last or self._refusal_answer(state, refusal or CUT_OFF)
             placement = self.dispatcher.place(work)
             if isinstance(placement, Refusal):
-                return last or self._refusal_answer(state, refusal or placement)
+                relayed = None
+                if self.dispatcher.has_unreachable(work.service):
+                    relayed = await self._relay(state, work, sent)
+                return (
+                    relayed or last or self._refusal_answer(state, refusal or placement)
+                )
             if sent:
                 self.dispatcher.budget.record_retry(work.service)
             result, servers = await self._attempt(state, work, placement, sent + 1)
@@ -203,11 +255,28 @@
                 refusal = SHED if result.outcome is Outcome.SHED else REFUSED
             if state.may_have_run and not state.route.idempotent:
                 return last or Answer(502)
-            if unreachable > MAX_UNREACHABLE_SERVERS or (
-                sent and not self._may_retry(state, work, sent)
-            ):
+            if sent and not self._may_retry(state, work, sent):
                 return last or self._refusal_answer(state, refusal or REFUSED)
             work = attrs.evolve(work, excluded=work.excluded | servers)
+            if unreachable > MAX_UNREACHABLE_SERVERS:
+                relayed = await self._relay(state, work, sent)
+                return (
+                    relayed or last or self._refusal_answer(state, refusal or REFUSED)
+                )
+
+    def _suspects_links(self, unreachable: int, started_ms: float) -> bool:
+        """Return whether this host, and not the servers, seems to be cut off."""
+        return self.connectivity.is_cut_off or (
+            unreachable >= MAX_UNREACHABLE_WITHOUT_CONTACT
+            and not self.connectivity.was_connected_since(started_ms)
+        )
+
+    async def _relay(self, state: RequestState, work: Work, sent: int) -> Answer | None:
+        """Return the answer of another host, or None if none takes the request."""
+        if self.relay is None:
+            return None
+        result = await self.relay.send(state, work, sent)
+        return None if result is None else result.answer
 
     async def _attempt(
         self, state: RequestState, work: Work, placement: Placement, sent: int
@@ -278,15 +347,16 @@
     def _refusal_answer(self, state: RequestState, refusal: Refusal) -> Answer:
         if state.may_have_run:
             return Answer(502)
+        state.may_be_elsewhere = refusal.code in LOCAL_REFUSALS
         state.refusal = (
             f"{refusal.code.value} {refusal.code.name}: {refusal.detail}; "
             f"retry after {refusal.retry_after_ms:.0f} ms"
         )
         self.meters.count(Metric.REFUSALS_TOTAL, code=refusal.code.name)
-        return _not_run_answer(refusal.retry_after_ms)
+        return not_run_answer(refusal.retry_after_ms)
 
     def _timeout_answer(self, state: RequestState) -> Answer:
-        return Answer(504) if state.may_have_run else _not_run_answer(MIN_ATTEMPT_MS)
+        return Answer(504) if state.may_have_run else not_run_answer(MIN_ATTEMPT_MS)
 
     def _refuse(
         self, request: Request, code: ResultCode, retry_after_ms: float, detail: str
@@ -294,7 +364,7 @@
         self._record_refusal(
             _text(request.header(self.dialect.request_id)), code, detail
         )
-        return _not_run_answer(retry_after_ms)
+        return not_run_answer(retry_after_ms)
 
     def _record_refusal(self, request_id: str, code: ResultCode, detail: str) -> None:
         self.meters.count(Metric.REFUSALS_TOTAL, code=code.name)
@@ -329,9 +399,5 @@
                 return result
 
 
-def _not_run_answer(retry_after_ms: float) -> Answer:
-    return Answer(503, [(b"retry-after", b"%.2f" % (retry_after_ms / 1000.0))])
-
-
 def _text(value: bytes | None) -> str:
     return (value or b"").decode("latin-1")
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -4,9 +4,17 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.dispatch import Dispatcher
-from bulrushlead.fleet import FleetUpdate, FleetView, HostReport, LeaderSession
+from bulrushlead.fleet import (
+    FleetUpdate,
+    FleetView,
+    HostReport,
+    LeaderSession,
+    ServerRecord,
+    ServerState,
+)
 from bulrushlead.gateway._dialect import Dialect
 from bulrushlead.gateway._forwarding import RequestForwarder
+from bulrushlead.gateway._relaying import HostRelay
 from bulrushlead.gateway._settings import GatewaySettings
 from bulrushlead.http1 import (
     Answer,
@@ -17,11 +25,20 @@
 )
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.relay import (
+    CarrierTable,
+    Connectivity,
+    RelayClient,
+    RelayService,
+    ServerProber,
+)
 from bulrushlead.wire import LinkFactory
 
 # Interval at which a draining gateway closes idle connections: short, so that the
 # process ends soon after its last request.
 CLOSE_IDLE_INTERVAL_MS = 50
+# Room for the header fields that a host adds to a request that it passes on.
+MAX_ORDER_BYTES = 4 * 1024
 ACCEPT_SHARE = 0.55  # of the drain time; the rest is for requests in progress
 
 
@@ -56,9 +73,37 @@
         self.view = FleetView(clock)
         self.dispatcher = Dispatcher(clock, settings.dispatch)
         self.pool = ConnectionPool(clock, dialect.request_id)
+        self.connectivity = Connectivity(clock)
+        self.connectivity.on_change = self._on_connectivity
+        self.prober = ServerProber(
+            clock, self.connectivity, self.pool, self._probe_targets, rng
+        )
+        self.carriers = CarrierTable(clock, settings.host_id, settings.region, rng)
+        self.relay_client = RelayClient(clock, self.carriers)
+        relay = HostRelay(
+            clock,
+            self.dispatcher,
+            self.connectivity,
+            self.carriers,
+            self.relay_client,
+            self.meters,
+        )
         self.forwarder = RequestForwarder(
-            clock, dialect, self.dispatcher, self.pool, rng, self.meters
+            clock,
+            dialect,
+            self.dispatcher,
+            self.pool,
+            rng,
+            self.meters,
+            self.connectivity,
+            relay,
         )
+        self.relay_service = RelayService(self.forwarder.carry, self.meters)
+        self.peer_server: HttpServer | None = None
+        if settings.peer_address:
+            self.peer_server = HttpServer.at(
+                settings.peer_address, self.relay_service.answer, clock
+            )
         self.front = HttpServer.at(settings.front_address, self.forwarder.answer, clock)
         self.readiness = HttpServer.at(
             settings.readiness_address, self._answer_readiness, clock
@@ -74,6 +119,9 @@
         )
         self.meters.register_gauge(Metric.FLEET_AGE_MS, self.dispatcher.fleet_age_ms)
         self.meters.register_gauge(Metric.SERVERS, lambda: len(self.view.servers))
+        self.meters.register_gauge(
+            Metric.CUT_OFF, lambda: float(self.connectivity.is_cut_off)
+        )
         self.meters.register_gauge(
             Metric.UNREACHABLE_SERVERS, self.dispatcher.unreachable_count
         )
@@ -86,6 +134,9 @@
         """Start listening and subscribe to the plan and the fleet."""
         await self.readiness.start()
         await self.front.start()
+        if self.peer_server is not None:
+            await self.peer_server.start()
+        await self.prober.start()
         await self.session.start()
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -101,21 +152,32 @@
         share of the drain time. Later requests are refused; accepted ones have the
         rest of the time to finish.
         """
-        self.front.drain()
+        servers = [self.front]
+        if self.peer_server is not None:
+            servers.append(self.peer_server)
+        for server in servers:
+            server.drain()
         now_ms = self.clock.now_ms()
         accept_until_ms = now_ms + self.settings.drain_ms * ACCEPT_SHARE
         deadline_ms = now_ms + self.settings.drain_ms
         await self.clock.sleep_ms(accept_until_ms - now_ms)
-        self.front.stop_listening()
+        for server in servers:
+            server.stop_listening()
         self.forwarder.stop()
-        while not self.front.close_idle() and self.clock.now_ms() < deadline_ms:
+        while sum(not server.close_idle() for server in servers):
+            if self.clock.now_ms() >= deadline_ms:
+                return
             await self.clock.sleep_ms(CLOSE_IDLE_INTERVAL_MS)
 
     async def close(self) -> None:
         """Close all connections without waiting for requests in progress."""
         await self.session.close()
+        await self.prober.close()
         await self.front.close()
+        if self.peer_server is not None:
+            await self.peer_server.close()
         await self.readiness.close()
+        self.relay_client.close_idle()
         self.pool.close()
 
     @property
@@ -130,6 +192,9 @@
     def _report(self) -> HostReport:
         settings = self.settings
         answered = self.dispatcher.pop_answered()
+        unreachable = ()
+        if not self.connectivity.is_suspected:  # else the servers are not to blame
+            unreachable = self.dispatcher.pop_unreachable()
         return HostReport(
             settings.host_id,
             settings.front_address,
@@ -139,16 +204,31 @@
             self.dispatcher.pop_mean_loads(),
             self.dispatcher.notices.unpublished_drains(self.view.servers.get),
             self.dispatcher.demand.pop(),
-            self.dispatcher.pop_unreachable(),
+            unreachable,
             self.dispatcher.limits.unpublished(self.view.servers.get),
             answered,
+            settings.peer_address,
+            not self.connectivity.is_cut_off,
         )
 
+    def _on_connectivity(self) -> None:
+        if not self.connectivity.is_cut_off:
+            self.dispatcher.reset_unreachable()
+            self.relay_client.close_idle()
+
+    def _probe_targets(self) -> list[ServerRecord]:
+        return [
+            server.record
+            for server in self.view.servers.values()
+            if server.record.state is ServerState.READY
+        ]
+
     def _on_update(self, update: FleetUpdate) -> None:
         plan = self.view.plan
         if update.plan is not None and plan is not None:
             self._activate_plan(plan)
         self.dispatcher.update(self.view)
+        self.carriers.update(self.view.hosts)
 
     def _activate_plan(self, plan) -> None:
         self.forwarder.set_plan(plan)
@@ -159,6 +239,10 @@
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
         )
+        if self.peer_server is not None:
+            self.peer_server.limits = RequestLimits(
+                limits.max_header_bytes + MAX_ORDER_BYTES, limits.max_body_bytes
+            )
         self._log.write(
             Event.CONFIGURATION_IN_FORCE, version=plan.version, routes=len(plan.routes)
         )
--- a/bulrushlead/gateway/_settings.py
+++ b/bulrushlead/gateway/_settings.py
@@ -23,6 +23,9 @@
         Peer addresses of coordinators.
     dispatch : DispatchSettings
         Limits shared by all hosts.
+    peer_address : str
+        ``host:port`` on which it carries the requests of hosts that reach no server;
+        empty if it does not.
     drain_ms : float
         Longest time from a planned stop to the end of the process, in milliseconds.
     """
@@ -34,4 +37,5 @@
     readiness_address: str
     seeds: tuple[str, ...]
     dispatch: DispatchSettings
+    peer_address: str = ""
     drain_ms: float = 5_000.0
--- a/bulrushlead/gateway/tests/host_fleet.py
+++ b/bulrushlead/gateway/tests/host_fleet.py
@@ -101,14 +101,16 @@
             front_address="127.0.0.1:0",
             readiness_address="127.0.0.1:0",
             seeds=(),
+            peer_address="127.0.0.1:0",
             dispatch=DispatchSettings(
                 f"e{number}", zone, REGIONS[zone], REGIONS, 0.2, 60, 10_000, 5
             ),
         )
         gateway = Gateway(settings, DIALECT, CLOCK, None, random.Random(number))
         pool = CutPool(CLOCK, DIALECT.request_id)
-        gateway.pool = gateway.forwarder._runner.pool = pool
-        await gateway.front.start()
+        gateway.pool = gateway.prober.pool = gateway.forwarder._runner.pool = pool
+        for part in (gateway.front, gateway.peer_server, gateway.prober):
+            await part.start()
         return gateway
 
     def publish(self, **changes):
@@ -146,6 +148,8 @@
             report.zone,
             report.region,
             report.accepting,
+            f"127.0.0.1:{gateway.peer_server.port}",
+            report.reaches_servers,
         )
 
     def cut(self, numbers, new="hang", open_connections="hang"):
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -75,6 +75,8 @@
     BACKEND_UNREACHABLE = 615
     BACKEND_REACHABLE = 616
     HOST_CHANGED = 620
+    HOST_CUT_OFF = 621
+    HOST_RECONNECTED = 622
 
     # Idempotency keys.
     KEY_CLAIMED = 700
@@ -188,7 +190,15 @@
     _E.BACKEND_REACHABLE: EventInfo(
         "INFO", "The leader gives objects to a server again that hosts did not reach."
     ),
-    _E.HOST_CHANGED: EventInfo("INFO", "A host started or stopped accepting callers."),
+    _E.HOST_CHANGED: EventInfo(
+        "INFO", "A host started or stopped accepting callers or reaching servers."
+    ),
+    _E.HOST_CUT_OFF: EventInfo(
+        "WARNING", "This host cannot open a connection to any backend server."
+    ),
+    _E.HOST_RECONNECTED: EventInfo(
+        "INFO", "This host can open connections to backend servers again."
+    ),
     _E.KEY_CLAIMED: EventInfo("INFO", "An idempotency key was claimed."),
     _E.KEY_FINISHED: EventInfo("INFO", "The outcome of a key was recorded."),
     _E.KEY_REPLAYED: EventInfo("INFO", "A recorded answer was sent again."),
--- a/bulrushlead/metrics/_catalogue.py
+++ b/bulrushlead/metrics/_catalogue.py
@@ -29,6 +29,9 @@
     OWNED_OBJECTS = "bulrushlead_owned_objects"
     OWNER_MOVES_TOTAL = "bulrushlead_owner_moves_total"
     UNREACHABLE_SERVERS = "bulrushlead_unreachable_servers"
+    RELAYED_REQUESTS_TOTAL = "bulrushlead_relayed_requests_total"
+    CARRIED_REQUESTS_TOTAL = "bulrushlead_carried_requests_total"
+    CUT_OFF = "bulrushlead_cut_off"
     LIMITED_SERVERS = "bulrushlead_limited_servers"
     LIMITED_ATTEMPTS_TOTAL = "bulrushlead_limited_attempts_total"
     LINES_DROPPED_TOTAL = "bulrushlead_log_lines_dropped_total"
@@ -109,6 +112,13 @@
     _M.UNREACHABLE_SERVERS: MetricInfo(
         _K.GAUGE, "Backend servers to which this host could not connect lately."
     ),
+    _M.RELAYED_REQUESTS_TOTAL: MetricInfo(
+        _K.COUNTER, "Requests passed on to another host, by verdict.", ("verdict",)
+    ),
+    _M.CARRIED_REQUESTS_TOTAL: MetricInfo(
+        _K.COUNTER, "Requests that another host passed on, by verdict.", ("verdict",)
+    ),
+    _M.CUT_OFF: MetricInfo(_K.GAUGE, "1 while this host reaches no backend server."),
     _M.LIMITED_SERVERS: MetricInfo(
         _K.GAUGE, "Backend servers that named a request limit."
     ),
--- a/bulrushlead/platform/_directory.py
+++ b/bulrushlead/platform/_directory.py
@@ -71,6 +71,9 @@
             # The view of a control host that is cut off from all hosts is stale: no
             # host is known to accept callers, so all are returned.
             hosts = list(self.view.hosts)
+        # A host that reaches no server lets others carry its requests. Callers should
+        # rather go to those.
+        hosts = [host for host in hosts if host.reaches_servers] or hosts
         for nearby in (
             [host for host in hosts if host.zone == zone],
             [host for host in hosts if host.region == region],
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -116,6 +116,7 @@
             front_address=self.caller_address,
             readiness_address=self.readiness_address,
             seeds=self.seeds,
+            peer_address=self.peer_address,
             drain_ms=self.grace_ms * DRAIN_FRACTION,
             dispatch=DispatchSettings(
                 host_id=self.host_id,
