--- a/bulrushlead/gateway/tests/harness.py
+++ b/bulrushlead/gateway/tests/harness.py
@@ -44,6 +44,7 @@
         self.script = script
         self.heads = []
         self.closed = asyncio.Event()
+        self.reader = None  # of the newest connection
         self._server = None
 
     async def start(self):
@@ -55,6 +56,7 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
+        self.reader = reader
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
--- a/bulrushlead/gateway/tests/host_fleet.py
+++ b/bulrushlead/gateway/tests/host_fleet.py
@@ -163,14 +163,23 @@
             self.gateways[number].pool.heal()
         self.cut_off = set()
 
-    async def send(self, number, path=b"/read/", method=b"GET", deadline_ms=2_000):
+    async def send(
+        self,
+        number,
+        path=b"/read/",
+        method=b"GET",
+        deadline_ms=2_000,
+        key=None,
+        extra=(),
+    ):
         """Send one request to a host and return the answer."""
         self.sent += 1
         headers = [
             (b"host", b"h"),
             (b"id", b"r1"),
-            (b"key", b"%d" % self.sent),
+            (b"key", key or b"%d" % self.sent),
             (b"deadline", b"%d" % deadline_ms),
+            *extra,
         ]
         request = Request(method, path + b"x", headers, b"", CLOCK.now_ms())
         return await self.gateways[number].forwarder.answer(request)
--- a/bulrushlead/relay/_connectivity.py
+++ b/bulrushlead/relay/_connectivity.py
@@ -43,6 +43,11 @@
         self._cut_off_since_ms = 0.0
         self._log = EventLogger("relay")
 
+    @property
+    def failed(self) -> frozenset[str]:
+        """Addresses to which no connection could be opened since the last success."""
+        return frozenset(self._failed)
+
     @property
     def is_suspected(self) -> bool:
         """Whether the last attempts suggest that the host is cut off."""
@@ -68,6 +73,7 @@
 
     def confirm_cut_off(self) -> None:
         """Record that probes of further servers failed, too."""
+        self._suspected.set()
         if not self.is_cut_off:
             self._set_cut_off(True)
 
--- a/bulrushlead/relay/_prober.py
+++ b/bulrushlead/relay/_prober.py
@@ -11,9 +11,9 @@
 from bulrushlead.relay._connectivity import Connectivity
 
 PROBE_TIMEOUT_MS = 400  # several round trips to the farthest region
-# Servers of different zones that must all fail. A cut leaves none; of servers that are
-# merely down, so many are rarely picked by chance.
-CONFIRMING_PROBES = 5
+# Further servers that must all fail, in as many zones as possible. So many that are
+# merely down are rarely picked by chance.
+CONFIRMING_PROBES = 8
 PROBE_INTERVAL_MS = 250  # bounds how long a cut seems to last after its end
 RECURRING_PROBES = 2
 # Between two confirmations, so that servers that are down cause few probes.
@@ -114,6 +114,10 @@
         """Return the addresses of servers in as many zones as possible."""
         records = list(self.servers())
         records = [record for record in records if not record.silent] or records
+        failed = self.connectivity.failed
+        records = [record for record in records if record.address not in failed] or (
+            records
+        )
         by_zone: dict[str, list[ServerRecord]] = {}
         for record in self.rng.sample(records, len(records)):
             by_zone.setdefault(record.zone, []).append(record)
