Give up answers of servers that come without end

What callers would see: a server in trouble that sends bytes without end kept the request until its deadline and filled the memory of the host (64 MiB a connection, heads without any bound), so that the host would be killed with all its requests. Cause: only the body of an answer had a bound, each connection its own; heads, interim answers, chunk framing, trailers and answers to other requests had none. Trailers are no header fields any more. Ruled out: closing after a time without progress, since such bytes are progress.

--- a/bulrushlead/http1/_client.py
+++ b/bulrushlead/http1/_client.py
@@ -5,10 +5,16 @@
 
 import httptools
 
+from bulrushlead.http1._buffer import AnswerBuffer
 from bulrushlead.http1._messages import BODILESS_STATUSES, Answer
 
-# An answer is buffered in memory until it is complete.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_HEAD_BYTES = 64 * 1024  # status line and header fields, interim answers included
+# Bytes of an exchange that are neither its head nor its body, such as chunk sizes and
+# trailers; many small chunks have several of them for each byte of the body.
+MAX_FRAMING_BYTES = 256 * 1024
+FRAMING_PER_BODY_BYTE = 8
+# Body bytes of answers to other requests that are read until the right one comes.
+MAX_DISCARDED_BYTES = 1024 * 1024
 
 
 class ExchangeFault(Enum):
@@ -41,11 +47,16 @@
 class ClientConnection(asyncio.Protocol):
     """A connection that carries one request at a time.
 
+    An answer is buffered until it is complete. Bytes that come without end, in
+    whichever part of an answer, end the exchange.
+
     Parameters
     ----------
     id_header : bytes
         Lower-case name of the field in which the backend server echoes the
         identifier of the request that it answers.
+    buffer : AnswerBuffer
+        Memory for bodies, shared with other connections.
 
     Attributes
     ----------
@@ -57,8 +68,9 @@
         Idle time that the backend server announced, in milliseconds.
     """
 
-    def __init__(self, id_header: bytes):
+    def __init__(self, id_header: bytes, buffer: AnswerBuffer):
         self.id_header = id_header
+        self.buffer = buffer
         self.n_exchanges = 0
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
@@ -68,7 +80,8 @@
         self._request_id = b""
         self._is_head = False
         self._may_reuse = True
-        self._start_message()
+        self._body_bytes = 0
+        self._start_exchange()
 
     @property
     def is_reusable(self) -> bool:
@@ -103,7 +116,7 @@
         self._request_id = request_id
         self._is_head = is_head
         self._parser = httptools.HttpResponseParser(self)
-        self._start_message()
+        self._start_exchange()
         self.n_exchanges += 1
         self._future = asyncio.get_running_loop().create_future()
         self._transport.write(data)
@@ -115,6 +128,7 @@
             raise
         finally:
             self._future = None
+            self._drop_body()
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -127,12 +141,15 @@
         if self._future is None or self._future.done():
             self.close()
             return
+        self._received_bytes += len(data)
+        if not self._has_header_section:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._may_reuse = False
-            self._fail(ExchangeFault.MALFORMED, str(error))
-            self.close()
+            self._abort(ExchangeFault.MALFORMED, str(error))
+            return
+        self._check_bounds()
 
     def eof_received(self) -> bool:
         """Complete an answer without a length when the connection ends."""
@@ -164,8 +181,8 @@
             self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header field."""
-        if self._is_complete:
+        """Store one header field; trailers are dropped."""
+        if self._is_complete or self._has_header_section:
             return
         self._headers.append((name, value))
         lower = name.lower()
@@ -184,6 +201,7 @@
         if self._status < 200:
             return
         self._has_header_section = True
+        self._head_bytes = 0
         # A late second answer to an earlier request may arrive first. Refusals may
         # omit the identifier; a success on a reused connection must echo it.
         if self._echoed_id is None:
@@ -196,17 +214,18 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        if self._is_complete or self._is_mismatched:
+        if self._is_complete:
             return
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_ANSWER_BYTES:
-            self._fail(
+        if self._is_mismatched:
+            self._discarded_bytes += len(body)
+        elif self.buffer.reserve(len(body)):
+            self._body_bytes += len(body)
+            self._body.append(body)
+        else:
+            self._abort(
                 ExchangeFault.TOO_LARGE,
-                f"answer is larger than {MAX_ANSWER_BYTES} bytes",
+                f"no room for more than {self._body_bytes} bytes of the answer",
             )
-            self.close()
-        else:
-            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Deliver the answer, or drop one that belongs to another request."""
@@ -221,12 +240,17 @@
             self._may_reuse = False
         self._finish()
 
+    def _start_exchange(self) -> None:
+        self._received_bytes = 0
+        self._head_bytes = 0
+        self._discarded_bytes = 0
+        self._start_message()
+
     def _start_message(self) -> None:
+        self._drop_body()
         self._status = 0
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
         self._echoed_id: bytes | None = None
         self._has_header_section = False
         self._is_framed = False
@@ -243,6 +267,32 @@
                 Answer(self._status, self._headers, b"".join(self._body), self._reason)
             )
 
+    def _drop_body(self) -> None:
+        self.buffer.release(self._body_bytes)
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def _check_bounds(self) -> None:
+        """End an exchange whose answer goes on without getting anywhere."""
+        if self._future is None or self._future.done():
+            return
+        framing_bytes = self._received_bytes - self._body_bytes - self._discarded_bytes
+        if self._head_bytes > MAX_HEAD_BYTES:
+            detail = f"head of an answer exceeds {MAX_HEAD_BYTES} bytes"
+        elif self._discarded_bytes > MAX_DISCARDED_BYTES:
+            detail = f"{self._discarded_bytes} bytes of answers to other requests"
+        elif framing_bytes > (
+            MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
+        ):
+            detail = f"{framing_bytes} bytes beside {self._body_bytes} of the body"
+        else:
+            return
+        self._abort(ExchangeFault.MALFORMED, detail)
+
+    def _abort(self, fault: ExchangeFault, detail: str) -> None:
+        self._fail(fault, detail)
+        self.close()
+
     def _fail(self, fault: ExchangeFault, detail: str) -> None:
         if self._future is not None and not self._future.done():
             self._future.set_exception(ExchangeError(fault, detail))
--- a/bulrushlead/http1/_pool.py
+++ b/bulrushlead/http1/_pool.py
@@ -4,6 +4,7 @@
 import socket
 
 from bulrushlead.clock import Clock
+from bulrushlead.http1._buffer import MAX_BUFFERED_BYTES, AnswerBuffer
 from bulrushlead.http1._client import ClientConnection, ExchangeError, ExchangeFault
 
 MAX_IDLE_MS = 8_000  # below the usual server idle timeout of ten seconds
@@ -32,6 +33,8 @@
         Source of time.
     id_header : bytes
         See ``ClientConnection``.
+    max_buffered_bytes : int, optional
+        Largest size of all answers together that are being received, in bytes.
 
     Attributes
     ----------
@@ -39,14 +42,25 @@
         Attempts to open a connection so far.
     """
 
-    def __init__(self, clock: Clock, id_header: bytes):
+    def __init__(
+        self,
+        clock: Clock,
+        id_header: bytes,
+        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
+    ):
         self.clock = clock
         self.id_header = id_header
         self.n_connects = 0
+        self._buffer = AnswerBuffer(max_buffered_bytes)
         self._base_limit_ms = float(MAX_IDLE_MS)
         self._limit_set_ms = 0.0
         self._idle: dict[str, list[ClientConnection]] = {}
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of answers that are being received."""
+        return self._buffer.used_bytes
+
     def acquire_idle(self, address: str, max_idle_ms: float) -> ClientConnection | None:
         """Return a connection that was idle for a short enough time, or None.
 
@@ -88,7 +102,9 @@
         try:
             transport, connection = await self.clock.wait_for(
                 loop.create_connection(
-                    lambda: ClientConnection(self.id_header), host, int(port)
+                    lambda: ClientConnection(self.id_header, self._buffer),
+                    host,
+                    int(port),
                 ),
                 timeout_ms,
             )
