Probe connections to servers that have gone silent

Cause: the pool set TCP_USER_TIMEOUT only, which covers data that is not acknowledged. The new test failed before. Probes after one and two seconds; the user timeout also ends them, so it is now 2.5 s: two probes may be lost on a lossy link. Ruled out: 2 s, where the loss of one probe or its answer would end a healthy connection. Links to coordinators end silent connections by the time-out of their calls.

--- a/bulrushlead/http1/_pool.py
+++ b/bulrushlead/http1/_pool.py
@@ -16,8 +16,12 @@
 LIMIT_DOUBLING_MS = 5_000  # the limit doubles in this time without a stale connection
 KEEP_ALIVE_FRACTION = 0.7  # of the announced idle time; the rest covers network latency
 MAX_IDLE_PER_ADDRESS = 16
-# After this time without an acknowledgement the kernel closes the connection.
-UNACKNOWLEDGED_TIMEOUT_MS = 2_000
+# After this time without an acknowledgement the kernel closes the connection. It also
+# decides when keep-alive probes give up, whatever their count, so that it must leave
+# room for more than one of them: a lossy link loses some.
+UNACKNOWLEDGED_TIMEOUT_MS = 2_500
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
 
 
 class ConnectionPool:
@@ -159,8 +163,18 @@
 
 
 def _set_options(transport: asyncio.Transport) -> None:
+    """Let the kernel close connections whose other end has gone silent.
+
+    Data that is not acknowledged is covered by ``TCP_USER_TIMEOUT``. A connection that
+    goes silent while it waits for an answer, or is idle, needs probes.
+    """
     sock = transport.get_extra_info("socket")
-    if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-        )
+    if sock is None or not hasattr(socket, "TCP_USER_TIMEOUT"):
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/bulrushlead/http1/tests/test_client.py
+++ b/bulrushlead/http1/tests/test_client.py
@@ -193,3 +193,21 @@
     pool.record_stale_connection(600.0)
     await clock.advance_ms(1e13)
     assert pool.idle_limit_ms() == initial_limit_ms
+
+
+async def test_connections_are_probed_and_two_probes_may_be_lost(pool, raw_server):
+    """Guards against waiting on a silent connection until the deadline (RECOVER)."""
+    address = await raw_server(answer_with(ok_answer(b"r1")))
+    connection = await pool.connect(address, 1_000)
+    sock = connection._transport.get_extra_info("socket")
+    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    idle_s, interval_s, timeout_ms = (
+        sock.getsockopt(socket.IPPROTO_TCP, option)
+        for option in (
+            socket.TCP_KEEPIDLE,
+            socket.TCP_KEEPINTVL,
+            socket.TCP_USER_TIMEOUT,
+        )
+    )
+    second_probe_ms = 1_000 * (idle_s + interval_s)
+    assert second_probe_ms < timeout_ms <= 3_000
