Reuse no connection after an answer without an identifier

What callers could see: "not run" (503) for a request that the server ran. Operators of similar systems told of late second copies of answers. A copy with an identifier is dropped; a copy of a refusal without one was taken for the answer to the next request on the connection, and passed on or retried as not run. Cause: a refusal need not echo the identifier, and its connection was reused. The new test failed before. Ruled out: requiring the identifier of every refusal, since a test of the project allows it.

--- a/bulrushlead/http1/_client.py
+++ b/bulrushlead/http1/_client.py
@@ -206,6 +206,8 @@
         # omit the identifier; a success on a reused connection must echo it.
         if self._echoed_id is None:
             self._is_mismatched = self.n_exchanges > 1 and self._status < 300
+            # A late copy of this answer could not be told from the next one.
+            self._may_reuse = False
         else:
             self._is_mismatched = self._echoed_id != self._request_id
         if self._is_head and not self._is_mismatched:
--- a/bulrushlead/http1/tests/test_client.py
+++ b/bulrushlead/http1/tests/test_client.py
@@ -211,3 +211,13 @@
     )
     second_probe_ms = 1_000 * (idle_s + interval_s)
     assert second_probe_ms < timeout_ms <= 3_000
+
+
+async def test_a_late_refusal_without_an_identifier_refuses_no_other_request(
+    pool, raw_server
+):
+    """Guards against "not run" for a request that the server did run."""
+    refusal = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    address = await raw_server(answer_with(refusal, refusal + ok_answer(b"r2", b"two")))
+    assert (await exchange(pool, address)).status == 503
+    assert pool.acquire_idle(address, 1_000) is None
