Answer requests that arrive while a gateway stops listening

What callers saw: during a planned stop under load some connections were reset without an answer, although they had just been accepted. Cause: closing the listening socket resets the connections that the kernel has accepted and the process has not, and idle connections were closed at once, also those whose request was on its way. Why it works: the accepted ones are taken over before the socket closes, and a connection is closed only after 150 ms without a request. Ruled out: listening until the end of the drain, which leaves late requests no time.

--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -39,6 +39,8 @@
 CLOSE_IDLE_INTERVAL_MS = 50
 # Room for the header fields that a host adds to a request that it passes on.
 MAX_ORDER_BYTES = 4 * 1024
+# Longer than a request of a connected caller travels or waits to be read.
+CLOSE_IDLE_AFTER_MS = 150
 ACCEPT_SHARE = 0.55  # of the drain time; the rest is for requests in progress
 
 
@@ -162,9 +164,9 @@
         deadline_ms = now_ms + self.settings.drain_ms
         await self.clock.sleep_ms(accept_until_ms - now_ms)
         for server in servers:
-            server.stop_listening()
+            await server.stop_listening()
         self.forwarder.stop()
-        while sum(not server.close_idle() for server in servers):
+        while sum(not server.close_idle(CLOSE_IDLE_AFTER_MS) for server in servers):
             if self.clock.now_ms() >= deadline_ms:
                 return
             await self.clock.sleep_ms(CLOSE_IDLE_INTERVAL_MS)
--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -1,6 +1,7 @@
 """HTTP server: parses requests and passes them to a handler in order."""
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -159,12 +160,12 @@
         elif now_ms - self._idle_since_ms > limits.idle_timeout_ms:
             self.close()
 
-    def close_if_idle(self) -> bool:
-        """Close the connection unless a request is arriving or in progress."""
-        if self._task is None and self._first_byte_ms is None and not self._closing:
+    def close_if_idle(self, idle_ms: float) -> None:
+        """Close the connection if no request came or was answered for a time."""
+        if self._task is not None or self._first_byte_ms is not None or self._closing:
+            return
+        if self.server.clock.now_ms() - self._idle_since_ms >= idle_ms:
             self.close()
-            return True
-        return False
 
     def close(self) -> None:
         """Close the connection once buffered output has been sent."""
@@ -247,6 +248,7 @@
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self.log = EventLogger("http1")
+        self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task | None = None
 
@@ -259,27 +261,48 @@
     async def start(self) -> None:
         """Listen for connections."""
         loop = asyncio.get_running_loop()
+        self._socket = _bind(self.address, self.port)
+        self.port = self._socket.getsockname()[1]
         self._server = await loop.create_server(
-            lambda: ServerConnection(self),
-            self.address,
-            self.port,
-            backlog=LISTEN_BACKLOG,
+            lambda: ServerConnection(self), sock=self._socket, backlog=LISTEN_BACKLOG
         )
-        self.port = self._server.sockets[0].getsockname()[1]
         self._timeout_task = loop.create_task(self._check_timeouts())
 
     def drain(self) -> None:
         """Close each connection after its next answer; still accept new ones."""
         self.draining = True
 
-    def stop_listening(self) -> None:
-        """Stop accepting connections; open ones stay open."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+    async def stop_listening(self) -> None:
+        """Stop accepting connections; open ones stay open.
+
+        Those that the kernel has accepted already are taken over, since closing the
+        listening socket would reset them with their requests.
+        """
+        if self._server is None:
+            return
+        listener = self._socket.dup()
+        self._close_listener()
+        accepted = []
+        try:
+            while True:
+                accepted.append(listener.accept()[0])
+        except OSError:
+            pass  # BlockingIOError: no connection is left
+        finally:
+            listener.close()
+        loop = asyncio.get_running_loop()
+        for sock in accepted:
+            sock.setblocking(False)
+            await loop.connect_accepted_socket(lambda: ServerConnection(self), sock)
+
+    def close_idle(self, idle_ms: float) -> bool:
+        """Close the connections on which nothing happened for a time.
 
-    def close_idle(self) -> bool:
-        """Close the connections on which no request is in progress.
+        Parameters
+        ----------
+        idle_ms : float
+            Milliseconds for which a connection has been open, or idle after its last
+            answer; on a shorter one a request may have arrived that is not read yet.
 
         Returns
         -------
@@ -287,7 +310,7 @@
             Whether all connections are closed.
         """
         for connection in list(self.connections):
-            connection.close_if_idle()
+            connection.close_if_idle(idle_ms)
         return not self.connections
 
     async def close(self) -> None:
@@ -295,14 +318,31 @@
         if self._timeout_task is not None:
             self._timeout_task.cancel()
             self._timeout_task = None
-        self.stop_listening()
+        self._close_listener()
         for connection in list(self.connections):
             connection.close()
         await asyncio.sleep(0)
 
+    def _close_listener(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = self._socket = None
+
     async def _check_timeouts(self) -> None:
         while True:
             await self.clock.sleep_ms(TIMEOUT_CHECK_MS)
             now_ms = self.clock.now_ms()
             for connection in list(self.connections):
                 connection.check_timeouts(now_ms)
+
+
+def _bind(address: str, port: int) -> socket.socket:
+    sock = socket.socket()
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/bulrushlead/http1/tests/test_server.py
+++ b/bulrushlead/http1/tests/test_server.py
@@ -106,7 +106,7 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
     writer.write(GET_AND_CLOSE)
     await started.wait()
-    assert not server.close_idle()
+    assert not server.close_idle(0.0)
     assert await idle_reader.read() == b""
     may_finish.set()
     assert (await reader.read()).endswith(b"done")
@@ -118,7 +118,7 @@
     server = await serve()
     reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
     await asyncio.sleep(0.01)
-    server.stop_listening()
+    await server.stop_listening()
     writer.write(GET_AND_CLOSE)
     assert (await reader.read()).endswith(b"/a?b=1")
     with pytest.raises(OSError):
