Refuse input that no host could use, and end no loop on an unexpected error

What callers could see: one malformed heartbeat stopped the leader from sending any update to any host, or every request of a service ended with 502. JSON can hold text that no message can (a lone surrogate), and numbers that no division can use (a capacity of 10**400); an identity with a line break added fields to callers' requests; an error in a step of the coordinator ended its loop for good, and the leader heard no heartbeats any more. Limits of 0, settings with a list or table of another type and numbers that are not finite are refused with a number, too. Ruled out: replication, whose components step down on an unexpected error already.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -23,6 +24,7 @@
     OrderState,
     RecordDeparture,
     StartEvacuation,
+    command_subject,
 )
 from bulrushlead.fleet import (
     Announcement,
@@ -141,8 +143,12 @@
         await self.messages.start()
         await self._start_log()
         await self.session.start()
-        for run in (self._forward_heartbeats, self._run_checks, self._save_fleet):
-            self._tasks.append(asyncio.create_task(run()))
+        for step, interval_ms in (
+            (self._forward_heartbeats, FORWARD_INTERVAL_MS),
+            (self._check, CHECK_INTERVAL_MS),
+            (self._save_fleet, SAVE_INTERVAL_MS),
+        ):
+            self._tasks.append(asyncio.create_task(self._repeat(step, interval_ms)))
 
     def reload(self, settings: CoordinatorSettings) -> None:
         """Apply changed settings; a new peer address or folder also needs a restart."""
@@ -291,8 +297,8 @@
         )
 
     async def _submit(self, command) -> bool:
-        request = OrderRequest(codec.encode(command))
         name = type(command).__name__
+        request = OrderRequest(codec.encode(command))
         try:
             if self.log.is_leader():
                 reply = await self._handle_order(request)
@@ -305,7 +311,7 @@
         self._events.write(
             Event.ORDER_ACCEPTED,
             order=name,
-            subject=_subject(command),
+            subject=command_subject(command),
             changed=reply.changed,
             leader=self.log.leader_hint,
         )
@@ -319,9 +325,7 @@
 
     def _with_born_ms(self, command):
         """Add the registered ``born_ms`` to a departure without one."""
-        if not isinstance(command, RecordDeparture):
-            return command
-        if command.born_ms != UNKNOWN_BORN_MS:
+        if getattr(command, "born_ms", None) != UNKNOWN_BORN_MS:
             return command
         born_ms = self.publisher.registry.born_ms_of(command.server_id)
         if born_ms is None:
@@ -338,63 +342,59 @@
             return PlanReply(-1)  # no plan yet
         return PlanReply(plan.version, self.state.document)
 
-    async def _forward_heartbeats(self) -> None:
+    async def _repeat(
+        self, step: Callable[[], Awaitable[None]], interval_ms: float
+    ) -> None:
         while True:
-            await self.clock.sleep_ms(FORWARD_INTERVAL_MS)
-            if not self._pending_heartbeats:
-                continue
-            pending, self._pending_heartbeats = self._pending_heartbeats, {}
-            now_ms = self.clock.now_ms()
-            batch = AnnounceBatch(
-                tuple(
-                    attrs.evolve(heartbeat, age_ms=now_ms - received_ms)
-                    for heartbeat, received_ms in pending.values()
-                )
-            )
+            await self.clock.sleep_ms(interval_ms)
             try:
-                if self.log.is_leader():
-                    await self.publisher.handle_heartbeats(batch)
-                else:
-                    await self.session.call_leader(batch, LEADER_CALL_TIMEOUT_MS)
-            except BulrushleadError as error:
-                self._events.write(
-                    Event.HEARTBEATS_DELAYED,
-                    count=len(batch.heartbeats),
-                    code=error.code.value,
-                    detail=error.detail,
-                )
-                for server_id, pending_heartbeat in pending.items():
-                    self._pending_heartbeats.setdefault(server_id, pending_heartbeat)
+                await step()
+            except Exception as error:
+                # Logged instead of raised: without these steps, the process would go on
+                # as a leader that hears no heartbeats.
+                self._events.write(Event.UNEXPECTED_ERROR, error=repr(error))
+
+    async def _forward_heartbeats(self) -> None:
+        if not self._pending_heartbeats:
+            return
+        pending, self._pending_heartbeats = self._pending_heartbeats, {}
+        now_ms = self.clock.now_ms()
+        heartbeats = [
+            attrs.evolve(heartbeat, age_ms=now_ms - received_ms)
+            for heartbeat, received_ms in pending.values()
+        ]
+        batch = AnnounceBatch(tuple(heartbeats))
+        try:
+            if self.log.is_leader():
+                await self.publisher.handle_heartbeats(batch)
+            else:
+                await self.session.call_leader(batch, LEADER_CALL_TIMEOUT_MS)
+        except BulrushleadError as error:
+            self._events.write(
+                Event.HEARTBEATS_DELAYED,
+                count=len(batch.heartbeats),
+                code=error.code.value,
+                detail=error.detail,
+            )
+            for server_id, pending_heartbeat in pending.items():
+                self._pending_heartbeats.setdefault(server_id, pending_heartbeat)
 
     async def _save_fleet(self) -> None:
-        while True:
-            await self.clock.sleep_ms(SAVE_INTERVAL_MS)
-            if self.view.servers and self.view.age_ms() < MAX_VIEW_AGE_MS:
-                await self.cache.save(self.view.records())
+        if self.view.servers and self.view.age_ms() < MAX_VIEW_AGE_MS:
+            await self.cache.save(self.view.records())
 
-    async def _run_checks(self) -> None:
-        while True:
-            await self.clock.sleep_ms(CHECK_INTERVAL_MS)
-            if not self._log_started or self.log.failure is not None:
-                await self.clock.sleep_ms(STORAGE_RETRY_MS)
-                await self._restart_log()
-                continue
-            if not self.log.is_leader():
-                continue
-            self.publisher.check_silence()
-            try:
-                await self.log.retire_silent_voter(RETIRE_TIMEOUT_MS)
-            except BulrushleadError as error:
-                # This event also reports that a silent voter could not be removed.
-                self._events.write(
-                    Event.REPLICA_STALLED, code=error.code.value, error=error.detail
-                )
-
-
-def _subject(command) -> str:
-    match command:
-        case AcceptPlan(plan=plan):
-            return f"version {plan.version}"
-        case RecordDeparture(server_id=server_id, born_ms=born_ms):
-            return f"{server_id}/{born_ms}"
-    return command.zone  # of StartEvacuation or EndEvacuation
+    async def _check(self) -> None:
+        if not self._log_started or self.log.failure is not None:
+            await self.clock.sleep_ms(STORAGE_RETRY_MS)
+            await self._restart_log()
+            return
+        if not self.log.is_leader():
+            return
+        self.publisher.check_silence()
+        try:
+            await self.log.retire_silent_voter(RETIRE_TIMEOUT_MS)
+        except BulrushleadError as error:
+            # This event also reports that a silent voter could not be removed.
+            self._events.write(
+                Event.REPLICA_STALLED, code=error.code.value, error=error.detail
+            )
--- a/bulrushlead/coordinator/_state.py
+++ b/bulrushlead/coordinator/_state.py
@@ -168,3 +168,13 @@
                 self.on_departure(server_id, born_ms)
                 return True
         return False
+
+
+def command_subject(command) -> str:
+    """Return what a command is about, for log lines."""
+    match command:
+        case AcceptPlan(plan=plan):
+            return f"version {plan.version}"
+        case RecordDeparture(server_id=server_id, born_ms=born_ms):
+            return f"{server_id}/{born_ms}"
+    return command.zone  # of StartEvacuation or EndEvacuation
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -245,3 +245,27 @@
     assert restarted.state.plan.version == 7
     assert restarted.log.replica_id != old_id
     assert (folder / "damaged-1" / journal.name).read_bytes() == bytes(data)
+
+
+@pytest.mark.parametrize(
+    "part, method",
+    [("publisher", "check_silence"), ("publisher", "handle_heartbeats")],
+)
+async def test_an_unexpected_error_ends_no_loop_of_the_leader(
+    coordinators, host, monkeypatch, part, method
+):
+    """Guards against a leader that hears no heartbeats and removes no server."""
+    (leader,) = [c for c in coordinators if c.log.is_leader()]
+    failures = []
+
+    def fail(*arguments):
+        failures.append(arguments)
+        monkeypatch.undo()
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(getattr(leader, part), method, fail)
+    await leader.announce(heartbeat())
+    await wait_until(lambda: failures)
+    await leader.announce(heartbeat(sequence=2))
+    await wait_until(lambda: heartbeat().server_id in host.servers)
+    assert not any(task.done() for task in leader._tasks)
--- a/bulrushlead/platform/_heartbeats.py
+++ b/bulrushlead/platform/_heartbeats.py
@@ -1,12 +1,19 @@
 """Decodes the heartbeats and deregistrations of backend servers."""
 
+import ipaddress
 import json
+import re
 from typing import Any
 
 from bulrushlead.fleet import Announcement, ServerState
 from bulrushlead.platform._units import parse_duration_ms
 from bulrushlead.results import BulrushleadError, ResultCode
 
+MAX_SLOTS = 100_000  # far more than one server runs; estimates divide by the slots
+MAX_INTEGER = 2**63 - 1
+MAX_COLD_MS = 24 * 3_600_000.0
+# Identities and services stand in header fields, messages and log lines.
+_NAME = re.compile(r"[!-~]{1,200}")
 _SERVER_STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 
 
@@ -47,24 +54,25 @@
         born_ms = json.loads(body).get("born") if body else None
     except (ValueError, AttributeError, RecursionError):
         return None
-    return born_ms if type(born_ms) is int else None
+    return born_ms if _is_integer(born_ms) else None
 
 
 def _build_announcement(server_id: str, fields: Any, zones: set[str]) -> Announcement:
-    if not isinstance(fields, dict) or not server_id:
+    if not isinstance(fields, dict) or not _NAME.fullmatch(server_id):
         raise ValueError("not an object with an identity")
     cold_left_ms = parse_duration_ms(fields["warmupLeft"])
-    if cold_left_ms is None:
+    if cold_left_ms is None or cold_left_ms > MAX_COLD_MS:
         raise ValueError(f"warmupLeft is {fields['warmupLeft']!r}")
     host, _, port = _text(fields, "address").rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+    ipaddress.IPv4Address(host)
+    if not re.fullmatch(r"[0-9]{1,5}", port) or not 0 < int(port) < 65536:
         raise ValueError(f"address is {fields['address']!r}")
     if fields["zone"] not in zones:
         raise ValueError(f"zone is {fields['zone']!r}")
     if fields["state"] not in _SERVER_STATES:
         raise ValueError(f"state is {fields['state']!r}")
     slots = _integer(fields, "capacity")
-    if slots < 1:
+    if not 1 <= slots <= MAX_SLOTS:
         raise ValueError(f"capacity is {slots}")
     return Announcement(
         server_id=server_id,
@@ -73,7 +81,7 @@
         service=_text(fields, "service"),
         address=fields["address"],
         zone=fields["zone"],
-        version=_text(fields, "version"),
+        version=_label(fields, "version"),
         slots=slots,
         state=_SERVER_STATES[fields["state"]],
         cold_left_ms=cold_left_ms,
@@ -82,13 +90,25 @@
 
 def _text(fields: dict[str, Any], name: str) -> str:
     value = fields[name]
-    if not isinstance(value, str) or not value:
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
         raise ValueError(f"{name} is {value!r}")
     return value
 
 
+def _label(fields: dict[str, Any], name: str) -> str:
+    value = fields[name]
+    if not isinstance(value, str) or not 0 < len(value) <= 200:
+        raise ValueError(f"{name} is {value!r}")
+    value.encode()  # JSON can hold characters that no message can
+    return value
+
+
 def _integer(fields: dict[str, Any], name: str, default: int | None = None) -> int:
     value = fields[name] if default is None else fields.get(name, default)
-    if type(value) is not int:
-        raise ValueError(f"{name} is {value!r}")
+    if not _is_integer(value):
+        raise ValueError(f"{name} is {value!r:.60}")
     return value
+
+
+def _is_integer(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_INTEGER
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -199,25 +199,30 @@
             self._reload_requested.clear()
             last_fingerprint = self._fingerprint()
             try:
-                settings = load_host_settings(self.path)
+                self._reload()
             except BulrushleadError as error:
                 # The process continues with its current settings.
                 self._log.write(
                     Event.UNEXPECTED_ERROR, error=str(error), code=error.code.value
                 )
-                continue
-            for reload in self._reload_callbacks:
-                reload(settings)
-            changed = changed_fields(self.settings, settings)
-            self.settings = attrs.evolve(
-                settings, peer_listen_ip=self.settings.peer_listen_ip
-            )
-            self._log.write(
-                Event.SETTINGS_RELOADED,
-                changed=[name for name in changed if name not in FIXED_FIELDS],
-                needs_restart=[name for name in changed if name in FIXED_FIELDS],
-                seeds=settings.seeds,
-            )
+            except Exception as error:
+                # Logged instead of raised, so that a later file is still loaded.
+                self._log.write(Event.UNEXPECTED_ERROR, error=repr(error))
+
+    def _reload(self) -> None:
+        settings = load_host_settings(self.path)
+        for reload in self._reload_callbacks:
+            reload(settings)
+        changed = changed_fields(self.settings, settings)
+        self.settings = attrs.evolve(
+            settings, peer_listen_ip=self.settings.peer_listen_ip
+        )
+        self._log.write(
+            Event.SETTINGS_RELOADED,
+            changed=[name for name in changed if name not in FIXED_FIELDS],
+            needs_restart=[name for name in changed if name in FIXED_FIELDS],
+            seeds=settings.seeds,
+        )
 
     def _fingerprint(self) -> tuple[int, int]:
         try:
--- a/bulrushlead/platform/_plans.py
+++ b/bulrushlead/platform/_plans.py
@@ -14,6 +14,7 @@
     TrafficPlan,
 )
 
+MAX_INTEGER = 2**63 - 1
 IDEMPOTENT_ROUTE_TYPE = "safe"  # requests of any other type must run at most once
 
 
@@ -28,7 +29,14 @@
     try:
         document = json.loads(body)
         return _build_plan(document)
-    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise BulrushleadError(
             ResultCode.DECLARATION_UNREADABLE, f"configuration: {error!r:.200}"
         ) from error
@@ -105,6 +113,8 @@
 def _integer(value: object) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(f"{value!r} is not a whole number")
+    if abs(value) > MAX_INTEGER:
+        raise ValueError(f"{value!r:.60} is too large")
     return value
 
 
@@ -119,4 +129,5 @@
 def _text(value: object) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is not a text")
+    value.encode()  # JSON can hold characters that no message can
     return value
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -1,5 +1,6 @@
 """Decodes the platform's settings file into the settings of the programs."""
 
+import math
 import tomllib
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -189,11 +190,11 @@
         peer_port=port,
         # The file lists the seeds with the port of the control interface.
         seeds=tuple(
-            f"{seed.rpartition(':')[0]}:{port}" for seed in reader.get("seeds", list)
+            f"{seed.rpartition(':')[0]}:{port}" for seed in reader.texts("seeds")
         ),
         is_first_start=reader.get("bootstrap", bool, False),
         data_folder=reader.get("dataDir", str, ""),
-        zone_regions=reader.get("zones", dict),
+        zone_regions=reader.text_table("zones"),
         serves_callers="edge" in serves,
         serves_control="control" in serves,
         serves_directory="directory" in serves,
@@ -204,10 +205,10 @@
         heartbeat_ms=reader.duration_ms("heartbeat", "1500ms"),
         grace_ms=reader.duration_ms("bounds.grace", "6s"),
         lookup_ttl_ms=reader.duration_ms("bounds.ttl_max", "5s"),
-        retry_ratio=float(reader.get("bounds.retryBudgetRatio", float, 0.1)),
-        retry_slack=int(reader.get("bounds.retryBudgetSlack", float, 10)),
+        retry_ratio=reader.number("bounds.retryBudgetRatio", 0.1),
+        retry_slack=int(reader.number("bounds.retryBudgetSlack", 10)),
         retry_window_ms=reader.duration_ms("bounds.budgetWindow", "10s"),
-        warmup_slack=int(reader.get("bounds.warmupSlack", float, 1)),
+        warmup_slack=int(reader.number("bounds.warmupSlack", 1)),
     )
     if reader.faults:
         raise FaultsError(ResultCode.SETTINGS_INVALID, path, reader.faults)
@@ -225,7 +226,8 @@
         value: Any = self.table
         for part in path.split("."):
             if isinstance(value, list):
-                value = value[int(part)] if int(part) < len(value) else None
+                is_index = part.isdecimal() and int(part) < len(value)
+                value = value[int(part)] if is_index else None
             else:
                 value = value.get(part) if isinstance(value, dict) else None
         if value is None and default is not None:
@@ -239,6 +241,30 @@
             return kind()
         return value
 
+    def texts(self, path: str) -> list[str]:
+        """Return a list of texts."""
+        values = self.get(path, list)
+        if not all(isinstance(value, str) for value in values):
+            self.faults.append(Fault(path, repr(values), "a list of texts"))
+            return []
+        return values
+
+    def text_table(self, path: str) -> dict[str, str]:
+        """Return a table whose values are texts."""
+        table = self.get(path, dict)
+        if not all(isinstance(value, str) for value in table.values()):
+            self.faults.append(Fault(path, repr(table), "a table of texts"))
+            return {}
+        return table
+
+    def number(self, path: str, default: float) -> float:
+        """Return a finite number of zero or more."""
+        value = self.get(path, float, default)
+        if not (math.isfinite(value) and value >= 0):
+            self.faults.append(Fault(path, repr(value), "a number of zero or more"))
+            return 0.0
+        return float(value)
+
     def duration_ms(self, path: str, default: str) -> float:
         text = self.get(path, str, default)
         value = parse_duration_ms(text)
--- a/bulrushlead/traffic/_validation.py
+++ b/bulrushlead/traffic/_validation.py
@@ -1,7 +1,9 @@
 """Validates a whole traffic plan before it is accepted."""
 
+import attrs
+
 from bulrushlead.results import Fault, FaultsError, ResultCode
-from bulrushlead.traffic._plan import Route, TrafficPlan
+from bulrushlead.traffic._plan import PlanLimits, Route, TrafficPlan
 
 # A target latency this far above the timeout is a typo or a wrong unit.
 MAX_TARGET_OVER_TIMEOUT_MS = 60_000
@@ -35,12 +37,20 @@
                     "one route for each host and path",
                 )
             )
+    _check_limits(plan.limits, faults)
     if faults:
         raise FaultsError(
             ResultCode.DECLARATION_INVALID, f"plan {plan.version}", faults
         )
 
 
+def _check_limits(limits: PlanLimits, faults: list[Fault]) -> None:
+    for field in attrs.fields(PlanLimits):
+        value = getattr(limits, field.name)
+        if not value > 0:
+            faults.append(Fault(f"limits.{field.name}", str(value), "more than 0"))
+
+
 def _check_route(route: Route, services: set[str], faults: list[Fault]) -> None:
     key = f"routes.{route.name}"
     if not route.path_prefix.startswith("/"):
