Treat a deadline that is no number as none, and a switch of protocols as malformed

A caller whose Deadline-Ms was "nan" got 502 for a request that could be served (ValueError in the attempt); an answer 101 with an upgrade raised outside of the exchange, which then saw a closed connection only. Hedging moves to a module of its own.

--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -1,6 +1,7 @@
 """Handles one request: route, placement, attempts, answer."""
 
 import asyncio
+import math
 import random
 
 import attrs
@@ -14,6 +15,7 @@
     RequestState,
 )
 from bulrushlead.gateway._dialect import Dialect
+from bulrushlead.gateway._hedging import first_success, hedge_delay_ms
 from bulrushlead.gateway._refusals import (
     CUT_OFF,
     LOCAL_REFUSALS,
@@ -34,9 +36,6 @@
 from bulrushlead.results import ResultCode
 from bulrushlead.traffic import Route, RouteTable, TrafficPlan, WeightedSplit
 
-# Delay of a hedged attempt, as a multiple of the expected time until the answer.
-HEDGE_DELAY_FACTOR = 3.0
-HEDGE_MIN_DELAY_MS = 250  # shorter delays of an answer are common
 # Unreachable servers tolerated per request. They do not count against the route's limit
 # of attempts, since nothing was sent to them.
 MAX_UNREACHABLE_SERVERS = 4
@@ -296,14 +295,14 @@
                 self._finishing.add(task)
                 task.add_done_callback(self._finishing.discard)
                 return await asyncio.shield(task), servers
-            hedge_delay_ms = _hedge_delay_ms(placement)
-            done, _ = await asyncio.wait(tasks, timeout=hedge_delay_ms / 1000.0)
+            delay_ms = hedge_delay_ms(placement)
+            done, _ = await asyncio.wait(tasks, timeout=delay_ms / 1000.0)
             if not done:
                 hedge = self._hedge_placement(state, work, servers, sent)
                 if hedge is not None:
                     servers |= {hedge.server.server_id}
                     tasks.add(self._runner.start(state, work, hedge))
-            return await _first_success(tasks), servers
+            return await first_success(tasks), servers
         except asyncio.CancelledError:
             state.caller_disconnected = True
             raise
@@ -340,9 +339,10 @@
     def _caller_timeout_ms(self, request: Request, route: Route) -> float:
         value = request.header(self.dialect.deadline_ms)
         try:
-            return float(value) if value is not None else route.timeout_ms
+            timeout_ms = float(value) if value is not None else route.timeout_ms
         except ValueError:
             return route.timeout_ms
+        return route.timeout_ms if math.isnan(timeout_ms) else timeout_ms
 
     def _refusal_answer(self, state: RequestState, refusal: Refusal) -> Answer:
         if state.may_have_run:
@@ -375,11 +375,6 @@
         )
 
 
-def _hedge_delay_ms(placement: Placement) -> float:
-    expected_ms = placement.wait_ms + placement.uncached_ms
-    return max(HEDGE_MIN_DELAY_MS, HEDGE_DELAY_FACTOR * expected_ms)
-
-
 def _request_event(state: RequestState, status: int) -> Event:
     if state.refusal:
         return Event.REQUEST_REFUSED
@@ -388,16 +383,5 @@
     return Event.REQUEST_DONE
 
 
-async def _first_success(tasks: set[asyncio.Task]) -> AttemptResult:
-    """Return the first final result, or the last one if none is final."""
-    pending = tasks
-    while True:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        results = [task.result() for task in done]
-        for result in results:
-            if result.final or not pending:
-                return result
-
-
 def _text(value: bytes | None) -> str:
     return (value or b"").decode("latin-1")
--- a/bulrushlead/gateway/tests/test_forwarding.py
+++ b/bulrushlead/gateway/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 from bulrushlead.dispatch._server import FULL_AFTER_REFUSAL_MS
 from bulrushlead.gateway._forwarding import FIRST_PLAN_MS, NO_PLAN_RETRY_AFTER_MS
 from bulrushlead.gateway.tests import harness as fakes
+from bulrushlead.http1 import Request
 from bulrushlead.traffic import TrafficPlan
 
 
@@ -238,3 +239,21 @@
     before_ms = harness.pool.idle_limit_ms()
     assert (await harness.send_request(b"/order/2")).status == 502
     assert harness.pool.idle_limit_ms() < before_ms
+
+
+@pytest.mark.parametrize("value", [b"nan", b"inf", b"1e999", b"soon", b""])
+async def test_a_malformed_deadline_is_as_none(build, value):
+    """Guards against 502 or 504 at once for a request that could be served."""
+    harness = await build(fakes.good)
+    headers = [(b"host", b"h"), (b"id", b"r1"), (b"deadline", value)]
+    request = Request(b"GET", b"/read/1", headers, b"", fakes.CLOCK.now_ms())
+    assert (await harness.forwarder.answer(request)).status == 200
+    head = harness.servers[0].heads[0]
+    deadline_ms = int(head.partition(b"deadline: ")[2].partition(b"\r\n")[0])
+    assert 0 < deadline_ms <= fakes.ROUTES[0].timeout_ms
+
+
+async def test_request_without_time_left_is_refused_at_once(build):
+    harness = await build(fakes.good)
+    assert (await harness.send_request(b"/read/1", deadline_ms=-5)).status == 503
+    assert harness.requests_received() == 0
--- a/bulrushlead/http1/_client.py
+++ b/bulrushlead/http1/_client.py
@@ -146,7 +146,7 @@
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._abort(ExchangeFault.MALFORMED, str(error))
             return
         self._check_bounds()
--- a/bulrushlead/http1/tests/test_client.py
+++ b/bulrushlead/http1/tests/test_client.py
@@ -221,3 +221,10 @@
     address = await raw_server(answer_with(refusal, refusal + ok_answer(b"r2", b"two")))
     assert (await exchange(pool, address)).status == 503
     assert pool.acquire_idle(address, 1_000) is None
+
+
+async def test_an_answer_that_switches_protocols_is_malformed(pool, raw_server):
+    """Guards against an error outside of the exchange that received it."""
+    switch = b"HTTP/1.1 101 Switch\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nbytes"
+    address = await raw_server(answer_with(switch))
+    assert await exchange_fault(pool, address) is ExchangeFault.MALFORMED
