Keep carried requests to the servers of their region; pass on no refusal of an overload

The order names the region of the host that received the request. A refusal for load was passed on whenever any server was in back-off: a second host's work for each refusal of an overload. Now only a request that finds no usable server is. A taken peer port costs a host its carrying, not its start.

--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -76,6 +76,8 @@
         self._recent_hosts = RecentHosts(clock)
         self._servers: dict[str, ServerStats] = {}
         self._rankings: dict[str, Ranking] = {}
+        # By service and region of the host that received a request.
+        self._carried_rankings: dict[tuple[str, str], Ranking] = {}
         self._eligibility = Eligibility(
             self.warmup, self.notices, self.limits, self.budget
         )
@@ -140,6 +142,8 @@
             if server_id not in servers
         }
         self._servers = servers
+        if changed:
+            self._carried_rankings.clear()
         for service in changed:
             members = [s for s in servers.values() if s.service == service and s.ready]
             self._rankings[service] = Ranking(members, self.settings.region)
@@ -212,7 +216,7 @@
 
     def place(self, work: Work) -> Placement | Refusal:
         """Select the server for a request, or refuse the request."""
-        ranking = self._rankings.get(work.service)
+        ranking = self._ranking(work)
         if ranking is None:
             return Refusal(
                 ResultCode.NO_BACKEND_SERVER,
@@ -266,6 +270,18 @@
             )
         return attempt
 
+    def _ranking(self, work: Work) -> Ranking | None:
+        """Return the order of a service's servers for the region of a request."""
+        ranking = self._rankings.get(work.service)
+        if ranking is None or work.region in ("", ranking.region):
+            return ranking
+        key = (work.service, work.region)
+        carried = self._carried_rankings.get(key)
+        if carried is None:
+            carried = Ranking(ranking.servers, work.region)
+            self._carried_rankings[key] = carried
+        return carried
+
     def _retry_after_waits_ms(self, ranking: Ranking, work: Work) -> float:
         """Return the retry delay of a request for which no server is usable.
 
--- a/bulrushlead/dispatch/_ranking.py
+++ b/bulrushlead/dispatch/_ranking.py
@@ -39,6 +39,7 @@
     """
 
     def __init__(self, servers: list[ServerStats], region: str):
+        self.servers = servers
         self.region = region
         self._by_region: dict[str, list[ServerStats]] = {}
         for server in servers:
--- a/bulrushlead/dispatch/_work.py
+++ b/bulrushlead/dispatch/_work.py
@@ -31,6 +31,8 @@
         Regions that may run it; all if empty.
     excluded : frozenset of str
         Servers that already got an attempt of it.
+    region : str
+        Region of the host that received it from its caller; empty if this host did.
     """
 
     service: str
@@ -42,6 +44,7 @@
     urgent: bool = False
     allowed_regions: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
+    region: str = ""
 
     @property
     def digest(self) -> int:
--- a/bulrushlead/dispatch/tests/limited_fleet.py
+++ b/bulrushlead/dispatch/tests/limited_fleet.py
@@ -1,6 +1,7 @@
 """A model of a fleet whose servers name limits in their answers."""
 
 import collections
+import math
 
 import attrs
 
@@ -11,6 +12,7 @@
 
 ZONES = {f"{region}-{n}": region for region in ("casa", "fes") for n in range(2)}
 REPORT_INTERVAL_MS = 500
+CUT_NOTICED_MS = 1_000  # by the host itself; see ``Connectivity``
 KIND = {
     "name": "read",
     "share": 1,
@@ -38,6 +40,7 @@
         self._published = {}
         self._revision = 1_000
         self.observers = collections.defaultdict(LimitObserver)
+        self._cut_ms = {}  # by name of the host that is cut off, the beginning
         super().__init__(seed, ZONES, servers, hosts_per_zone)
 
     def name_limit(self, at_ms, limit_per_s, server_ids):
@@ -60,6 +63,30 @@
 
         self.at(at_ms, restart)
 
+    def cut_hosts(self, from_ms, until_ms, host_ids):
+        """Cut hosts off from all servers; other hosts then carry their requests."""
+
+        def cut():
+            self._cut_ms.update(dict.fromkeys(host_ids, self.clock.now_ms()))
+
+        def heal():
+            for host_id in host_ids:
+                del self._cut_ms[host_id]
+
+        self.at(from_ms, cut)
+        self.at(until_ms, heal)
+
+    def sharing_hosts(self, server_id, limit_per_s):
+        """Return the names of the hosts that share the limit of a server."""
+        region = self.servers[server_id].region
+        return [
+            host.settings.host_id
+            for host in self.hosts
+            if math.isfinite(
+                host.limits._shares.wait_ms(server_id, region, limit_per_s)
+            )
+        ]
+
     def run(self, until_ms, publish_every_ms=1_000):
         for when_ms in range(0, int(until_ms), REPORT_INTERVAL_MS):
             self.at(when_ms, self._exchange)
@@ -77,6 +104,10 @@
         for server_id, limit in self._published.items():
             server = self.servers[server_id]
             server.record = attrs.evolve(server.record, limit=limit.at(now_ms))
+        self.records = tuple(
+            attrs.evolve(record, reaches_servers=not self._knows_cut(record.host_id))
+            for record in self.records
+        )
         self._revision += 1
         self.publish_fleet(self._revision)
 
@@ -99,6 +130,18 @@
         )
         return count * 1_000.0 / (until_ms - from_ms)
 
+    def _knows_cut(self, host_id):
+        cut_ms = self._cut_ms.get(host_id)
+        return cut_ms is not None and self.clock.now_ms() >= cut_ms + CUT_NOTICED_MS
+
+    def _sending_host(self, host):
+        if host.settings.host_id not in self._cut_ms:
+            return host
+        if not self._knows_cut(host.settings.host_id):
+            return None
+        others = [h for h in self.hosts if h.settings.host_id not in self._cut_ms]
+        return self.rng.choice(others) if others else None
+
     def _arrive_at_server(self, host, server, job):
         job.sent_ms = self.clock.now_ms() - self._one_way_ms(host, server)
         self.observers[server.record.server_id].record_arrival(
--- a/bulrushlead/dispatch/tests/model.py
+++ b/bulrushlead/dispatch/tests/model.py
@@ -229,7 +229,11 @@
 
     def _arrive(self, job):
         hosts = [h for h in self.hosts if h.settings.zone == job.zone]
-        host = self.rng.choice(hosts)
+        host = self._sending_host(self.rng.choice(hosts))
+        if host is None:
+            self.result.failed += 1
+            self.result.by_route[job.route].append(None)
+            return
         work = Work(
             "stock",
             job.route,
@@ -238,6 +242,7 @@
             job.target_latency_ms,
             job.deadline_ms,
             job.urgent,
+            region=self.zones[job.zone],
         )
         place = self.policy or type(host).place
         placement = place(host, work)
@@ -253,6 +258,10 @@
             lambda: self._arrive_at_server(host, server, job),
         )
 
+    def _sending_host(self, host):
+        """Return the host that sends a request to a server, or None if none can."""
+        return host
+
     def _one_way_ms(self, host, server):
         return (
             LOCAL_ONE_WAY_MS
--- a/bulrushlead/dispatch/tests/test_limited_servers.py
+++ b/bulrushlead/dispatch/tests/test_limited_servers.py
@@ -78,3 +78,42 @@
         fleet.arrivals_per_s(s, 8_000, UNTIL_MS) for s in sorted(fleet.servers)
     )
     assert accepted >= 0.8 * 4.0 * 20
+
+
+# A host of the large fleet meets a server so rarely that the limits are half used
+# without a cut, too.
+@pytest.mark.parametrize(
+    "size, min_used_share", [(SMALL, 0.5), (LARGE, 0.05)], ids=["small", "large"]
+)
+def test_limits_hold_and_are_used_while_the_hosts_that_share_them_are_cut_off(
+    size, min_used_share
+):
+    """Guards against limited servers that get nothing, or too much, in a cut."""
+    fleet = build_fleet(6, size, [2.2, 3.7])
+    limited = fleet.servers_by_load()[:2]
+    cut = {
+        host_id
+        for server_id, limit_per_s in zip(limited, (2.2, 3.7), strict=True)
+        for host_id in fleet.sharing_hosts(server_id, limit_per_s)
+    }
+    fleet.cut_hosts(6_000.0, 12_000.0, sorted(cut))
+    fleet.run(UNTIL_MS)
+    assert fleet.worst_excess() <= 0
+    for server_id, limit_per_s in zip(limited, (2.2, 3.7), strict=True):
+        assert fleet.arrivals_per_s(server_id, 9_000, 12_000) >= (
+            min_used_share * limit_per_s
+        )
+
+
+@pytest.mark.parametrize("seed", range(20, 28))
+def test_limits_hold_through_cuts_of_random_hosts(seed):
+    fleet = build_fleet(seed, SMALL, [2.2, 3.7, 0.5, 8.0])
+    host_ids = [host.settings.host_id for host in fleet.hosts]
+    at_ms = 4_500.0
+    while at_ms < 13_000.0:
+        count = fleet.rng.randrange(1, len(host_ids))
+        end_ms = at_ms + fleet.rng.uniform(500.0, 4_000.0)
+        fleet.cut_hosts(at_ms, end_ms, fleet.rng.sample(host_ids, count))
+        at_ms = end_ms + fleet.rng.uniform(100.0, 1_500.0)
+    fleet.run(UNTIL_MS)
+    assert fleet.worst_excess() <= 0
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -235,7 +235,7 @@
             placement = self.dispatcher.place(work)
             if isinstance(placement, Refusal):
                 relayed = None
-                if self.dispatcher.has_unreachable(work.service):
+                if self._may_reach_others(placement, work):
                     relayed = await self._relay(state, work, sent)
                 return (
                     relayed or last or self._refusal_answer(state, refusal or placement)
@@ -270,6 +270,14 @@
             and not self.connectivity.was_connected_since(started_ms)
         )
 
+    def _may_reach_others(self, refusal: Refusal, work: Work) -> bool:
+        """Return whether another host may reach servers that this one does not."""
+        return (
+            refusal.code is ResultCode.NO_BACKEND_SERVER
+            and self.connectivity.has_failures
+            and self.dispatcher.has_unreachable(work.service)
+        )
+
     async def _relay(self, state: RequestState, work: Work, sent: int) -> Answer | None:
         """Return the answer of another host, or None if none takes the request."""
         if self.relay is None:
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -136,11 +136,22 @@
         """Start listening and subscribe to the plan and the fleet."""
         await self.readiness.start()
         await self.front.start()
-        if self.peer_server is not None:
-            await self.peer_server.start()
+        await self._start_peer_server()
         await self.prober.start()
         await self.session.start()
 
+    async def _start_peer_server(self) -> None:
+        if self.peer_server is None:
+            return
+        try:
+            await self.peer_server.start()
+        except OSError as error:
+            # The host serves its own callers even if it cannot carry for others.
+            self.peer_server = None
+            self._log.write(
+                Event.UNEXPECTED_ERROR, error=f"peer port not available: {error}"
+            )
+
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings; addresses and location change only with a restart."""
         self.settings = settings
@@ -209,7 +220,7 @@
             unreachable,
             self.dispatcher.limits.unpublished(self.view.servers.get),
             answered,
-            settings.peer_address,
+            settings.peer_address if self.peer_server is not None else "",
             not self.connectivity.is_cut_off,
         )
 
--- a/bulrushlead/gateway/_relaying.py
+++ b/bulrushlead/gateway/_relaying.py
@@ -137,6 +137,7 @@
     ) -> RelayOrder:
         return RelayOrder(
             host_id=self.carriers.host_id,
+            region=self.carriers.region,
             service=work.service,
             route=work.route,
             key=work.key,
@@ -204,6 +205,7 @@
         urgent=order.urgent,
         allowed_regions=order.allowed_regions,
         excluded=frozenset(order.excluded),
+        region=order.region,
     )
 
 
--- a/bulrushlead/gateway/tests/test_relay_rules.py
+++ b/bulrushlead/gateway/tests/test_relay_rules.py
@@ -201,6 +201,14 @@
     assert len(bodies) == 1
 
 
+async def test_requests_keep_to_the_servers_of_their_region(build):
+    """Guards against two regions' load on the servers of one, in a cut of all hosts."""
+    fleet = await build("aabcc", *[fakes.good] * 6, cut=(0, 1, 2))
+    bodies = {(await fleet.send(0)).body for _ in range(12)}
+    assert bodies <= {b"s0", b"s1", b"s3", b"s4"}  # in zones a and b
+    assert len(bodies) > 1
+
+
 async def test_a_body_stays_in_the_regions_that_may_see_it(build):
     share = (ServiceShare("stock", 1.0),)
     route = Route(
@@ -296,3 +304,38 @@
     await wait_until(lambda: not gateway.connectivity.is_cut_off)
     assert gateway._report().reaches_servers
     assert gateway._report().unreachable == ()
+
+
+async def test_requests_refused_for_load_are_not_passed_on(build):
+    """Guards against a second host's work for each refusal of an overload."""
+    fleet = await build("ab", *[fakes.silent] * 6, cut=())
+    fleet.servers[0].close()
+    gateway = fleet.gateways[0]
+    for server in gateway.dispatcher._servers.values():
+        server.record_load(40.0, CLOCK.now_ms())
+    gateway.connectivity.record_failure(fleet.servers[0].address)
+    gateway.dispatcher.server("s0")._record_unreachable(CLOCK.now_ms())
+    answer = await fleet.send(0)
+    assert answer.status == 503
+    assert fleet.gateways[1].peer_server.connections == set()
+
+
+async def test_a_service_that_only_another_host_reaches_is_served(build):
+    """Guards against refusing at a host whose zone is cut off from a service only."""
+    fleet = await build("ab", *[fakes.good] * 3, cut=())
+    gateway = fleet.gateways[0]
+    for server in gateway.dispatcher._servers.values():
+        server._record_unreachable(CLOCK.now_ms())
+        gateway.connectivity._failed.add(server.address)
+    assert (await fleet.send(0)).status == 200
+    assert fleet.gateways[1].peer_server.connections
+
+
+async def test_a_host_whose_peer_port_is_taken_serves_its_own_callers(build):
+    fleet = await build("a", fakes.good, cut=())
+    gateway = fleet.gateways[0]
+    await gateway.peer_server.close()
+    gateway.peer_server.port = gateway.front.port
+    await gateway._start_peer_server()
+    assert gateway._report().peer_address == ""
+    assert (await fleet.send(0)).status == 200
--- a/bulrushlead/platform/tests/test_interfaces.py
+++ b/bulrushlead/platform/tests/test_interfaces.py
@@ -146,8 +146,15 @@
     assert coordinator.calls == []
 
 
-def host(name, zone, accepting=True):
-    return HostRecord(name, f"{name}:80", zone, ZONES[zone], accepting)
+def host(name, zone, accepting=True, reaches_servers=True):
+    return HostRecord(
+        name,
+        f"{name}:80",
+        zone,
+        ZONES[zone],
+        accepting,
+        reaches_servers=reaches_servers,
+    )
 
 
 async def resolve_addresses(*hosts, zone="casa-a"):
@@ -176,6 +183,24 @@
     assert await resolve_addresses(*hosts, host("f1", "fes-a")) == {"f1:80"}
 
 
+async def test_hosts_that_reach_no_server_are_left_out():
+    """Guards against sending callers to hosts that others have to work for."""
+    hosts = [host(n, "casa-a", reaches_servers=n != "e1") for n in ("e1", "e2", "e3")]
+    assert await resolve_addresses(*hosts) == {"e2:80", "e3:80"}
+
+
+async def test_callers_of_a_zone_that_is_cut_off_go_elsewhere():
+    hosts = [host(n, "casa-a", reaches_servers=False) for n in ("e1", "e2")]
+    hosts += [host("e3", "fes-a"), host("e4", "casa-b", accepting=False)]
+    assert await resolve_addresses(*hosts) == {"e3:80"}
+
+
+async def test_hosts_that_reach_no_server_are_returned_if_no_other_accepts():
+    hosts = [host(n, "casa-a", reaches_servers=False) for n in ("e1", "e2")]
+    hosts.append(host("e3", "casa-a", accepting=False))
+    assert await resolve_addresses(*hosts) == {"e1:80", "e2:80"}
+
+
 async def test_all_hosts_are_returned_if_none_accepts_callers():
     assert await resolve_addresses(host("a1", "casa-a", False)) == {"a1:80"}
     assert await resolve_addresses() == 503
--- a/bulrushlead/relay/_connectivity.py
+++ b/bulrushlead/relay/_connectivity.py
@@ -48,6 +48,11 @@
         """Addresses to which no connection could be opened since the last success."""
         return frozenset(self._failed)
 
+    @property
+    def has_failures(self) -> bool:
+        """Whether the newest attempt to open a connection failed."""
+        return bool(self._failed)
+
     @property
     def is_suspected(self) -> bool:
         """Whether the last attempts suggest that the host is cut off."""
--- a/bulrushlead/relay/_messages.py
+++ b/bulrushlead/relay/_messages.py
@@ -41,8 +41,9 @@
 
     Parameters
     ----------
-    host_id : str
-        Host that received the request from its caller.
+    host_id, region : str
+        Host that received the request from its caller, and its region. The request goes
+        to servers of that region first, as it would without the cut.
     service, route : str
         Service that handles it, and name of its route.
     key : bytes
@@ -62,6 +63,7 @@
     """
 
     host_id: str
+    region: str
     service: str
     route: str
     key: bytes
--- a/bulrushlead/relay/tests/test_messages.py
+++ b/bulrushlead/relay/tests/test_messages.py
@@ -18,7 +18,7 @@
 from bulrushlead.results import BulrushleadError
 
 ORDER = RelayOrder(
-    "e1", "stock", "read", b"\x00key", True, False, True, 300.0, 1500.0, 2
+    "e1", "north", "stock", "read", b"\x00key", True, False, True, 300.0, 1500.0, 2
 )
 
 
