Test that a server that left is not used again after a restart of all coordinators

It does not happen here: the saved list says ready and a late heartbeat too, but the departure is in the replicated log, which a new leader has applied before it answers.

--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -197,6 +197,35 @@
     await follower.announce(heartbeat())
     await wait_until(lambda: all("b1" in c.view.servers for c in coordinators))
     await asyncio.gather(*(c.cache.save(c.view.records()) for c in coordinators))
+    view = await view_after_restart(coordinators, tmp_path)
+    assert set(view.servers) == {"b1"}
+
+
+async def test_a_server_that_left_is_not_used_again_after_a_restart(
+    coordinators, tmp_path
+):
+    """The saved list is older than the departure, and a late heartbeat says ready."""
+    follower = followers(coordinators)[0]
+    await follower.announce(heartbeat())
+    await wait_until(lambda: all("b1" in c.view.servers for c in coordinators))
+    saved = {c: c.view.records() for c in coordinators}
+    await follower.deregister("b1", heartbeat().born_ms)
+    await asyncio.gather(*(c.cache.save(records) for c, records in saved.items()))
+    states = set()
+    view = await view_after_restart(coordinators, tmp_path, states)
+    assert view.servers["b1"].record.state is ServerState.DRAINING
+    assert states == {ServerState.DRAINING}
+    await coordinators[0].announce(heartbeat(sequence=9))
+    await asyncio.sleep(0.3)
+    leader = next(c for c in coordinators if c.log.is_leader())
+    assert leader.publisher.registry.ready_servers() == []
+
+
+async def view_after_restart(coordinators, tmp_path, states=None):
+    """Restart all coordinators; return what a new host receives first.
+
+    The states of servers in every update are added to ``states``.
+    """
     for coordinator in coordinators:
         await coordinator.close()
     seeds = coordinators[0].settings.seeds
@@ -215,13 +244,15 @@
         link_to,
         view,
         lambda: report,
-        lambda update: None,
+        lambda update: (
+            states is None or states.update(record.state for record in update.servers)
+        ),
         random.Random(1),
     )
     await session.start()
     await wait_until(lambda: view.updated_ms is not None)
     await session.close()
-    assert set(view.servers) == {"b1"}
+    return view
 
 
 async def test_a_replica_with_a_damaged_journal_joins_with_a_new_identity(
