Suspect a cut from connections that go silent; accuse no server for lack of time

A host with few requests serves them on idle connections, so that none fails to open: in a cut that hangs they were lost one by one until the connections had been idle for 8 s. Connections that the kernel ends for silence count as failures now; the new test failed before. Ruled out: lower thresholds, which servers that are down would cross.

--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -227,7 +227,10 @@
         try:
             connection = await self._open_connection(state, server)
         except ExchangeError as error:
-            return AttemptResult(Outcome.UNREACHABLE, detail=error.detail)
+            # A connection that ran out of the caller's time accuses no server.
+            had_time = state.deadline_ms - self.clock.now_ms() >= MIN_ATTEMPT_MS
+            outcome = Outcome.UNREACHABLE if had_time else Outcome.ABANDONED
+            return AttemptResult(outcome, detail=error.detail)
         remaining_ms = state.deadline_ms - self.clock.now_ms()
         if remaining_ms < MIN_ATTEMPT_MS or state.caller_disconnected:
             # The server did not cause this, so its statistics must not change.
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -77,6 +77,7 @@
         self.pool = ConnectionPool(clock, dialect.request_id)
         self.connectivity = Connectivity(clock)
         self.connectivity.on_change = self._on_connectivity
+        self.pool.on_silent = self.connectivity.record_failure
         self.prober = ServerProber(
             clock, self.connectivity, self.pool, self._probe_targets, rng
         )
--- a/bulrushlead/gateway/tests/host_fleet.py
+++ b/bulrushlead/gateway/tests/host_fleet.py
@@ -112,6 +112,7 @@
         )
         gateway = Gateway(settings, DIALECT, CLOCK, None, random.Random(number))
         pool = CutPool(CLOCK, DIALECT.request_id)
+        pool.on_silent = gateway.pool.on_silent
         gateway.pool = gateway.prober.pool = gateway.forwarder._runner.pool = pool
         for part in (gateway.front, gateway.peer_server, gateway.prober):
             await part.start()
--- a/bulrushlead/gateway/tests/test_cut_off_hosts.py
+++ b/bulrushlead/gateway/tests/test_cut_off_hosts.py
@@ -1,5 +1,8 @@
 """Tests of hosts that lose their links to all servers, and of their callers."""
 
+import asyncio
+import errno
+
 import pytest
 
 from bulrushlead.gateway.tests.harness import good
@@ -52,3 +55,35 @@
             others
         )
     assert served_share(others) > 0.9
+
+
+async def test_a_host_with_few_requests_notices_from_its_silent_connections(build):
+    """Guards against requests that are lost one by one on connections that hang.
+
+    Idle connections serve the few requests, so that none needs a new one.
+    """
+    fleet = await build("ab", servers=6)
+    await fleet.send_everywhere(200)
+    fleet.publish()
+    fleet.cut([0], "hang", "live")
+    gateway = fleet.gateways[0]
+    silent = [c for c in gateway.pool.opened if not c._transport.is_closing()]
+    assert len({c.address for c in silent}) > 1
+    for connection in silent:
+        connection.connection_lost(OSError(errno.ETIMEDOUT, "timed out"))
+        connection.close()
+    async with asyncio.timeout(2):
+        while not gateway.connectivity.is_cut_off:
+            await asyncio.sleep(0.01)
+    assert (await fleet.send(0)).status == 200
+
+
+@pytest.mark.parametrize("error", [None, ConnectionResetError()])
+async def test_connections_that_servers_close_are_no_sign_of_a_cut(build, error):
+    fleet = await build("ab", servers=6)
+    await fleet.send_everywhere(200)
+    gateway = fleet.gateways[0]
+    for connection in gateway.pool.opened:
+        connection.connection_lost(error)
+        connection.close()
+    assert not gateway.connectivity.has_failures
--- a/bulrushlead/gateway/tests/test_forwarding.py
+++ b/bulrushlead/gateway/tests/test_forwarding.py
@@ -9,7 +9,7 @@
 from bulrushlead.dispatch._server import FULL_AFTER_REFUSAL_MS
 from bulrushlead.gateway._forwarding import FIRST_PLAN_MS, NO_PLAN_RETRY_AFTER_MS
 from bulrushlead.gateway.tests import harness as fakes
-from bulrushlead.http1 import Request
+from bulrushlead.http1 import ExchangeError, ExchangeFault, Request
 from bulrushlead.traffic import TrafficPlan
 
 
@@ -257,3 +257,18 @@
     harness = await build(fakes.good)
     assert (await harness.send_request(b"/read/1", deadline_ms=-5)).status == 503
     assert harness.requests_received() == 0
+
+
+async def test_a_connection_that_had_little_time_accuses_no_server(build):
+    """Guards against leaving out a server since a caller was in a hurry."""
+    harness = await build(fakes.good)
+
+    async def connect(address, timeout_ms):
+        await fakes.CLOCK.sleep_ms(timeout_ms)
+        raise ExchangeError(ExchangeFault.NOT_SENT, "timed out")
+
+    harness.pool.connect = connect
+    answer = await harness.send_request(b"/read/1", deadline_ms=60)
+    assert answer.status == 503
+    assert harness.dispatcher.pop_unreachable() == ()
+    assert harness.dispatcher.server("s0").is_available(fakes.CLOCK.now_ms())
--- a/bulrushlead/http1/_client.py
+++ b/bulrushlead/http1/_client.py
@@ -1,6 +1,8 @@
 """Client connections to backend servers, with one exchange at a time."""
 
 import asyncio
+import errno
+from collections.abc import Callable
 from enum import Enum
 
 import httptools
@@ -57,6 +59,11 @@
         identifier of the request that it answers.
     buffer : AnswerBuffer
         Memory for bodies, shared with other connections.
+    address : str
+        Address of the backend server, as ``host:port``.
+    on_silent : callable, optional
+        Called with the address if the kernel closes the connection because the other
+        end has gone silent.
 
     Attributes
     ----------
@@ -68,9 +75,17 @@
         Idle time that the backend server announced, in milliseconds.
     """
 
-    def __init__(self, id_header: bytes, buffer: AnswerBuffer):
+    def __init__(
+        self,
+        id_header: bytes,
+        buffer: AnswerBuffer,
+        address: str = "",
+        on_silent: Callable[[str], None] | None = None,
+    ):
         self.id_header = id_header
         self.buffer = buffer
+        self.address = address
+        self.on_silent = on_silent
         self.n_exchanges = 0
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
@@ -167,6 +182,9 @@
             else ExchangeFault.CLOSED
         )
         self._fail(fault, repr(error) if error else "closed by the backend server")
+        is_silent = isinstance(error, OSError) and error.errno == errno.ETIMEDOUT
+        if is_silent and self.on_silent is not None:
+            self.on_silent(self.address)
 
     def on_message_begin(self) -> None:
         """Start an answer; a second one belongs to no request."""
--- a/bulrushlead/http1/_pool.py
+++ b/bulrushlead/http1/_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 from bulrushlead.clock import Clock
 from bulrushlead.http1._buffer import MAX_BUFFERED_BYTES, AnswerBuffer
@@ -44,6 +45,8 @@
     ----------
     n_connects : int
         Attempts to open a connection so far.
+    on_silent : callable or None
+        See ``ClientConnection``.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         self.clock = clock
         self.id_header = id_header
         self.n_connects = 0
+        self.on_silent: Callable[[str], None] | None = None
         self._buffer = AnswerBuffer(max_buffered_bytes)
         self._base_limit_ms = float(MAX_IDLE_MS)
         self._limit_set_ms = 0.0
@@ -106,7 +110,9 @@
         try:
             transport, connection = await self.clock.wait_for(
                 loop.create_connection(
-                    lambda: ClientConnection(self.id_header, self._buffer),
+                    lambda: ClientConnection(
+                        self.id_header, self._buffer, address, self.on_silent
+                    ),
                     host,
                     int(port),
                 ),
--- a/bulrushlead/relay/_connectivity.py
+++ b/bulrushlead/relay/_connectivity.py
@@ -67,7 +67,7 @@
             self._set_cut_off(False)
 
     def record_failure(self, address: str) -> None:
-        """Record that no connection to a server could be opened."""
+        """Record that no connection to a server could be opened, or one went silent."""
         self._failed.add(address)
         if len(self._failed) >= SUSPICIOUS_SERVERS:
             self._suspected.set()
