Refuse early only while cut off; clear a suspicion during its probes; count declined requests once

Found reading the change again, each with a test that failed before: a host without others refused after two servers that were down, with five to try; a connection that opened while probes failed did not stop the host from holding itself to be cut off; a request that a host declined stayed in its retry budget.

--- a/bulrushlead/fleet/_registered_hosts.py
+++ b/bulrushlead/fleet/_registered_hosts.py
@@ -66,6 +66,11 @@
             elif silence_ms > HOST_SILENT_AFTER_MS:
                 self._update(host, attrs.evolve(host.record, accepting=False))
 
+    def reaches_servers(self, host_id: str) -> bool:
+        """Return whether a host reached servers by its last report, or is unknown."""
+        host = self._hosts.get(host_id)
+        return host is None or host.record.reaches_servers
+
     def records(self) -> tuple[HostRecord, ...]:
         """Return the records of all entry hosts."""
         return tuple(host.record for host in self._hosts.values())
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -321,7 +321,7 @@
                 server.reachability.record_unreachable(
                     report.host_id, report.zone, now_ms
                 )
-        if not report.reaches_servers:
+        if not report.reaches_servers and self._hosts.reaches_servers(report.host_id):
             for server in self._servers.values():
                 server.reachability.withdraw(report.host_id)
         for server_id in (*report.loads, *report.answered):
--- a/bulrushlead/fleet/tests/test_registry.py
+++ b/bulrushlead/fleet/tests/test_registry.py
@@ -254,3 +254,18 @@
         registry.record_host_report(attrs.evolve(answered, loads={"b1": 0.5}))
         candidate_rounds += candidates(registry) == ["b1"]
     assert candidate_rounds == rounds
+
+
+async def test_a_host_that_is_cut_off_withdraws_its_reports(registry, clock):
+    """They may have been sent before the host knew."""
+    registry.record_heartbeat(heartbeat())
+    await clock.advance_ms(100)
+    report_unreachable(registry, "casa-a", "fes-a")
+    assert candidates(registry) == []
+    cut_off = attrs.evolve(
+        make_report(), host_id="e-fes-a", zone="fes-a", reaches_servers=False
+    )
+    registry.record_host_report(cut_off)
+    assert candidates(registry) == ["b1"]
+    (record,) = [host for host in registry.hosts() if host.host_id == "e-fes-a"]
+    assert not record.reaches_servers
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -178,7 +178,10 @@
         elif not self._may_retry(state, work, order.previous_attempts):
             return Answer(503), RelayVerdict.DECLINED
         answer = await self._handle(state, work, order.previous_attempts)
-        return answer, carried_verdict(state)
+        verdict = carried_verdict(state)
+        if verdict is RelayVerdict.DECLINED and not order.previous_attempts:
+            self.dispatcher.budget.withdraw_request(work.service)
+        return answer, verdict
 
     async def _handle(self, state: RequestState, work: Work, sent: int = 0) -> Answer:
         """Return the answer to a request, and write its log line."""
@@ -230,7 +233,7 @@
                 relayed = await self._relay(state, work, sent)
                 if relayed is not None:
                     return relayed
-                if not self.connectivity.has_recent_answer():
+                if self.connectivity.is_isolated():
                     return last or self._refusal_answer(state, refusal or CUT_OFF)
             placement = self.dispatcher.place(work)
             if isinstance(placement, Refusal):
--- a/bulrushlead/gateway/tests/test_cut_off_hosts.py
+++ b/bulrushlead/gateway/tests/test_cut_off_hosts.py
@@ -87,3 +87,13 @@
         connection.connection_lost(error)
         connection.close()
     assert not gateway.connectivity.has_failures
+
+
+async def test_a_lone_host_tries_further_servers_while_some_are_down(build):
+    """Guards against refusing after two servers when no other host could carry."""
+    fleet = await build("a", servers=6)
+    for server in fleet.servers[:3]:
+        server.close()
+    fleet.gateways[0].connectivity.confirm_cut_off = lambda: None
+    answers = [await fleet.send(0) for _ in range(10)]
+    assert {answer.status for answer in answers} == {200}
--- a/bulrushlead/gateway/tests/test_relay_rules.py
+++ b/bulrushlead/gateway/tests/test_relay_rules.py
@@ -234,6 +234,21 @@
     assert counts == [0, 5]
 
 
+async def test_a_request_that_is_declined_counts_in_no_other_budget(build):
+    fleet = await build("abb", *[fakes.good] * 3, cut=(0, 1, 2))
+    for gateway in fleet.gateways[1:]:
+        gateway.connectivity.is_cut_off = False
+        fleet.publish()
+        gateway.connectivity.is_cut_off = True
+    fleet.gateways[0].carriers.update(
+        [attrs.evolve(r, reaches_servers=True) for r in fleet.gateways[0].view.hosts]
+    )
+    assert (await fleet.send(0)).status == 503
+    budgets = [gateway.dispatcher.budget for gateway in fleet.gateways]
+    counts = [budget._count(budget._requests, "stock") for budget in budgets]
+    assert counts == [1, 0, 0]
+
+
 async def test_a_planned_stop_of_the_carrying_host_ends_no_request(build):
     """Guards against cutting off requests that a host carries while it stops."""
 
--- a/bulrushlead/relay/_connectivity.py
+++ b/bulrushlead/relay/_connectivity.py
@@ -90,9 +90,10 @@
         """Return whether a connection was opened or an answer came since a time."""
         return max(self._connected_ms, self._answered_ms) >= time_ms
 
-    def has_recent_answer(self) -> bool:
-        """Return whether connections that are open still reach their servers."""
-        return self.clock.now_ms() - self._answered_ms < RECENT_ANSWER_MS
+    def is_isolated(self) -> bool:
+        """Return whether the host is cut off and hears nothing on open connections."""
+        answer_age_ms = self.clock.now_ms() - self._answered_ms
+        return self.is_cut_off and answer_age_ms > RECENT_ANSWER_MS
 
     def _set_cut_off(self, is_cut_off: bool) -> None:
         now_ms = self.clock.now_ms()
--- a/bulrushlead/relay/_prober.py
+++ b/bulrushlead/relay/_prober.py
@@ -80,6 +80,8 @@
         if await self._reaches_any(CONFIRMING_PROBES):
             await self.clock.sleep_ms(MIN_CONFIRM_INTERVAL_MS)
             return
+        if not self.connectivity.is_suspected:
+            return  # a connection for a request has opened meanwhile
         self.connectivity.confirm_cut_off()
         while self.connectivity.is_cut_off:
             await self.clock.sleep_ms(PROBE_INTERVAL_MS)
--- a/bulrushlead/relay/tests/test_connectivity.py
+++ b/bulrushlead/relay/tests/test_connectivity.py
@@ -114,6 +114,17 @@
     assert len(pool.probed) == probes
 
 
+async def test_a_connection_that_opens_during_the_probes_clears_the_suspicion(build):
+    """Guards against a host that holds itself to be cut off beside open links."""
+    clock, connectivity, _ = await build([])
+    connectivity.record_failure("a1")
+    connectivity.record_failure("a2")
+    await clock.advance_ms(PROBE_TIMEOUT_MS / 2)
+    connectivity.record_connected()
+    await clock.advance_ms(PROBE_TIMEOUT_MS)
+    assert not connectivity.is_cut_off
+
+
 async def test_a_host_that_knows_no_server_is_not_cut_off(build):
     clock, connectivity, _ = await build([], servers=[])
     connectivity.record_failure("a1")
