--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -351,7 +351,7 @@
                 await step()
             except Exception as error:
                 # Logged instead of raised: without these steps, the process would go on
-                # as a leader that hears no heartbeats.
+                # as a leader that receives no heartbeats.
                 self._events.write(Event.UNEXPECTED_ERROR, error=repr(error))
 
     async def _forward_heartbeats(self) -> None:
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -285,7 +285,7 @@
 async def test_an_unexpected_error_ends_no_loop_of_the_leader(
     coordinators, host, monkeypatch, part, method
 ):
-    """Guards against a leader that hears no heartbeats and removes no server."""
+    """Guards against a leader that receives no heartbeats and removes no server."""
     (leader,) = [c for c in coordinators if c.log.is_leader()]
     failures = []
 
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -227,7 +227,7 @@
         try:
             connection = await self._open_connection(state, server)
         except ExchangeError as error:
-            # A connection that ran out of the caller's time accuses no server.
+            # A timeout at the caller's deadline says nothing about the server.
             had_time = state.deadline_ms - self.clock.now_ms() >= MIN_ATTEMPT_MS
             outcome = Outcome.UNREACHABLE if had_time else Outcome.ABANDONED
             return AttemptResult(outcome, detail=error.detail)
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -207,7 +207,8 @@
         settings = self.settings
         answered = self.dispatcher.pop_answered()
         unreachable = ()
-        if not self.connectivity.is_suspected:  # else the servers are not to blame
+        # A host that may be cut off cannot tell which servers are unreachable.
+        if not self.connectivity.is_suspected:
             unreachable = self.dispatcher.pop_unreachable()
         return HostReport(
             settings.host_id,
--- a/bulrushlead/gateway/tests/test_forwarding.py
+++ b/bulrushlead/gateway/tests/test_forwarding.py
@@ -259,7 +259,7 @@
     assert harness.requests_received() == 0
 
 
-async def test_a_connection_that_had_little_time_accuses_no_server(build):
+async def test_connect_timeout_at_the_deadline_is_no_failure_of_the_server(build):
     """Guards against leaving out a server since a caller was in a hurry."""
     harness = await build(fakes.good)
 
--- a/bulrushlead/gateway/tests/test_relay_rules.py
+++ b/bulrushlead/gateway/tests/test_relay_rules.py
@@ -306,7 +306,7 @@
     assert {(await fleet.send(0)).status for _ in range(10)} == {200}
 
 
-async def test_reports_of_a_host_that_is_cut_off_accuse_no_server(build):
+async def test_host_that_is_cut_off_reports_no_server_as_unreachable(build):
     fleet = await build("ab", *[fakes.good] * 3, cut=())
     fleet.cut([0], "refused", "live")
     await fleet.send(0)
--- a/bulrushlead/relay/_connectivity.py
+++ b/bulrushlead/relay/_connectivity.py
@@ -91,7 +91,7 @@
         return max(self._connected_ms, self._answered_ms) >= time_ms
 
     def is_isolated(self) -> bool:
-        """Return whether the host is cut off and hears nothing on open connections."""
+        """Return whether the host is cut off and gets no answers any more."""
         answer_age_ms = self.clock.now_ms() - self._answered_ms
         return self.is_cut_off and answer_age_ms > RECENT_ANSWER_MS
 
--- a/bulrushlead/relay/tests/test_connectivity.py
+++ b/bulrushlead/relay/tests/test_connectivity.py
@@ -115,7 +115,7 @@
 
 
 async def test_a_connection_that_opens_during_the_probes_clears_the_suspicion(build):
-    """Guards against a host that holds itself to be cut off beside open links."""
+    """Guards against a host that counts as cut off although a connection opened."""
     clock, connectivity, _ = await build([])
     connectivity.record_failure("a1")
     connectivity.record_failure("a2")
