--- a/bulrushlead/fleet/tests/test_registry.py
+++ b/bulrushlead/fleet/tests/test_registry.py
@@ -241,7 +241,7 @@
 async def test_hosts_that_are_cut_off_do_not_take_the_objects_of_sound_servers(
     registry, clock
 ):
-    """Guards against believing hosts that reach no server at all (RECOVER, inc1)."""
+    """Guards against believing hosts that reach no server at all."""
     registry.record_heartbeat(heartbeat())
     candidate_rounds = 0
     rounds = 40
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -16,6 +16,7 @@
 )
 from bulrushlead.gateway._dialect import Dialect
 from bulrushlead.http1 import (
+    CONNECT_TIMEOUT_MS,
     Answer,
     ClientConnection,
     ConnectionPool,
@@ -31,7 +32,6 @@
 from bulrushlead.relay import Connectivity
 from bulrushlead.traffic import Route
 
-CONNECT_TIMEOUT_MS = 400  # several round trips to the farthest region
 # Longest idle time of a connection that is reused. The server may have closed an idle
 # connection, and a non-idempotent request that is lost on it cannot be retried.
 NON_IDEMPOTENT_MAX_IDLE_MS = 4_000
--- a/bulrushlead/gateway/tests/test_cut_off_hosts.py
+++ b/bulrushlead/gateway/tests/test_cut_off_hosts.py
@@ -8,7 +8,7 @@
 from bulrushlead.gateway.tests.harness import good
 from bulrushlead.gateway.tests.host_fleet import HostFleet, served_share
 
-# As RECOVER asks: first tries at hosts that are cut off, against those at the others.
+# Least share that hosts which are cut off serve, of what the others serve.
 MIN_RELATIVE_SHARE = 2 / 3
 
 
@@ -42,7 +42,7 @@
 async def test_callers_of_cut_off_hosts_are_served(
     build, zones, cut, new, open_connections
 ):
-    """Guards against refusing requests that another host can send (RECOVER, inc1)."""
+    """Guards against refusing requests that another host can send."""
     fleet = await build(zones)
     await fleet.send_everywhere(200)
     fleet.cut(cut, new, open_connections)
--- a/bulrushlead/http1/__init__.py
+++ b/bulrushlead/http1/__init__.py
@@ -10,10 +10,11 @@
     render_answer,
     render_request,
 )
-from bulrushlead.http1._pool import ConnectionPool
+from bulrushlead.http1._pool import CONNECT_TIMEOUT_MS, ConnectionPool
 from bulrushlead.http1._server import HttpServer, RequestLimits, ServerConnection
 
 __all__ = [
+    "CONNECT_TIMEOUT_MS",
     "Answer",
     "ClientConnection",
     "ConnectionPool",
--- a/bulrushlead/http1/_pool.py
+++ b/bulrushlead/http1/_pool.py
@@ -8,6 +8,7 @@
 from bulrushlead.http1._buffer import MAX_BUFFERED_BYTES, AnswerBuffer
 from bulrushlead.http1._client import ClientConnection, ExchangeError, ExchangeFault
 
+CONNECT_TIMEOUT_MS = 400  # several round trips to the farthest region
 MAX_IDLE_MS = 8_000  # below the usual server idle timeout of ten seconds
 MIN_IDLE_MS = 200  # shorter idle times occur within a burst of requests
 STALE_IDLE_FRACTION = 0.5  # of the idle time after which a connection was stale
--- a/bulrushlead/http1/tests/test_client.py
+++ b/bulrushlead/http1/tests/test_client.py
@@ -196,7 +196,7 @@
 
 
 async def test_connections_are_probed_and_two_probes_may_be_lost(pool, raw_server):
-    """Guards against waiting on a silent connection until the deadline (RECOVER)."""
+    """Guards against waiting on a silent connection until the deadline."""
     address = await raw_server(answer_with(ok_answer(b"r1")))
     connection = await pool.connect(address, 1_000)
     sock = connection._transport.get_extra_info("socket")
--- a/bulrushlead/platform/_heartbeats.py
+++ b/bulrushlead/platform/_heartbeats.py
@@ -10,8 +10,8 @@
 from bulrushlead.results import BulrushleadError, ResultCode
 
 MAX_SLOTS = 100_000  # far more than one server runs; estimates divide by the slots
-MAX_INTEGER = 2**63 - 1
-MAX_COLD_MS = 24 * 3_600_000.0
+MAX_INTEGER = 2**63 - 1  # fits a signed 64-bit integer
+MAX_COLD_MS = 24 * 3_600_000.0  # a longer warm-up is a mistake of the server
 # Identities and services stand in header fields, messages and log lines.
 _NAME = re.compile(r"[!-~]{1,200}")
 _SERVER_STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
--- a/bulrushlead/relay/_client.py
+++ b/bulrushlead/relay/_client.py
@@ -7,6 +7,7 @@
 from bulrushlead.clock import Clock
 from bulrushlead.fleet import HostRecord
 from bulrushlead.http1 import (
+    CONNECT_TIMEOUT_MS,
     Answer,
     ConnectionPool,
     ExchangeError,
@@ -26,7 +27,6 @@
     without_relay_headers,
 )
 
-CONNECT_TIMEOUT_MS = 400  # several round trips to the farthest region
 MAX_IDLE_MS = 8_000  # below the time after which the other host closes connections
 _SENT_VERDICTS = {
     verdict.value.encode(): verdict
--- a/bulrushlead/relay/_prober.py
+++ b/bulrushlead/relay/_prober.py
@@ -6,11 +6,10 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.fleet import ServerRecord
-from bulrushlead.http1 import ConnectionPool, ExchangeError
+from bulrushlead.http1 import CONNECT_TIMEOUT_MS, ConnectionPool, ExchangeError
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.relay._connectivity import Connectivity
 
-PROBE_TIMEOUT_MS = 400  # several round trips to the farthest region
 # Further servers that must all fail, in as many zones as possible. So many that are
 # merely down are rarely picked by chance.
 CONFIRMING_PROBES = 8
@@ -106,7 +105,7 @@
 
     async def _probe(self, address: str) -> bool:
         try:
-            connection = await self.pool.connect(address, PROBE_TIMEOUT_MS)
+            connection = await self.pool.connect(address, CONNECT_TIMEOUT_MS)
         except ExchangeError:
             return False
         self.pool.release(address, connection)
--- a/bulrushlead/relay/tests/test_connectivity.py
+++ b/bulrushlead/relay/tests/test_connectivity.py
@@ -7,13 +7,12 @@
 
 from bulrushlead.clock import ManualClock
 from bulrushlead.fleet import ServerRecord, ServerState
-from bulrushlead.http1 import ExchangeError, ExchangeFault
+from bulrushlead.http1 import CONNECT_TIMEOUT_MS, ExchangeError, ExchangeFault
 from bulrushlead.relay import Connectivity, ServerProber
 from bulrushlead.relay._prober import (
     CONFIRMING_PROBES,
     MIN_CONFIRM_INTERVAL_MS,
     PROBE_INTERVAL_MS,
-    PROBE_TIMEOUT_MS,
 )
 
 
@@ -81,7 +80,7 @@
     clock, connectivity, pool = await build([])
     connectivity.record_failure("a1")
     connectivity.record_failure("a2")
-    await clock.advance_ms(PROBE_TIMEOUT_MS + 1)
+    await clock.advance_ms(CONNECT_TIMEOUT_MS + 1)
     assert connectivity.is_cut_off
     assert len({SERVERS[ADDRESSES.index(a)].zone for a in pool.probed}) == 4
 
@@ -106,7 +105,7 @@
     await clock.advance_ms(5_000)
     assert connectivity.is_cut_off
     pool.up.update(ADDRESSES)
-    await clock.advance_ms(PROBE_INTERVAL_MS + PROBE_TIMEOUT_MS)
+    await clock.advance_ms(PROBE_INTERVAL_MS + CONNECT_TIMEOUT_MS)
     assert not connectivity.is_cut_off
     assert pool.released
     probes = len(pool.probed)
@@ -119,9 +118,9 @@
     clock, connectivity, _ = await build([])
     connectivity.record_failure("a1")
     connectivity.record_failure("a2")
-    await clock.advance_ms(PROBE_TIMEOUT_MS / 2)
+    await clock.advance_ms(CONNECT_TIMEOUT_MS / 2)
     connectivity.record_connected()
-    await clock.advance_ms(PROBE_TIMEOUT_MS)
+    await clock.advance_ms(CONNECT_TIMEOUT_MS)
     assert not connectivity.is_cut_off
 
 
