Log which requests are the same one and whether a server ended under them

Cause: the lines of lost attempts name neither path nor body, and 'lost closed' is written for a crashed server, a reset connection and an idle one that the server closed.

Change: a request that lost an attempt is logged with its fingerprint (method, host, target, credentials, body), so that repeats can be counted on one host and across hosts. After a lost attempt the host opens one connection to the server: events 617 (ended) and 618 (the connection only, or silent). No decision uses either yet. The state of a request and its log line have their own modules.

--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import attrs
-
 from bulrushlead.clock import Clock
 from bulrushlead.dispatch import (
     Dispatcher,
@@ -14,7 +12,13 @@
     parse_limit_per_s,
     parse_pause_ms,
 )
+from bulrushlead.gateway._crash_check import CrashCheck
 from bulrushlead.gateway._dialect import Dialect
+from bulrushlead.gateway._request_state import (
+    MIN_ATTEMPT_MS,
+    AttemptResult,
+    RequestState,
+)
 from bulrushlead.http1 import (
     CONNECT_TIMEOUT_MS,
     Answer,
@@ -23,14 +27,12 @@
     ExchangeError,
     ExchangeFault,
     HeaderList,
-    Request,
     forwardable_headers,
     render_request,
 )
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.relay import Connectivity
-from bulrushlead.traffic import Route
 
 # Longest idle time of a connection that is reused. The server may have closed an idle
 # connection, and a non-idempotent request that is lost on it cannot be retried.
@@ -43,7 +45,6 @@
 # Subtracted from the time that the server is given, so that its timeout answer arrives
 # before the deadline.
 DEADLINE_MARGIN_MS = 10
-MIN_ATTEMPT_MS = 20  # less is too short for an attempt: nothing is sent
 # Least share of an answer's duration that counts as work; the rest is the expected
 # wait, which may be overestimated.
 MIN_WORK_SHARE = 0.2
@@ -54,78 +55,6 @@
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 
 
-@attrs.define(eq=False)
-class RequestState:
-    """State of a request across all its attempts.
-
-    Parameters
-    ----------
-    request : Request
-        The caller's request.
-    request_id : bytes
-        Its identifier; empty if it has none.
-    route : Route
-        Its route.
-    deadline_ms : float
-        Deadline of its answer, in milliseconds of this host's clock.
-    attempts : list of str
-        Description of each attempt for the log line.
-    refusal : str
-        Code and cause of its refusal for the log line; empty if it was not refused.
-    may_have_run : bool
-        Whether a server may have started to run it.
-    caller_disconnected : bool
-        Whether its caller disconnected.
-    sent_servers : list of str
-        Servers that got it or may still get it.
-    may_not_relay : bool
-        Whether it was passed on to another host already, or by another one.
-    may_be_elsewhere : bool
-        Whether it was refused for a reason that concerns this host only.
-    received_by : str
-        Host that passed it on; empty if this host received it from its caller.
-    """
-
-    request: Request
-    request_id: bytes
-    route: Route
-    deadline_ms: float
-    attempts: list[str] = attrs.field(factory=list)
-    refusal: str = ""
-    may_have_run: bool = False
-    caller_disconnected: bool = False
-    sent_servers: list[str] = attrs.field(factory=list)
-    may_not_relay: bool = False
-    may_be_elsewhere: bool = False
-    received_by: str = ""
-
-
-@attrs.frozen(eq=False)
-class AttemptResult:
-    """How an attempt ended.
-
-    Parameters
-    ----------
-    outcome : Outcome
-        Outcome for the statistics of the server.
-    answer : Answer or None
-        Answer for the caller; unless it is final, that of a later attempt replaces it.
-        None if this attempt has no answer for the caller.
-    final : bool
-        Whether the caller gets this answer without further attempts.
-    may_have_run : bool
-        Whether the server may have started to run the request.
-    detail : str
-        Cause of a failure or status of the answer, for the log line.
-    """
-
-    outcome: Outcome
-    answer: Answer | None = None
-    final: bool = False
-    may_have_run: bool = False
-    detail: str = ""
-
-
 class AttemptRunner:
     """Sends requests to servers and classifies their answers.
 
@@ -160,6 +89,7 @@
         self.pool = pool
         self.meters = meters
         self.connectivity = connectivity
+        self.crash_check = CrashCheck(clock, pool)
         self._log = EventLogger("gateway")
 
     def start(
@@ -202,6 +132,9 @@
             if result.outcome is Outcome.ANSWERED:
                 self._record_duration(work, placement, elapsed_ms)
             state.may_have_run = state.may_have_run or result.may_have_run
+            if result.outcome is Outcome.LOST:
+                state.lost_attempts += 1
+                self.crash_check.start(server, state.fingerprint)
             if result.outcome is Outcome.UNREACHABLE:
                 state.sent_servers.remove(server.server_id)
             state.attempts.append(
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -8,12 +8,7 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.dispatch import Dispatcher, Outcome, Placement, Refusal, Work
-from bulrushlead.gateway._attempts import (
-    MIN_ATTEMPT_MS,
-    AttemptResult,
-    AttemptRunner,
-    RequestState,
-)
+from bulrushlead.gateway._attempts import AttemptRunner
 from bulrushlead.gateway._dialect import Dialect
 from bulrushlead.gateway._hedging import first_success, hedge_delay_ms
 from bulrushlead.gateway._refusals import (
@@ -29,6 +24,12 @@
     carried_verdict,
     carried_work,
 )
+from bulrushlead.gateway._request_log import header_text, write_request_line
+from bulrushlead.gateway._request_state import (
+    MIN_ATTEMPT_MS,
+    AttemptResult,
+    RequestState,
+)
 from bulrushlead.http1 import Answer, ConnectionPool, Request
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
@@ -119,6 +120,10 @@
         """Refuse all later requests."""
         self._stopping = True
 
+    async def close(self) -> None:
+        """End the checks of servers that are in progress."""
+        await self._runner.crash_check.close()
+
     async def answer(self, request: Request) -> Answer:
         """Return the answer to a caller's request."""
         if self._stopping:
@@ -136,7 +141,7 @@
         route = self._table.find(request.header(b"host") or b"", request.target)
         if route is None:
             self._record_refusal(
-                _text(request.header(self.dialect.request_id)),
+                header_text(request.header(self.dialect.request_id)),
                 ResultCode.NOT_FOUND,
                 f"no route in plan {self._plan.version}",
             )
@@ -196,22 +201,15 @@
             service = work.service
             self.meters.count(Metric.REQUESTS_TOTAL, service=service, code=str(status))
             self.meters.observe(Metric.REQUEST_DURATION_MS, total_ms, service=service)
-            self._log.write(
-                _request_event(state, status),
-                request_id=_text(state.request_id),
-                route=work.route,
-                service=service,
-                key=_text(state.request.header(self.dialect.affinity_key)),
+            write_request_line(
+                self._log,
+                state,
+                work,
                 status=status,
-                total_ms=round(total_ms, 1),
-                allowed_ms=round(state.deadline_ms - state.request.received_ms),
-                attempts=state.attempts,
-                refusal=state.refusal,
-                abandoned=state.caller_disconnected,
-                may_have_run=state.may_have_run,
+                total_ms=total_ms,
+                key=state.request.header(self.dialect.affinity_key),
                 plan_version=plan_version,
                 fleet_age_ms=self.dispatcher.fleet_age_ms(),
-                received_by=state.received_by,
             )
 
     async def _try_servers(self, state: RequestState, work: Work, sent: int) -> Answer:
@@ -373,7 +371,7 @@
         self, request: Request, code: ResultCode, retry_after_ms: float, detail: str
     ) -> Answer:
         self._record_refusal(
-            _text(request.header(self.dialect.request_id)), code, detail
+            header_text(request.header(self.dialect.request_id)), code, detail
         )
         return not_run_answer(retry_after_ms)
 
@@ -384,15 +382,3 @@
             request_id=request_id,
             refusal=f"{code.value} {code.name}: {detail}",
         )
-
-
-def _request_event(state: RequestState, status: int) -> Event:
-    if state.refusal:
-        return Event.REQUEST_REFUSED
-    if state.caller_disconnected or not 0 < status < 500:
-        return Event.REQUEST_FAILED
-    return Event.REQUEST_DONE
-
-
-def _text(value: bytes | None) -> str:
-    return (value or b"").decode("latin-1")
--- a/bulrushlead/gateway/_hedging.py
+++ b/bulrushlead/gateway/_hedging.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from bulrushlead.dispatch import Placement
-from bulrushlead.gateway._attempts import AttemptResult
+from bulrushlead.gateway._request_state import AttemptResult
 
 # Delay of a hedged attempt, as a multiple of the expected time until the answer.
 HEDGE_DELAY_FACTOR = 3.0
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -187,6 +187,7 @@
         """Close all connections without waiting for requests in progress."""
         await self.session.close()
         await self.prober.close()
+        await self.forwarder.close()
         await self.front.close()
         if self.peer_server is not None:
             await self.peer_server.close()
--- a/bulrushlead/gateway/_relaying.py
+++ b/bulrushlead/gateway/_relaying.py
@@ -4,7 +4,7 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.dispatch import Dispatcher, Outcome, Work
-from bulrushlead.gateway._attempts import (
+from bulrushlead.gateway._request_state import (
     MIN_ATTEMPT_MS,
     AttemptResult,
     RequestState,
--- a/bulrushlead/gateway/tests/harness.py
+++ b/bulrushlead/gateway/tests/harness.py
@@ -16,7 +16,7 @@
     SyncPosition,
 )
 from bulrushlead.gateway import Dialect, RequestForwarder
-from bulrushlead.gateway._attempts import RequestState
+from bulrushlead.gateway._request_state import RequestState
 from bulrushlead.http1 import ConnectionPool, Request
 from bulrushlead.traffic import Route, ServicePolicy, ServiceShare, TrafficPlan
 
--- a/bulrushlead/gateway/tests/host_fleet.py
+++ b/bulrushlead/gateway/tests/host_fleet.py
@@ -114,6 +114,7 @@
         pool = CutPool(CLOCK, DIALECT.request_id)
         pool.on_silent = gateway.pool.on_silent
         gateway.pool = gateway.prober.pool = gateway.forwarder._runner.pool = pool
+        gateway.forwarder._runner.crash_check.pool = pool
         for part in (gateway.front, gateway.peer_server, gateway.prober):
             await part.start()
         return gateway
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -74,6 +74,8 @@
     BACKEND_LIMIT_MALFORMED = 614
     BACKEND_UNREACHABLE = 615
     BACKEND_REACHABLE = 616
+    BACKEND_ENDED = 617
+    CONNECTION_LOST = 618
     HOST_CHANGED = 620
     HOST_CUT_OFF = 621
     HOST_RECONNECTED = 622
@@ -190,6 +192,12 @@
     _E.BACKEND_REACHABLE: EventInfo(
         "INFO", "The leader gives objects to a server again that hosts did not reach."
     ),
+    _E.BACKEND_ENDED: EventInfo(
+        "WARNING", "A backend server that lost a request accepts no connection."
+    ),
+    _E.CONNECTION_LOST: EventInfo(
+        "INFO", "A request was lost, and its backend server was not seen to end."
+    ),
     _E.HOST_CHANGED: EventInfo(
         "INFO", "A host started or stopped accepting callers or reaching servers."
     ),
--- /dev/null
+++ b/bulrushlead/quarantine/_fingerprint.py
@@ -0,0 +1,37 @@
+"""Which requests are the same one, sent again."""
+
+import hashlib
+
+from bulrushlead.http1 import Request
+
+FINGERPRINT_BYTES = 16
+# What names the caller in HTTP itself (RFC 9110, section 11.6.2). Other fields may
+# differ between two tries of one request: identifiers, deadlines, traces, framing.
+CALLER_HEADER = b"authorization"
+
+
+def request_fingerprint(request: Request) -> str:
+    """Return a digest of what stays the same when a caller sends a request again.
+
+    It covers method, host, target, the caller's credentials and the body without its
+    transfer coding. The digest is cryptographic: nobody can send a request that has
+    the fingerprint of another caller's request.
+
+    Returns
+    -------
+    str
+        Hexadecimal digits, which show neither credentials nor body.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    parts = (
+        request.method,
+        (request.header(b"host") or b"").lower(),
+        request.target,
+        request.header(CALLER_HEADER) or b"",
+    )
+    for part in parts:
+        # The lengths keep two requests apart whose parts are divided differently.
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    digest.update(request.body)
+    return digest.hexdigest()
