Add failing tests of requests that crash the servers that run them

Several gateways, a real publisher as leader and servers on loopback; a caller sends one request again and again beside sound ones that differ in path or only in body. Four tests hold already and must go on: servers that crash by themselves, one or three at a time, cost no sound request.

The publisher registers its own handlers, so that a test can use it without sockets.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -32,7 +32,6 @@
     HostReport,
     LeaderSession,
     ServerState,
-    SyncRequest,
 )
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
@@ -135,8 +134,7 @@
 
     async def start(self) -> None:
         """Listen for other hosts and start the replica of the log."""
-        self.messages.register_handler(SyncRequest, self.publisher.handle_sync)
-        self.messages.register_handler(AnnounceBatch, self.publisher.handle_heartbeats)
+        self.publisher.register(self.messages)
         self.messages.register_handler(OrderRequest, self._handle_order)
         self.messages.register_handler(PlanRequest, self._handle_plan_request)
         self.view.restore(self.cache.load())
--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -24,7 +24,7 @@
 from bulrushlead.placement import OwnerTable, PlacementServer
 from bulrushlead.replication import ReplicatedLog
 from bulrushlead.results import BulrushleadError, ResultCode
-from bulrushlead.wire import PackedPayload, codec
+from bulrushlead.wire import MessageServer, PackedPayload, codec
 
 # After this many heartbeat intervals, a new leader has a heartbeat of every running
 # server.
@@ -107,6 +107,11 @@
         state.on_departure = self._on_departure
         log.watch_leadership(self._on_leadership)
 
+    def register(self, messages: MessageServer) -> None:
+        """Answer the calls of hosts and of other coordinators."""
+        messages.register_handler(SyncRequest, self.handle_sync)
+        messages.register_handler(AnnounceBatch, self.handle_heartbeats)
+
     def require_leader(self) -> None:
         """Raise an error if this host is not the leader.
 
--- /dev/null
+++ b/bulrushlead/gateway/tests/test_crashing_requests.py
@@ -0,0 +1,128 @@
+"""Tests of requests that crash the servers that run them, and of those beside them."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from bulrushlead.gateway.tests.steered_fleet import SteeredFleet
+
+# From the third crash of a request until all hosts in touch have stopped it, and how
+# often it may reach servers later than that, as BUDGET states.
+CONTACT_MS = 3_000
+MAX_LATER_ARRIVALS = 3
+BAD_INTERVAL_S = 0.28
+SOUND_INTERVAL_S = 0.03
+MIN_SERVED_SHARE = 0.9  # "nearly all" of the sound requests
+BAD_GET = (b"/read/bad", b"")
+BAD_POST = (b"/order/x", b"bad")
+SOUND_GETS = [(b"/read/%d" % n, b"") for n in range(400)]
+SOUND_POSTS = [(b"/order/x", b"sound %d" % n) for n in range(400)]
+SAME_GET = [(b"/read/same", b"")]
+
+
+@pytest.fixture
+async def build():
+    fleets = []
+
+    async def start(hosts=4, servers=6):
+        fleet = SteeredFleet(hosts, servers)
+        fleets.append(fleet)
+        await fleet.start()
+        return fleet
+
+    yield start
+    for fleet in fleets:
+        await fleet.close()
+
+
+def served_share(answers):
+    return sum(answer.status == 200 for answer in answers) / len(answers)
+
+
+async def play(fleet, bad, sound, duration_s=6.0, hosts=None):
+    """Send bad requests beside sound ones; return the answers to the sound ones."""
+    fleet.bad = set(bad)
+    _, answers = await asyncio.gather(
+        fleet.send_for(duration_s, BAD_INTERVAL_S / len(bad), bad, hosts),
+        fleet.send_for(duration_s, SOUND_INTERVAL_S, sound),
+    )
+    return answers
+
+
+def check_stopped(fleet, request):
+    assert fleet.arrivals_after_third_crash(request, CONTACT_MS) <= MAX_LATER_ARRIVALS
+
+
+@pytest.mark.parametrize(
+    "bad, sound",
+    [(BAD_GET, SOUND_GETS), (BAD_POST, SOUND_POSTS), (BAD_GET, SAME_GET)],
+    ids=["get", "post-other-body", "get-beside-one-frequent-request"],
+)
+@pytest.mark.parametrize("hosts", [None, [0]], ids=["any-host", "one-host"])
+async def test_a_request_that_crashes_servers_stops(build, bad, sound, hosts):
+    """Guards against one request that crashes server after server of a service."""
+    fleet = await build()
+    answers = await play(fleet, [bad], sound, hosts=hosts)
+    check_stopped(fleet, bad)
+    assert served_share(answers) >= MIN_SERVED_SHARE
+
+
+async def test_two_requests_that_crash_servers_stop(build):
+    """Guards against taking the crashes of one request for those of another."""
+    fleet = await build(servers=10)
+    await play(fleet, [BAD_GET, BAD_POST], SOUND_GETS)
+    check_stopped(fleet, BAD_GET)
+    check_stopped(fleet, BAD_POST)
+    answers = await fleet.send_for(1.0, SOUND_INTERVAL_S, SOUND_GETS)
+    assert served_share(answers) >= MIN_SERVED_SHARE
+
+
+async def test_a_request_that_crashes_servers_stops_at_a_restarted_host(build):
+    """Guards against a host that forgets with a restart what all others know."""
+    fleet = await build()
+    await play(fleet, [BAD_GET], SOUND_GETS, 3.0)
+    await fleet.restart_gateway(1)
+    await play(fleet, [BAD_GET], SOUND_GETS, 3.0, hosts=[1])
+    check_stopped(fleet, BAD_GET)
+    assert fleet.arrivals_after_third_crash(BAD_GET, CONTACT_MS) == 0
+
+
+async def test_a_request_that_crashes_servers_stops_under_a_new_leader(build):
+    """Guards against a leader that lets a request start anew."""
+    fleet = await build()
+    await play(fleet, [BAD_GET], SOUND_GETS, 2.0)
+    await fleet.change_leader()
+    await play(fleet, [BAD_GET], SOUND_GETS, 3.0)
+    await fleet.restart_gateway(2)
+    await play(fleet, [BAD_GET], SOUND_GETS, 2.0, hosts=[2])
+    assert fleet.arrivals_after_third_crash(BAD_GET, CONTACT_MS) == 0
+
+
+async def test_a_request_under_which_servers_go_silent_stops(build):
+    """Guards against requests whose servers stay connected and never answer."""
+    fleet = await build(servers=8)
+    fleet.is_silent = True
+    await play(fleet, [BAD_GET], SOUND_GETS, 10.0)
+    check_stopped(fleet, BAD_GET)
+    await asyncio.sleep(3.5)
+    answers = await play(fleet, [BAD_GET], SOUND_GETS, 2.0)
+    assert served_share(answers) >= MIN_SERVED_SHARE
+
+
+@pytest.mark.parametrize("sound", [SOUND_GETS, SAME_GET], ids=["many", "one"])
+@pytest.mark.parametrize("at_once", [1, 3])
+async def test_servers_that_crash_by_themselves_cost_no_request(build, sound, at_once):
+    """Guards against refusing sound requests for crashes that they did not cause."""
+    fleet = await build(servers=10)
+
+    async def crash_in_turn():
+        for number in itertools.count(0, at_once):
+            await asyncio.sleep(1.5)
+            for offset in range(at_once):
+                fleet.servers[(number + offset) % len(fleet.servers)].crash()
+
+    fleet.spawn(crash_in_turn())
+    answers = await fleet.send_for(6.0, SOUND_INTERVAL_S, sound)
+    assert len(fleet.crashes) >= 3 * at_once
+    assert served_share(answers) >= 0.98
