Refuse requests under which several servers have ended

Callers saw a whole service fail because one request crashed each server that ran it: 34 and 25 servers ended under two requests of the incident, and in one second of them 0 to 5 of 37 to 68 sound requests were answered in time.

Class: work that harms whoever takes it is passed on as if the taker had failed.

Change: quarantine/. A host notes each run; after a lost one it learns whether the server has ended, and then each request in progress there is a suspect. One complete run clears a request. Crashes are a set of incarnations, merged at the leader and published, so that hosts and leaders that restart learn them; with three in a row a request is refused at once (3211, not run, with the time until a trial). From two on it goes to one server at a time, without retry, hedge or relay; suspects go to the least loaded server and not to the owner of their object, where sound requests would be lost beside them each time. Crashes that a request with more of them explains do not count against others. Servers that go silent count once their heartbeats stop. A trial after a pause and one at servers of another version are granted by the leader to one host.

All tests of bulrushlead/ pass.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -116,7 +116,7 @@
             link_factory,
             self.view,
             self._build_report,
-            lambda update: None,
+            self.publisher.apply_published,
             rng,
         )
         host, _, port = settings.peer_address.rpartition(":")
--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -22,6 +22,12 @@
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.placement import OwnerTable, PlacementServer
+from bulrushlead.quarantine import (
+    SuspectReport,
+    SuspectTable,
+    TrialReply,
+    TrialRequest,
+)
 from bulrushlead.replication import ReplicatedLog
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire import MessageServer, PackedPayload, codec
@@ -62,6 +68,8 @@
         Servers and entry hosts registered in the current leadership term.
     owners : OwnerTable
         Servers that own objects in the current leadership term.
+    suspects : SuspectTable
+        Requests under which servers ended; a follower learns them from the leader.
     """
 
     def __init__(
@@ -77,10 +85,11 @@
         self.meters = meters
         self.registry = FleetRegistry(clock, settings.heartbeat_ms)
         self.owners = OwnerTable(clock)
+        self.suspects = SuspectTable(clock)
         self._state: OrderState | None = None
         self._log: ReplicatedLog | None = None
         self._changed = asyncio.Event()
-        self._notified_revisions = (0, 0)
+        self._notified_revisions = (0, 0, 0)
         self._leading_since_ms: float | None = None
         self._packed: dict[SyncPosition, PackedPayload] = {}
         self._packed_position: SyncPosition | None = None
@@ -111,6 +120,8 @@
         """Answer the calls of hosts and of other coordinators."""
         messages.register_handler(SyncRequest, self.handle_sync)
         messages.register_handler(AnnounceBatch, self.handle_heartbeats)
+        messages.register_handler(SuspectReport, self.handle_suspects)
+        messages.register_handler(TrialRequest, self.handle_trial_request)
 
     def require_leader(self) -> None:
         """Raise an error if this host is not the leader.
@@ -135,6 +146,7 @@
         self.registry.check_silence()
         self.registry.update_published_loads()
         self.registry.publish_limits()
+        self.suspects.expire()
         self._update_owners()
         self._notify_if_changed()
 
@@ -146,10 +158,40 @@
         self._notify_if_changed()
         return StatusReply(True)
 
+    async def handle_suspects(self, request: SuspectReport) -> StatusReply:
+        """Record what a host learned of requests under which servers ended."""
+        self.require_leader()
+        changed = self.suspects.merge(request.suspects)
+        self._notify_if_changed()
+        return StatusReply(bool(changed))
+
+    async def handle_trial_request(self, request: TrialRequest) -> TrialReply:
+        """Let one host send a quarantined request once, if a trial is due."""
+        self.require_leader()
+        fingerprint = request.fingerprint
+        versions = self.registry.ready_versions(self.suspects.service(fingerprint))
+        trial = self.suspects.due_trial(fingerprint, versions)
+        if trial is None:
+            return TrialReply()
+        self.suspects.record_trial(fingerprint, trial)
+        self._notify_if_changed()
+        self._events.write(
+            Event.TRIAL_GRANTED,
+            fingerprint=fingerprint,
+            host_id=request.host_id,
+            trial=trial.value,
+        )
+        return TrialReply(trial.value)
+
+    def apply_published(self, update: FleetUpdate) -> None:
+        """Learn as a follower what a successor of the leader must know."""
+        self.suspects.merge(update.suspects)
+
     async def handle_sync(self, request: SyncRequest) -> PackedPayload:
         """Record the report of a host; answer after a change or after ``wait_ms``."""
         self.require_leader()
         self.registry.record_host_report(request.report)
+        self.suspects.merge(request.report.suspects)
         self.owners.record_demand(request.report.demand)
         self._notify_if_changed()
         deadline_ms = self.clock.now_ms() + request.wait_ms
@@ -220,6 +262,7 @@
             host_revision=registry.host_revision,
             pressure_revision=registry.load_revision,
             owner_revision=self.owners.revision,
+            suspect_revision=self.suspects.published_revision,
         )
 
     def _build_update(self, since: SyncPosition, position: SyncPosition) -> FleetUpdate:
@@ -248,6 +291,9 @@
             owners=self.owners.owners_since(
                 since.owner_revision if is_same_epoch else 0
             ),
+            suspects=self.suspects.published_since(
+                since.suspect_revision if is_same_epoch else 0
+            ),
         )
 
     def _has_changes(self, since: SyncPosition) -> bool:
@@ -256,6 +302,7 @@
             since.epoch != self._epoch()
             or since.server_revision < self.registry.server_revision
             or since.host_revision < self.registry.host_revision
+            or since.suspect_revision < self.suspects.published_revision
             or since.order_index < self._state.order_index
             or (plan is not None and since.plan_version < plan.version)
         )
@@ -324,7 +371,11 @@
         changed.set()
 
     def _notify_if_changed(self) -> None:
-        revisions = (self.registry.server_revision, self.registry.host_revision)
+        revisions = (
+            self.registry.server_revision,
+            self.registry.host_revision,
+            self.suspects.published_revision,
+        )
         if revisions != self._notified_revisions:
             self._notified_revisions = revisions
             self._notify()
--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -159,6 +159,11 @@
         """Return the state of a server, or None if the fleet view lacks it."""
         return self._servers.get(server_id)
 
+    def ready_servers(self, service: str) -> list[ServerStats]:
+        """Return the servers of a service that accept requests."""
+        ranking = self._rankings.get(service)
+        return [] if ranking is None else list(ranking.servers)
+
     def pop_mean_loads(self) -> dict[str, float]:
         """Return and reset the mean loads that servers reported to this host.
 
@@ -380,6 +385,7 @@
             region,
             record.service,
             max(1, record.slots),  # estimates divide by the slots
+            version=record.version,
         )
 
 
--- a/bulrushlead/dispatch/_server.py
+++ b/bulrushlead/dispatch/_server.py
@@ -69,6 +69,8 @@
         Requests in its last load report, running and queued.
     fleet_load : float
         Load over all hosts, as a multiple of its slots.
+    version : str
+        Its software version.
     """
 
     server_id: str
@@ -84,6 +86,7 @@
     record_received_ms: float = 0.0
     reported_load: float = 0.0
     fleet_load: float = 0.0
+    version: str = ""
     _load_sum: float = 0.0
     _load_count: int = 0
     hash: int = 0
--- a/bulrushlead/fleet/_messages.py
+++ b/bulrushlead/fleet/_messages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from bulrushlead.quarantine import SuspectNotice
 from bulrushlead.traffic import TrafficPlan
 from bulrushlead.wire import message
 
@@ -142,6 +143,9 @@
         Address on which the host carries the requests of others; empty if it does not.
     reaches_servers : bool
         Whether the host can open connections to any backend server.
+    suspects : dict of str to SuspectNotice
+        Requests under which servers ended, by fingerprint, if the leader does not know
+        of them yet.
     """
 
     host_id: str
@@ -157,6 +161,7 @@
     answered: tuple[str, ...] = ()
     peer_address: str = ""
     reaches_servers: bool = True
+    suspects: dict[str, SuspectNotice] = attrs.field(factory=dict)
 
 
 @message("fleet.host")
@@ -202,6 +207,8 @@
         Revision of the newest fleet-wide load received.
     owner_revision : int
         Revision of the newest change of the objects' owners received.
+    suspect_revision : int
+        Revision of the newest change of the requests under which servers ended.
     """
 
     epoch: str = ""
@@ -211,6 +218,7 @@
     host_revision: int = 0
     pressure_revision: int = 0
     owner_revision: int = 0
+    suspect_revision: int = 0
 
 
 @message("fleet.sync")
@@ -261,6 +269,8 @@
     owners : dict of str to dict of int to str
         Changed owners of objects: the server by group (``owner_group``) and digest of
         the object's key; empty for an object that left the table.
+    suspects : dict of str to SuspectNotice
+        Changed evidence on requests under which servers ended, by fingerprint.
     """
 
     term: int
@@ -273,6 +283,7 @@
     control_addresses: tuple[str, ...] = ()
     pressures: dict[str, float] = attrs.field(factory=dict)
     owners: dict[str, dict[int, str]] = attrs.field(factory=dict)
+    suspects: dict[str, SuspectNotice] = attrs.field(factory=dict)
 
 
 def owner_group(region: str, service: str) -> str:
--- a/bulrushlead/fleet/_registry.py
+++ b/bulrushlead/fleet/_registry.py
@@ -172,6 +172,15 @@
             if server.heartbeat.state is ServerState.READY
         ]
 
+    def ready_versions(self, service: str) -> set[str]:
+        """Return the software versions of the READY servers of a service."""
+        heartbeats = [server.heartbeat for server in self._servers.values()]
+        return {
+            h.version
+            for h in heartbeats
+            if h.service == service and h.state is ServerState.READY
+        }
+
     def owner_candidates(self, evacuated_zones: Container[str]) -> list[ServerRecord]:
         """Return the servers that may own objects.
 
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -12,7 +12,7 @@
     parse_limit_per_s,
     parse_pause_ms,
 )
-from bulrushlead.gateway._crash_check import CrashCheck
+from bulrushlead.gateway._crash_check import CrashCheck, ServerFate
 from bulrushlead.gateway._dialect import Dialect
 from bulrushlead.gateway._request_state import (
     MIN_ATTEMPT_MS,
@@ -32,6 +32,7 @@
 )
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.quarantine import RequestWitness, Run, RunEnd
 from bulrushlead.relay import Connectivity
 
 # Longest idle time of a connection that is reused. The server may have closed an idle
@@ -53,6 +54,18 @@
 # Statuses of refusals in HTTP. Only the server's not-run header field confirms that the
 # request did not run. 421 is classified earlier, as misdirected.
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
+ANSWERS = frozenset({Outcome.ANSWERED, Outcome.FAILED, Outcome.REFUSED, Outcome.SHED})
+RUN_ENDS = {
+    Outcome.ANSWERED: RunEnd.COMPLETED,
+    Outcome.FAILED: RunEnd.COMPLETED,
+    Outcome.REFUSED: RunEnd.NOT_RUN,
+    Outcome.SHED: RunEnd.NOT_RUN,
+    Outcome.MISDIRECTED: RunEnd.NOT_RUN,
+    Outcome.UNREACHABLE: RunEnd.NOT_RUN,
+    Outcome.LOST: RunEnd.LOST,
+    Outcome.OVERDUE: RunEnd.UNANSWERED,
+    Outcome.ABANDONED: RunEnd.UNANSWERED,
+}
 
 
 class AttemptRunner:
@@ -72,6 +85,8 @@
         Metrics in which attempts are counted.
     connectivity : Connectivity
         Learns whether connections to servers can be opened.
+    witness : RequestWitness
+        Learns how each attempt ended.
     """
 
     def __init__(
@@ -82,6 +97,7 @@
         pool: ConnectionPool,
         meters: CompactMeters,
         connectivity: Connectivity,
+        witness: RequestWitness,
     ):
         self.clock = clock
         self.dialect = dialect
@@ -89,7 +105,9 @@
         self.pool = pool
         self.meters = meters
         self.connectivity = connectivity
+        self.witness = witness
         self.crash_check = CrashCheck(clock, pool)
+        self.crash_check.on_result = self._on_fate
         self._log = EventLogger("gateway")
 
     def start(
@@ -103,13 +121,32 @@
         server = placement.server
         state.sent_servers.append(server.server_id)
         attempt = self.dispatcher.record_sent(placement)
-        task = asyncio.ensure_future(self._run(state, work, placement, attempt))
-        # A task that is cancelled before its first step records no outcome.
-        task.add_done_callback(lambda _: server.discard_attempt(attempt))
+        run = Run(
+            state.fingerprint,
+            server.service,
+            server.server_id,
+            server.born_ms,
+            server.version,
+            self.clock.now_ms(),
+        )
+        self.witness.begin(run)
+        task = asyncio.ensure_future(self._run(state, work, placement, attempt, run))
+
+        def discard(_: asyncio.Task) -> None:
+            # A task that is cancelled before its first step records no outcome.
+            server.discard_attempt(attempt)
+            self.witness.end(run, RunEnd.NOT_RUN)
+
+        task.add_done_callback(discard)
         return task
 
     async def _run(
-        self, state: RequestState, work: Work, placement: Placement, attempt: int
+        self,
+        state: RequestState,
+        work: Work,
+        placement: Placement,
+        attempt: int,
+        run: Run,
     ) -> AttemptResult:
         server = placement.server
         limits = self.dispatcher.limits
@@ -132,9 +169,9 @@
             if result.outcome is Outcome.ANSWERED:
                 self._record_duration(work, placement, elapsed_ms)
             state.may_have_run = state.may_have_run or result.may_have_run
+            self._record_run(server, run, result)
             if result.outcome is Outcome.LOST:
                 state.lost_attempts += 1
-                self.crash_check.start(server, state.fingerprint)
             if result.outcome is Outcome.UNREACHABLE:
                 state.sent_servers.remove(server.server_id)
             state.attempts.append(
@@ -144,6 +181,23 @@
             )
         return result
 
+    def _record_run(self, server: ServerStats, run: Run, result: AttemptResult) -> None:
+        end = RUN_ENDS[result.outcome]
+        if not result.may_have_run or (end is RunEnd.LOST and not server.ready):
+            # A server that leaves may end as planned.
+            end = RunEnd.NOT_RUN
+        self.witness.end(run, end)
+        if result.outcome in ANSWERS:
+            self.witness.record_answer(server.server_id, server.born_ms, run.sent_ms)
+        elif end is RunEnd.LOST:
+            self.crash_check.start(server, run.fingerprint)
+
+    def _on_fate(self, server: ServerStats, fate: ServerFate) -> None:
+        if fate is ServerFate.ENDED:
+            self.witness.record_ended(server.server_id, server.born_ms)
+        elif fate is ServerFate.RUNNING:
+            self.witness.record_running(server.server_id, server.born_ms)
+
     def _record_duration(
         self, work: Work, placement: Placement, elapsed_ms: float
     ) -> None:
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -11,6 +11,7 @@
 from bulrushlead.gateway._attempts import AttemptRunner
 from bulrushlead.gateway._dialect import Dialect
 from bulrushlead.gateway._hedging import first_success, hedge_delay_ms
+from bulrushlead.gateway._quarantine_gate import QuarantineGate
 from bulrushlead.gateway._refusals import (
     CUT_OFF,
     LOCAL_REFUSALS,
@@ -33,6 +34,7 @@
 from bulrushlead.http1 import Answer, ConnectionPool, Request
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.quarantine import RequestWitness
 from bulrushlead.relay import Connectivity, RelayOrder, RelayVerdict
 from bulrushlead.results import ResultCode
 from bulrushlead.traffic import Route, RouteTable, TrafficPlan, WeightedSplit
@@ -91,8 +93,16 @@
         self.meters = meters or CompactMeters()
         self.connectivity = connectivity or Connectivity(clock)
         self.relay = relay
+        self.witness = RequestWitness(clock)
+        self.gate = QuarantineGate(self.witness, dispatcher)
         self._runner = AttemptRunner(
-            clock, dialect, dispatcher, pool, self.meters, self.connectivity
+            clock,
+            dialect,
+            dispatcher,
+            pool,
+            self.meters,
+            self.connectivity,
+            self.witness,
         )
         self._started_ms = clock.now_ms()
         self._stopping = False
@@ -233,7 +243,10 @@
                     return relayed
                 if self.connectivity.is_isolated():
                     return last or self._refusal_answer(state, refusal or CUT_OFF)
-            placement = self.dispatcher.place(work)
+            admitted = await self.gate.admit(state.fingerprint, work)
+            if isinstance(admitted, Refusal):
+                return last or self._refusal_answer(state, admitted)
+            placement = self.dispatcher.place(admitted)
             if isinstance(placement, Refusal):
                 relayed = None
                 if self._may_reach_others(placement, work):
@@ -281,7 +294,7 @@
 
     async def _relay(self, state: RequestState, work: Work, sent: int) -> Answer | None:
         """Return the answer of another host, or None if none takes the request."""
-        if self.relay is None:
+        if self.relay is None or not self.witness.may_repeat(state.fingerprint):
             return None
         result = await self.relay.send(state, work, sent)
         return None if result is None else result.answer
@@ -325,7 +338,9 @@
         self, state: RequestState, work: Work, servers: frozenset[str], sent: int
     ) -> Placement | None:
         """Return a server without a queue for a hedged attempt, or None."""
-        if not self._may_retry(state, work, sent):
+        if self.witness.is_suspect(state.fingerprint) or not self._may_retry(
+            state, work, sent
+        ):
             return None
         remaining_ms = state.deadline_ms - self.clock.now_ms()
         placement = self.dispatcher.place(
@@ -341,8 +356,10 @@
         return placement
 
     def _may_retry(self, state: RequestState, work: Work, sent: int) -> bool:
-        return sent < state.route.max_attempts and self.dispatcher.budget.allows(
-            work.service
+        return (
+            sent < state.route.max_attempts
+            and self.witness.may_repeat(state.fingerprint)
+            and self.dispatcher.budget.allows(work.service)
         )
 
     def _caller_timeout_ms(self, request: Request, route: Route) -> float:
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -13,6 +13,7 @@
     ServerState,
 )
 from bulrushlead.gateway._dialect import Dialect
+from bulrushlead.gateway._evidence_link import EvidenceLink
 from bulrushlead.gateway._forwarding import RequestForwarder
 from bulrushlead.gateway._relaying import HostRelay
 from bulrushlead.gateway._settings import GatewaySettings
@@ -120,6 +121,13 @@
             self._on_update,
             rng,
         )
+        self.witness = self.forwarder.witness
+        self.evidence_link = EvidenceLink(settings.host_id, self.session, self.witness)
+        self.witness.on_evidence = self.evidence_link.send_soon
+        self.forwarder.gate.request_trial = self.evidence_link.request_trial
+        self.meters.register_gauge(
+            Metric.QUARANTINED_REQUESTS, lambda: len(self.witness.table.quarantined)
+        )
         self.meters.register_gauge(Metric.FLEET_AGE_MS, self.dispatcher.fleet_age_ms)
         self.meters.register_gauge(Metric.SERVERS, lambda: len(self.view.servers))
         self.meters.register_gauge(
@@ -188,6 +196,7 @@
         await self.session.close()
         await self.prober.close()
         await self.forwarder.close()
+        await self.evidence_link.close()
         await self.front.close()
         if self.peer_server is not None:
             await self.peer_server.close()
@@ -212,19 +221,20 @@
         if not self.connectivity.is_suspected:
             unreachable = self.dispatcher.pop_unreachable()
         return HostReport(
-            settings.host_id,
-            settings.front_address,
-            settings.zone,
-            settings.region,
-            self.is_ready,
-            self.dispatcher.pop_mean_loads(),
-            self.dispatcher.notices.unpublished_drains(self.view.servers.get),
-            self.dispatcher.demand.pop(),
-            unreachable,
-            self.dispatcher.limits.unpublished(self.view.servers.get),
-            answered,
-            settings.peer_address if self.peer_server is not None else "",
-            not self.connectivity.is_cut_off,
+            host_id=settings.host_id,
+            address=settings.front_address,
+            zone=settings.zone,
+            region=settings.region,
+            accepting=self.is_ready,
+            loads=self.dispatcher.pop_mean_loads(),
+            draining=self.dispatcher.notices.unpublished_drains(self.view.servers.get),
+            demand=self.dispatcher.demand.pop(),
+            unreachable=unreachable,
+            limits=self.dispatcher.limits.unpublished(self.view.servers.get),
+            answered=answered,
+            peer_address=settings.peer_address if self.peer_server is not None else "",
+            reaches_servers=not self.connectivity.is_cut_off,
+            suspects=self.witness.report(self.view.position.epoch),
         )
 
     def _on_connectivity(self) -> None:
@@ -244,8 +254,16 @@
         if update.plan is not None and plan is not None:
             self._activate_plan(plan)
         self.dispatcher.update(self.view)
+        self.witness.apply(update.position.epoch, update.suspects)
+        self.witness.review(self._has_ended)
         self.carriers.update(self.view.hosts)
 
+    def _has_ended(self, server_id: str, born_ms: int) -> bool:
+        server = self.view.servers.get(server_id)
+        return (
+            server is None or server.record.born_ms != born_ms or server.record.silent
+        )
+
     def _activate_plan(self, plan) -> None:
         self.forwarder.set_plan(plan)
         limits = plan.limits
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -79,6 +79,10 @@
     HOST_CHANGED = 620
     HOST_CUT_OFF = 621
     HOST_RECONNECTED = 622
+    REQUEST_SUSPECTED = 630
+    REQUEST_QUARANTINED = 631
+    QUARANTINE_ENDED = 632
+    TRIAL_GRANTED = 633
 
     # Idempotency keys.
     KEY_CLAIMED = 700
@@ -207,6 +211,18 @@
     _E.HOST_RECONNECTED: EventInfo(
         "INFO", "This host can open connections to backend servers again."
     ),
+    _E.REQUEST_SUSPECTED: EventInfo(
+        "WARNING", "A backend server ended while it had a request."
+    ),
+    _E.REQUEST_QUARANTINED: EventInfo(
+        "WARNING", "Several backend servers ended under a request; it is refused."
+    ),
+    _E.QUARANTINE_ENDED: EventInfo(
+        "INFO", "A request that was refused for crashes may be sent again."
+    ),
+    _E.TRIAL_GRANTED: EventInfo(
+        "WARNING", "A host may send a quarantined request once."
+    ),
     _E.KEY_CLAIMED: EventInfo("INFO", "An idempotency key was claimed."),
     _E.KEY_FINISHED: EventInfo("INFO", "The outcome of a key was recorded."),
     _E.KEY_REPLAYED: EventInfo("INFO", "A recorded answer was sent again."),
--- a/bulrushlead/metrics/_catalogue.py
+++ b/bulrushlead/metrics/_catalogue.py
@@ -34,6 +34,7 @@
     CUT_OFF = "bulrushlead_cut_off"
     LIMITED_SERVERS = "bulrushlead_limited_servers"
     LIMITED_ATTEMPTS_TOTAL = "bulrushlead_limited_attempts_total"
+    QUARANTINED_REQUESTS = "bulrushlead_quarantined_requests"
     LINES_DROPPED_TOTAL = "bulrushlead_log_lines_dropped_total"
 
 
@@ -125,6 +126,9 @@
     _M.LIMITED_ATTEMPTS_TOTAL: MetricInfo(
         _K.COUNTER, "Attempts at servers that had named a request limit.", ("service",)
     ),
+    _M.QUARANTINED_REQUESTS: MetricInfo(
+        _K.GAUGE, "Requests that are refused because servers ended under them."
+    ),
     _M.LINES_DROPPED_TOTAL: MetricInfo(_K.COUNTER, "Log lines dropped."),
 }
 
--- a/bulrushlead/quarantine/__init__.py
+++ b/bulrushlead/quarantine/__init__.py
@@ -1,5 +1,28 @@
 """Requests that crash backend servers, and who may still send them."""
 
 from bulrushlead.quarantine._fingerprint import request_fingerprint
+from bulrushlead.quarantine._messages import (
+    CrashNotice,
+    SuspectNotice,
+    SuspectReport,
+    TrialReply,
+    TrialRequest,
+)
+from bulrushlead.quarantine._suspect import Crash, Trial
+from bulrushlead.quarantine._table import SuspectTable
+from bulrushlead.quarantine._witness import RequestWitness, Run, RunEnd
 
-__all__ = ["request_fingerprint"]
+__all__ = [
+    "Crash",
+    "CrashNotice",
+    "RequestWitness",
+    "Run",
+    "RunEnd",
+    "SuspectNotice",
+    "SuspectReport",
+    "SuspectTable",
+    "Trial",
+    "TrialReply",
+    "TrialRequest",
+    "request_fingerprint",
+]
--- /dev/null
+++ b/bulrushlead/quarantine/_table.py
@@ -0,0 +1,299 @@
+"""Requests under which servers have ended, as the leader and each host know them."""
+
+from collections.abc import Container, Iterable
+
+from bulrushlead.clock import Clock
+from bulrushlead.logs import Event, EventLogger
+from bulrushlead.quarantine._messages import SuspectNotice
+from bulrushlead.quarantine._suspect import (
+    CONVICTING_CRASHES,
+    Crash,
+    Suspect,
+    Trial,
+    is_valid_notice,
+)
+
+# Hosts tell each other, through the leader, of requests with this many crashes. Each
+# crash leaves several sound ones with a single one.
+PUBLISHED_CRASHES = 2
+RETAINED_MS = 60_000  # callers repeat a request within seconds
+QUARANTINE_RETAINED_MS = 3_600_000  # from its last crash or the last time it came
+TRIAL_AFTER_MS = 60_000  # from the last crash to the only trial without a release
+MAX_SUSPECTS = 2_000
+MAX_NAME_LENGTH = 200  # of services, versions and incarnations in a notice
+
+
+class SuspectTable:
+    """Evidence on requests, and which of them are quarantined.
+
+    Evidence merges in any order. A request is quarantined while crashes in a row show
+    that it crashes the servers that run it; a complete run or an operator ends that.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the newest change of any request.
+    published_revision : int
+        Revision of the newest change of a request of which hosts are told.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.revision = 0
+        self.published_revision = 0
+        self._suspects: dict[str, Suspect] = {}
+        self._quarantined: set[str] = set()
+        self._log = EventLogger("quarantine")
+
+    def __contains__(self, fingerprint: str) -> bool:
+        return fingerprint in self._suspects
+
+    def __len__(self) -> int:
+        return len(self._suspects)
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """Fingerprints of the requests that are quarantined."""
+        return frozenset(self._quarantined)
+
+    def crash_count(self, fingerprint: str) -> int:
+        """Return the crashes that speak against a request."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return 0
+        return suspect.crash_count(self._explained(fingerprint, suspect))
+
+    def revision_of(self, fingerprint: str) -> int:
+        """Return the revision of the last change of a request; 0 if not known."""
+        suspect = self._suspects.get(fingerprint)
+        return 0 if suspect is None else suspect.revision
+
+    def record_crash(
+        self,
+        fingerprint: str,
+        service: str,
+        incarnation: str,
+        crash: Crash,
+        completed_ms: float,
+    ) -> bool:
+        """Record a server that ended under a request; return whether it counts.
+
+        Parameters
+        ----------
+        fingerprint, service : str
+            The request and its service.
+        incarnation : str
+            Identity and start of the server.
+        crash : Crash
+            When the request was sent and the server ended.
+        completed_ms : float
+            End of the last complete run that this host remembers, in milliseconds.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            if crash.sent_ms < completed_ms:
+                return False
+            suspect = self._add(fingerprint, service)
+        suspect.add_completed(completed_ms)
+        if not suspect.add_crash(incarnation, crash):
+            return False
+        self._record_change(fingerprint, suspect)
+        return True
+
+    def record_completed(self, fingerprint: str, completed_ms: float) -> bool:
+        """Record a complete run; return whether it clears the request of a crash."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.add_completed(completed_ms):
+            return False
+        self._record_change(fingerprint, suspect)
+        return True
+
+    def record_refused(self, fingerprint: str) -> None:
+        """Keep a request that still comes."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.changed_ms = self.clock.now_ms()
+
+    def release(self, fingerprint: str) -> bool:
+        """Forget what speaks against a request; return whether anything did."""
+        return self.record_completed(fingerprint, self.clock.now_ms())
+
+    def merge(self, notices: dict[str, SuspectNotice]) -> set[str]:
+        """Add the evidence of another host; return the requests that it changes."""
+        now_ms = self.clock.now_ms()
+        changed = set()
+        for fingerprint, notice in notices.items():
+            if not _is_bounded(fingerprint, notice) or not is_valid_notice(notice):
+                continue
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None:
+                if not notice.crashes:
+                    continue
+                suspect = self._add(fingerprint, notice.service)
+            if suspect.merge(notice, now_ms):
+                changed.add(fingerprint)
+                self._record_change(fingerprint, suspect)
+        return changed
+
+    def due_trial(self, fingerprint: str, versions: Iterable[str]) -> Trial | None:
+        """Return why a quarantined request may be sent once, or None if it may not.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request.
+        versions : iterable of str
+            Software versions of the servers that could run it.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or fingerprint not in self._quarantined:
+            return None
+        if Trial.RELEASE not in suspect.trials_ms:
+            crashed = self.crashed_versions(fingerprint)
+            if any(version and version not in crashed for version in versions):
+                return Trial.RELEASE
+        if Trial.PAUSE not in suspect.trials_ms and not self.pause_left_ms(fingerprint):
+            return Trial.PAUSE
+        return None
+
+    def pause_left_ms(self, fingerprint: str) -> float:
+        """Return the milliseconds until a request may get its trial after a pause."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.crashes:
+            return 0.0
+        ended_ms = max(crash.ended_ms for crash in suspect.crashes.values())
+        return max(0.0, ended_ms + TRIAL_AFTER_MS - self.clock.now_ms())
+
+    def retry_after_ms(self, fingerprint: str) -> float:
+        """Return the milliseconds until a quarantined request may be sent again.
+
+        After its trial only a release of the servers or an operator ends the
+        quarantine, at a time that is not known.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or Trial.PAUSE in suspect.trials_ms:
+            return TRIAL_AFTER_MS
+        return self.pause_left_ms(fingerprint)
+
+    def crashed_versions(self, fingerprint: str) -> set[str]:
+        """Return the software versions of the servers that ended under a request."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return set()
+        return {crash.version for crash in suspect.crashes.values()}
+
+    def service(self, fingerprint: str) -> str:
+        """Return the service of a request; empty if it is not known."""
+        suspect = self._suspects.get(fingerprint)
+        return "" if suspect is None else suspect.service
+
+    def record_trial(self, fingerprint: str, trial: Trial) -> None:
+        """Record that a host may send a quarantined request once."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.trials_ms[trial] = self.clock.now_ms()
+            self._record_change(fingerprint, suspect)
+
+    def changed_since(self, revision: int) -> dict[str, SuspectNotice]:
+        """Return the evidence that changed after a revision."""
+        now_ms = self.clock.now_ms()
+        return {
+            fingerprint: suspect.notice(now_ms)
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.revision > revision
+        }
+
+    def published_since(self, revision: int) -> dict[str, SuspectNotice]:
+        """Return the evidence for all hosts that changed after a revision."""
+        if revision >= self.published_revision:
+            return {}
+        now_ms = self.clock.now_ms()
+        return {
+            fingerprint: suspect.notice(now_ms)
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.published_revision > revision
+        }
+
+    def expire(self) -> None:
+        """Forget requests on which nothing was heard for a long time."""
+        now_ms = self.clock.now_ms()
+        for fingerprint, suspect in list(self._suspects.items()):
+            is_quarantined = fingerprint in self._quarantined
+            retained_ms = QUARANTINE_RETAINED_MS if is_quarantined else RETAINED_MS
+            if now_ms - suspect.changed_ms > retained_ms:
+                self._remove(fingerprint)
+
+    def _add(self, fingerprint: str, service: str) -> Suspect:
+        while len(self._suspects) >= MAX_SUSPECTS:
+            # Those with the fewest crashes first, so that many that were merely beside
+            # a crash cannot push out the one that causes them.
+            self._remove(
+                min(
+                    self._suspects,
+                    key=lambda f: (
+                        len(self._suspects[f].crashes),
+                        self._suspects[f].changed_ms,
+                    ),
+                )
+            )
+        suspect = Suspect(service, self.clock.now_ms())
+        self._suspects[fingerprint] = suspect
+        return suspect
+
+    def _remove(self, fingerprint: str) -> None:
+        del self._suspects[fingerprint]
+        self._quarantined.discard(fingerprint)
+
+    def _explained(self, fingerprint: str, suspect: Suspect) -> Container[str]:
+        """Return the incarnations that a request with more crashes has crashed."""
+        own_count = suspect.crash_count()
+        return {
+            incarnation
+            for other in self._quarantined
+            if other != fingerprint and self._suspects[other].crash_count() > own_count
+            for incarnation in self._suspects[other].crashes
+        }
+
+    def _record_change(self, fingerprint: str, suspect: Suspect) -> None:
+        suspect.changed_ms = self.clock.now_ms()
+        self.revision += 1
+        suspect.revision = self.revision
+        if suspect.published_revision or suspect.crash_count() >= PUBLISHED_CRASHES:
+            self.published_revision += 1
+            suspect.published_revision = self.published_revision
+        self._update_quarantine(fingerprint)
+        if fingerprint in self._quarantined:
+            # Its crashes may have been held against others.
+            for other in list(self._quarantined - {fingerprint}):
+                self._update_quarantine(other)
+
+    def _update_quarantine(self, fingerprint: str) -> None:
+        suspect = self._suspects[fingerprint]
+        is_quarantined = self.crash_count(fingerprint) >= CONVICTING_CRASHES
+        if is_quarantined == (fingerprint in self._quarantined):
+            return
+        now_ms = self.clock.now_ms()
+        if is_quarantined:
+            self._quarantined.add(fingerprint)
+        else:
+            self._quarantined.discard(fingerprint)
+        self._log.write(
+            Event.REQUEST_QUARANTINED if is_quarantined else Event.QUARANTINE_ENDED,
+            fingerprint=fingerprint,
+            service=suspect.service,
+            crash_ages_ms={
+                incarnation: round(now_ms - crash.ended_ms)
+                for incarnation, crash in suspect.crashes.items()
+            },
+        )
+
+
+def _is_bounded(fingerprint: str, notice: SuspectNotice) -> bool:
+    names = [fingerprint, notice.service, *notice.crashes]
+    names += [crash.version for crash in notice.crashes.values()]
+    return all(len(name) <= MAX_NAME_LENGTH for name in names)
--- a/bulrushlead/results/_codes.py
+++ b/bulrushlead/results/_codes.py
@@ -70,6 +70,7 @@
     BODY_TOO_LARGE = 3208
     ANSWER_TOO_LARGE = 3209
     ANSWER_MALFORMED = 3210
+    REQUEST_QUARANTINED = 3211
 
     # Idempotency keys.
     KEY_REUSED = 3301
@@ -179,6 +180,9 @@
         1,
         Ran.UNKNOWN,
     ),
+    _C.REQUEST_QUARANTINED: CodeInfo(
+        "Backend servers ended under the same request before.", 503
+    ),
     # Idempotency keys.
     _C.KEY_REUSED: CodeInfo("The key was used for another request.", 422),
     _C.KEY_OUTCOME_UNKNOWN: CodeInfo(
