--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -1,7 +1,6 @@
 """Handles one request: route, placement, attempts, answer."""
 
 import asyncio
-import math
 import random
 
 import attrs
@@ -30,6 +29,7 @@
     MIN_ATTEMPT_MS,
     AttemptResult,
     RequestState,
+    allowed_time_ms,
 )
 from bulrushlead.http1 import Answer, ConnectionPool, Request
 from bulrushlead.logs import Event, EventLogger
@@ -162,7 +162,7 @@
         service = self._splits[route.name].next_service()
         request_id = request.header(self.dialect.request_id) or b""
         self.dispatcher.budget.record_request(service)
-        allowed_ms = min(self._caller_timeout_ms(request, route), route.timeout_ms)
+        allowed_ms = allowed_time_ms(request.header(self.dialect.deadline_ms), route)
         state = RequestState(
             request, request_id, route, request.received_ms + allowed_ms
         )
@@ -362,14 +362,6 @@
             and self.dispatcher.budget.allows(work.service)
         )
 
-    def _caller_timeout_ms(self, request: Request, route: Route) -> float:
-        value = request.header(self.dialect.deadline_ms)
-        try:
-            timeout_ms = float(value) if value is not None else route.timeout_ms
-        except ValueError:
-            return route.timeout_ms
-        return route.timeout_ms if math.isnan(timeout_ms) else timeout_ms
-
     def _refusal_answer(self, state: RequestState, refusal: Refusal) -> Answer:
         if state.may_have_run:
             return Answer(502)
--- a/bulrushlead/gateway/_request_state.py
+++ b/bulrushlead/gateway/_request_state.py
@@ -1,5 +1,7 @@
 """State of a request across its attempts, and the result of one attempt."""
 
+import math
+
 import attrs
 
 from bulrushlead.dispatch import Outcome
@@ -91,3 +93,24 @@
     final: bool = False
     may_have_run: bool = False
     detail: str = ""
+
+
+def allowed_time_ms(deadline: bytes | None, route: Route) -> float:
+    """Return the time that a request may take, in milliseconds.
+
+    Parameters
+    ----------
+    deadline : bytes or None
+        Value of the caller's field, in milliseconds; one that is no number is ignored.
+    route : Route
+        Route of the request.
+    """
+    try:
+        timeout_ms = float(deadline) if deadline is not None else route.timeout_ms
+    except ValueError:
+        return route.timeout_ms
+    return (
+        route.timeout_ms
+        if math.isnan(timeout_ms)
+        else min(timeout_ms, route.timeout_ms)
+    )
--- a/bulrushlead/quarantine/_suspect.py
+++ b/bulrushlead/quarantine/_suspect.py
@@ -76,7 +76,16 @@
 
     def add_crash(self, incarnation: str, crash: Crash) -> bool:
         """Add a server that ended; return whether it counts and was not known."""
-        if incarnation in self.crashes or crash.sent_ms < self.completed_ms:
+        if crash.sent_ms < self.completed_ms:
+            return False
+        known = self.crashes.get(incarnation)
+        if known is not None:
+            # The last request that the server took is the one that counts.
+            self.crashes[incarnation] = attrs.evolve(
+                known,
+                sent_ms=max(known.sent_ms, crash.sent_ms),
+                ended_ms=max(known.ended_ms, crash.ended_ms),
+            )
             return False
         self.crashes[incarnation] = crash
         while len(self.crashes) > MAX_CRASHES:
@@ -96,7 +105,7 @@
         cleared = [k for k, c in self.crashes.items() if c.sent_ms < completed_ms]
         for incarnation in cleared:
             del self.crashes[incarnation]
-        for trial in [t for t, ms in self.trials_ms.items() if ms < completed_ms]:
+        for trial in [t for t, ms in self.trials_ms.items() if ms <= completed_ms]:
             del self.trials_ms[trial]
         return bool(cleared)
 
@@ -159,7 +168,7 @@
         ):
             if age_ms is None or trial in self.trials_ms:
                 continue
-            if now_ms - age_ms >= self.completed_ms:
+            if now_ms - age_ms > self.completed_ms:
                 self.trials_ms[trial] = now_ms - age_ms
                 changed = True
         return changed
