Let the soak send requests that crash servers

Cause: the soak had no such request, so that no run could show what they do.

The checker reports arrivals later than 4 s after the third crash, and sound requests that are not served meanwhile; tests feed it both. Servers of the soak end within 0.1 s, since waiting for their requests is no crash.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -19,6 +19,8 @@
 HEARTBEAT_S = 0.5
 SERVICE_TIME_RANGE_S = (0.02, 0.12)
 SERVICE = "stock"
+SHUTDOWN_S = 0.1
+CRASH_AFTER_S = 0.06  # from the begin of a run
 CALL_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 
 
@@ -55,7 +57,9 @@
     async def start(self):
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._serve)
-        self._runner = web.AppRunner(app, handler_cancellation=True)
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=SHUTDOWN_S
+        )
         await self._runner.setup()
         host, _, port = self.bind_address.rpartition(":")
         await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
@@ -66,6 +70,12 @@
         self._task.cancel()
         await self._runner.cleanup()
 
+    def abort(self):
+        """End all connections at once, as a process that dies does."""
+        for connection in list(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def drain(self):
         """Announce draining, keep serving until the hosts have reacted, then stop."""
         self.state = "draining"
@@ -114,6 +124,8 @@
             return web.Response(status=421)
         await request.read()
         checker.record_arrival(self.server_id, request_id)
+        if request.path in self.harness.crashing_paths:
+            checker.record_crashing_arrival(request.path)
         if self.in_flight >= SLOTS + MAX_QUEUED:
             headers = self._answer_headers(request_id)
             return web.Response(status=503, headers={**headers, "Not-Executed": "1"})
@@ -121,6 +133,10 @@
         try:
             async with self.slots:
                 checker.record_run(self.server_id, request_id)
+                if request.path in self.harness.crashing_paths:
+                    await asyncio.sleep(CRASH_AFTER_S)
+                    self.harness.spawn(self.harness.crash(self, request.path))
+                    await asyncio.sleep(CALL_TIMEOUT.total)
                 await asyncio.sleep(self.rng.uniform(*SERVICE_TIME_RANGE_S))
             headers = self._answer_headers(request_id)
             headers["Server-Seal"] = self.server_id
@@ -209,6 +225,51 @@
             self.last_lookup_s = -1e9
 
 
+class CrashingCaller:
+    """A caller whose one request crashes each server that runs it."""
+
+    def __init__(self, harness, number):
+        self.harness = harness
+        self.number = number
+        self.unsafe = harness.rng.random() < 0.3
+        self.path = f"/{'order' if self.unsafe else 'read'}/crash-{number}"
+
+    async def run(self, duration_s):
+        """Send the request several times a second to any host."""
+        self.harness.crashing_paths.add(self.path)
+        started_s = self.harness.clock()
+        end_s = started_s + duration_s
+        count = 0
+        async with aiohttp.ClientSession() as session:
+            while self.harness.clock() < end_s:
+                self.harness.spawn(self._send(session, f"c{self.number}-{count}"))
+                count += 1
+                await asyncio.sleep(self.harness.rng.uniform(0.1, 0.5))
+            await asyncio.sleep(CALL_TIMEOUT.total)
+        self.harness.checker.check_crashing(self.path, started_s, end_s)
+
+    async def _send(self, session, request_id):
+        host = self.harness.rng.choice(self.harness.edges).front_address
+        self.harness.checker.record_request(request_id, self.unsafe, host, False)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with session.request(
+                "POST" if self.unsafe else "GET",
+                f"http://{host}{self.path}",
+                headers={
+                    "Host": "h",
+                    "Request-Id": request_id,
+                    "Deadline-Ms": "2000",
+                    "Affinity-Key": "7",
+                },
+                timeout=CALL_TIMEOUT,
+            ) as answer:
+                body = await answer.read()
+                echoed = answer.headers.get("Request-Id")
+                self.harness.checker.record_answer(
+                    request_id, answer.status, body, echoed
+                )
+
+
 class Operator:
     """Changes the configuration, evacuates zones, and reads the configuration."""
 
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -5,7 +5,9 @@
 ==========  =======================================================================
 TWICE       A request that is unsafe to retry ran more than once.
 REFUSED     Such a request ran although its caller was refused as "not run".
-BUDGET      A request ran on more servers than it may have attempts.
+BUDGET      A request ran on more servers than it may have attempts; or one that
+            crashes servers still reached them, or cost other requests their answer,
+            long after it had crashed the third.
 MIXED       A caller received an answer that is incomplete or belongs to another one.
 UNASKED     A server received a request that no caller sent.
 DENIED      A valid request was rejected with a status such as 400 or 404.
@@ -45,6 +47,10 @@
 # which are cut off may serve of what the others serve, as RECOVER states.
 CONTACT_S = 4.0
 MIN_CUT_OFF_SHARE = 2 / 3
+# After the third crash of a request and CONTACT_S, how often it may reach servers, and
+# the share of the other requests that must be served.
+MAX_CRASHING_ARRIVALS = 3
+MIN_BESIDE_CRASHES_SHARE = 0.9
 TOLERATED_FAILURES = 10
 TOLERATED_FAILED_SHARE = 1 / 50
 
@@ -69,6 +75,7 @@
     host: str
     sent_s: float
     status: int = 0
+    is_sound: bool = True
 
 
 class InvariantChecker:
@@ -100,6 +107,8 @@
         self.faults_ended_s = None
         self.after_recovery = collections.Counter()
         self.counts = collections.Counter()
+        self.crashes_s = collections.defaultdict(list)
+        self.crashing_arrivals = collections.Counter()
 
     def record_violation(self, invariant, detail):
         self.violations.append(f"{invariant} at {self.clock():.2f} s: {detail}")
@@ -132,6 +141,8 @@
         served = collections.Counter()
         total = collections.Counter()
         for request in self.requests.values():
+            if not request.is_sound:
+                continue
             if cut.started_s + CONTACT_S <= request.sent_s < cut.ended_s:
                 is_cut_off = request.host in cut.hosts
                 total[is_cut_off] += 1
@@ -153,9 +164,46 @@
         """Return whether the last fault is long enough ago for hosts to reconnect."""
         return self.clock() - self.last_fault_s > RECONNECT_S
 
-    def record_request(self, request_id, unsafe, host):
+    def record_crash(self, path):
+        """Record that a request has crashed a server."""
+        self.crashes_s[path].append(self.clock())
+        self.counts["crashes by requests"] += 1
+
+    def record_crashing_arrival(self, path):
+        """Record that a request that crashes servers has reached one."""
+        crashes_s = self.crashes_s[path]
+        if len(crashes_s) < 3 or self.clock() < crashes_s[2] + CONTACT_S:
+            return
+        if not self.is_fault_free():
+            return
+        self.crashing_arrivals[path] += 1
+        if self.crashing_arrivals[path] > MAX_CRASHING_ARRIVALS:
+            self.record_violation(
+                "BUDGET", f"{path} reached a server after {len(crashes_s)} crashes"
+            )
+
+    def check_crashing(self, path, started_s, ended_s):
+        """Check how many sound requests were served beside one that crashes servers.
+
+        Times that meet a fault are not checked.
+        """
+        crashes_s = self.crashes_s[path]
+        if len(crashes_s) < 3 or self.last_fault_s > started_s - RECONNECT_S:
+            return
+        beside = [
+            request.status == 200
+            for request in self.requests.values()
+            if request.is_sound and crashes_s[2] + CONTACT_S < request.sent_s < ended_s
+        ]
+        self.counts["requests beside one that crashes servers"] += len(beside)
+        if sum(beside) < MIN_BESIDE_CRASHES_SHARE * len(beside):
+            self.record_violation(
+                "BUDGET", f"{sum(beside)} of {len(beside)} served beside {path}"
+            )
+
+    def record_request(self, request_id, unsafe, host, is_sound=True):
         """Record a request that a caller is about to send."""
-        request = SentRequest(request_id, unsafe, host, self.clock())
+        request = SentRequest(request_id, unsafe, host, self.clock(), 0, is_sound)
         self.requests[request_id] = request
         return request
 
@@ -231,7 +279,8 @@
         request = self.requests[request_id]
         request.status = status
         self.counts[status] += 1
-        self._count_after_recovery(request, status == 200)
+        if request.is_sound:
+            self._count_after_recovery(request, status == 200)
         servers = self.runs.get(request_id)
         if echoed not in (None, request_id):
             self.record_violation("MIXED", f"{request_id} got the answer of {echoed}")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,7 @@
 import resource
 import signal
 
-from tests.soak.backends import Backend
+from tests.soak.backends import Backend, CrashingCaller
 from tests.soak.processes import ZONES
 
 # After a cut each request sent in it has ended, and another cut can be told from it.
@@ -217,6 +217,13 @@
     harness.cut_active = False
 
 
+async def send_crashing_request(harness):
+    """Let one caller repeat a request that crashes each server that runs it."""
+    harness.crashing_count += 1
+    caller = CrashingCaller(harness, harness.crashing_count)
+    await caller.run(harness.rng.uniform(6.0, 9.0))
+
+
 async def stop_edges_in_turn(harness):
     for edge in harness.rng.sample(harness.edges, min(3, len(harness.edges))):
         if edge.alive and not edge.paused:
@@ -271,6 +278,7 @@
     limit_backends,
     limit_backends,
     cut_edges,
+    send_crashing_request,
     change_configuration,
     race_configurations,
     resend_old_configuration,
@@ -302,3 +310,14 @@
     race_configurations,
     evacuate,
 )
+# Requests that crash servers, beside changes of the hosts that must stop them. Faults
+# are few, since the checker excuses what meets one.
+CRASHES = (
+    send_crashing_request,
+    send_crashing_request,
+    stop_edges_in_turn,
+    reload_edge,
+    change_configuration,
+    kill_core,
+    kill_edge,
+)
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -12,7 +12,7 @@
 
 from tests.soak.backends import Backend, Caller, Operator, call_control
 from tests.soak.checker import InvariantChecker
-from tests.soak.faults import CUTS, FAULTS, PLANNED
+from tests.soak.faults import CRASHES, CUTS, FAULTS, PLANNED
 from tests.soak.processes import PEER_PORT, READY_PORT, ZONES, Host
 from tests.soak.proxy import Proxy
 
@@ -63,8 +63,10 @@
             proxy.base_delay_ms = self.rng.choice(BASE_DELAYS_MS)
         self.backend_proxies = [Proxy(b.address, b.bind_address) for b in self.backends]
         # Every fourth seed injects no faults, only planned work; every fourth one cuts
-        # gateways off.
-        self.faults = {0: PLANNED, 2: CUTS}.get(seed % 4, FAULTS)
+        # gateways off; every eighth one sends requests that crash servers.
+        self.faults = {0: PLANNED, 2: CUTS, 4: PLANNED, 5: CRASHES, 6: CUTS}.get(
+            seed % 8, FAULTS
+        )
         self.history = []
         self.version = 1
         self.operators = [Operator(self, name) for name in "ab"]
@@ -72,6 +74,8 @@
         self._tasks = set()
         self.core_fault_active = False
         self.cut_active = False
+        self.crashing_paths = set()
+        self.crashing_count = 0
 
     def clock(self):
         return time.monotonic() - self.started_s
@@ -161,6 +165,19 @@
         self.history.append(f"{self.clock():.1f} s {fault.__name__}")
         await fault(self)
 
+    async def crash(self, backend, path):
+        """Crash a server because of a request; start it again after some seconds."""
+        if backend.state != "ready":
+            return
+        backend.state = "crashed"
+        self.checker.record_crash(path)
+        backend.abort()
+        await backend.crash()
+        await asyncio.sleep(3.0)
+        number = backend.number
+        self.backends[number] = Backend(self, number, backend.incarnation + 1)
+        await self.backends[number].start()
+
     async def _recover_and_check(self):
         for proxy in (*self.core_proxies, *self.backend_proxies):
             proxy.heal()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
     1,  # random faults; has never failed
     2,  # gateways that are cut off from all servers (every fourth seed)
     4,  # planned work only (every fourth seed)
+    5,  # requests that crash servers (every eighth seed)
 ]
 FAULT_DURATION_S = 6.0
 
@@ -225,3 +226,33 @@
     for _ in range(40):
         checker.record_arrival("s1", "r1")
     assert violated_invariants(checker) == []
+
+
+def crash_three(checker, clock):
+    checker.record_crashing_arrival("/read/bad")
+    for _ in range(3):
+        checker.record_crash("/read/bad")
+    clock.now_s += 4.5
+
+
+def test_a_request_that_goes_on_to_crash_servers_is_reported(checker, clock):
+    crash_three(checker, clock)
+    for _ in range(3):
+        checker.record_crashing_arrival("/read/bad")
+    assert violated_invariants(checker) == []
+    checker.record_crashing_arrival("/read/bad")
+    assert violated_invariants(checker) == ["BUDGET"]
+
+
+def test_requests_that_are_refused_beside_one_that_crashes_servers_are_reported(
+    checker, clock
+):
+    started_s = clock.now_s
+    crash_three(checker, clock)
+    for number in range(20):
+        checker.record_request(f"q{number}", False, "host").status = (
+            503 if number < 3 else 200
+        )
+    clock.now_s += 1.0
+    checker.check_crashing("/read/bad", started_s, clock.now_s)
+    assert violated_invariants(checker) == ["BUDGET"]
