Go on after a log entry that cannot be applied

Operators would see no configuration, evacuation or departure take effect any more on a coordinator, with its process running; after a restart it would stop at the same entry. The same class as requests that crash servers: what each taker fails at is handed to the next one.

Cause: an exception of the state machine ended the task that applies entries. OrderState raises for a command that it does not know, for example during an upgrade; so would an error in a listener of the leader.

Evidence: test_an_entry_that_cannot_be_applied_stops_no_replica (two errors, with a restart) failed before, by a time-out. Tests of replication/ pass.

--- a/bulrushlead/replication/_applier.py
+++ b/bulrushlead/replication/_applier.py
@@ -15,6 +15,7 @@
     from bulrushlead.replication._replica import Replica
 
 APPLY_BATCH_ENTRIES = 256  # the applier yields to other tasks between batches
+MAX_ERROR_LENGTH = 300  # of the text of an error in the log
 # Limit of the entries between two snapshots, and of those kept before a snapshot, as
 # a multiple of snapshot_threshold_entries.
 MAX_THRESHOLD_MULTIPLE = 8
@@ -126,13 +127,21 @@
 
     def _apply(self, entry: LogEntry) -> None:
         result = b""
+        failure = None
         if entry.kind is EntryKind.COMMAND:
-            result = self.state_machine.apply(entry.index, entry.payload)
+            try:
+                result = self.state_machine.apply(entry.index, entry.payload)
+            except Exception as error:
+                # All replicas fail alike. Without this one entry would end the applier
+                # of each of them, and again after each restart.
+                failure = self._record_failure(entry, error)
         elif entry.kind is EntryKind.MEMBERS:
             self._log_members(entry)
         proposal = self._proposals.pop(entry.index, None)
         if proposal is not None and not proposal.result.done():
-            if proposal.term == entry.term:
+            if proposal.term == entry.term and failure is not None:
+                proposal.result.set_exception(failure)
+            elif proposal.term == entry.term:
                 proposal.result.set_result(result)
             else:
                 proposal.result.set_exception(
@@ -140,6 +149,17 @@
                 )
         self._record_applied(entry.index)
 
+    def _record_failure(self, entry: LogEntry, error: Exception) -> BulrushleadError:
+        self.replica.log.write(
+            Event.UNEXPECTED_ERROR,
+            replica_id=self.replica.replica_id,
+            index=entry.index,
+            error=repr(error)[:MAX_ERROR_LENGTH],
+        )
+        return BulrushleadError(
+            ResultCode.INTERNAL, f"entry {entry.index} cannot be applied; see the log"
+        )
+
     def _record_applied(self, index: int) -> None:
         self.replica.record_applied(index)
         for reader in self._readers:
--- a/bulrushlead/replication/tests/test_single_replica.py
+++ b/bulrushlead/replication/tests/test_single_replica.py
@@ -93,3 +93,27 @@
     with pytest.raises(BulrushleadError, match=message) as caught:
         build_log(tmp_path, **changes)
     assert caught.value.code is ResultCode.SETTINGS_INVALID
+
+
+@pytest.mark.parametrize("error", [ValueError, KeyError])
+async def test_an_entry_that_cannot_be_applied_stops_no_replica(
+    tmp_path, monkeypatch, error
+):
+    """Guards against one entry that ends each leader in turn, also after a restart."""
+
+    class Faulty(Recorder):
+        def apply(self, index, command):
+            if command == b"faulty":
+                raise error("faulty")
+            return super().apply(index, command)
+
+    monkeypatch.setitem(build_log.__globals__, "Recorder", Faulty)
+    for start in range(2):
+        log, machine = build_log(tmp_path)
+        await start_as_leader(log)
+        with pytest.raises(BulrushleadError) as caught:
+            await log.propose(b"faulty", 1_000)
+        assert caught.value.code is ResultCode.INTERNAL
+        assert await log.propose(b"sound", 1_000) == b"sound"
+        assert machine.commands == [b"sound"] * (start + 1)
+        await log.close()
