Bound the memory for callers' bodies, and send large ones without a copy

Callers with large bodies could end host after host: each process that holds a few bodies of up to 64 MiB, copied twice, goes over its memory (300 MB there), its callers send the same to the next one.

Change: bodies of all requests in progress share 72 MiB in a process, carried requests included. A body beyond it is refused at once with 503 and Retry-After, from its length if it has one; the rest is read and dropped, so that the caller gets the refusal instead of a reset. A body over 16 KiB is written as a part of its own and not copied.

Evidence: test_bodies_together_have_a_bound (with a length and in chunks) and test_a_caller_that_leaves_gives_its_room_back failed before, when there was no bound. Tests of http1/, relay/, gateway/, platform/ pass. Memory of a process not measured.

--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -109,6 +109,8 @@
                 settings.peer_address, self.relay_service.answer, clock
             )
         self.front = HttpServer.at(settings.front_address, self.forwarder.answer, clock)
+        if self.peer_server is not None:
+            self.peer_server.bodies = self.front.bodies
         self.readiness = HttpServer.at(
             settings.readiness_address, self._answer_readiness, clock
         )
--- a/bulrushlead/http1/_client.py
+++ b/bulrushlead/http1/_client.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from bulrushlead.http1._buffer import AnswerBuffer
+from bulrushlead.http1._budget import ByteBudget
 from bulrushlead.http1._messages import BODILESS_STATUSES, Answer
 
 MAX_HEAD_BYTES = 64 * 1024  # status line and header fields, interim answers included
@@ -57,7 +57,7 @@
     id_header : bytes
         Lower-case name of the field in which the backend server echoes the
         identifier of the request that it answers.
-    buffer : AnswerBuffer
+    buffer : ByteBudget
         Memory for bodies, shared with other connections.
     address : str
         Address of the backend server, as ``host:port``.
@@ -78,7 +78,7 @@
     def __init__(
         self,
         id_header: bytes,
-        buffer: AnswerBuffer,
+        buffer: ByteBudget,
         address: str = "",
         on_silent: Callable[[str], None] | None = None,
     ):
@@ -107,13 +107,15 @@
         """Store the transport."""
         self._transport = transport
 
-    async def exchange(self, data: bytes, request_id: bytes, is_head: bool) -> Answer:
+    async def exchange(
+        self, data: list[bytes], request_id: bytes, is_head: bool
+    ) -> Answer:
         """Send a request and return its whole answer.
 
         Parameters
         ----------
-        data : bytes
-            Request as sent on the wire.
+        data : list of bytes
+            Request as sent on the wire, in parts.
         request_id : bytes
             Identifier that its answer must echo.
         is_head : bool
@@ -134,7 +136,8 @@
         self._start_exchange()
         self.n_exchanges += 1
         self._future = asyncio.get_running_loop().create_future()
-        self._transport.write(data)
+        for part in data:
+            self._transport.write(part)
         try:
             return await self._future
         except asyncio.CancelledError:
--- a/bulrushlead/http1/_messages.py
+++ b/bulrushlead/http1/_messages.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+MAX_JOINED_BODY_BYTES = 16 * 1024  # a copy costs less than another system call
+
 HeaderList = list[tuple[bytes, bytes]]
 
 # RFC 9110, section 7.6.1: hop-by-hop fields, which a proxy must not forward.
@@ -107,15 +109,21 @@
 
 def render_request(
     method: bytes, target: bytes, headers: HeaderList, body: bytes
-) -> bytes:
-    """Render a request; its length is set from the body."""
+) -> list[bytes]:
+    """Render a request in parts; its length is set from the body.
+
+    A large body is a part of its own, so that it is not copied.
+    """
     parts = [method, b" ", target, b" HTTP/1.1\r\n"]
     for name, value in headers:
         parts += (name, b": ", value, b"\r\n")
     if body or method in (b"POST", b"PUT", b"PATCH"):
         parts.append(b"content-length: %d\r\n" % len(body))
-    parts += (b"\r\n", body)
-    return b"".join(parts)
+    parts.append(b"\r\n")
+    if len(body) > MAX_JOINED_BODY_BYTES:
+        return [b"".join(parts), body]
+    parts.append(body)
+    return [b"".join(parts)]
 
 
 def render_answer(answer: Answer, keep_alive: bool, with_body: bool = True) -> bytes:
--- a/bulrushlead/http1/_pool.py
+++ b/bulrushlead/http1/_pool.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from bulrushlead.clock import Clock
-from bulrushlead.http1._buffer import MAX_BUFFERED_BYTES, AnswerBuffer
+from bulrushlead.http1._budget import MAX_BUFFERED_BYTES, ByteBudget
 from bulrushlead.http1._client import ClientConnection, ExchangeError, ExchangeFault
 
 CONNECT_TIMEOUT_MS = 400  # several round trips to the farthest region
@@ -60,7 +60,7 @@
         self.id_header = id_header
         self.n_connects = 0
         self.on_silent: Callable[[str], None] | None = None
-        self._buffer = AnswerBuffer(max_buffered_bytes)
+        self._buffer = ByteBudget(max_buffered_bytes)
         self._base_limit_ms = float(MAX_IDLE_MS)
         self._limit_set_ms = 0.0
         self._idle: dict[str, list[ClientConnection]] = {}
--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -9,11 +9,15 @@
 import httptools
 
 from bulrushlead.clock import Clock
-from bulrushlead.http1._messages import Answer, Request, render_answer
+from bulrushlead.http1._budget import MAX_BODY_BYTES, ByteBudget
+from bulrushlead.http1._messages import Answer, Request, find_header, render_answer
 from bulrushlead.logs import Event, EventLogger
+from bulrushlead.results import ResultCode
 
 TIMEOUT_CHECK_MS = 500  # precision of the idle and header timeouts
 LISTEN_BACKLOG = 1024
+BODY_RETRY_AFTER_S = 1  # about the time in which another large body is sent on
+DISCARD_S = 5.0  # longest time for the rest of a body that was refused
 MAX_PIPELINED_REQUESTS = 16  # more queued on one connection is treated as abuse
 
 Handler = Callable[[Request], Awaitable[Answer]]
@@ -51,7 +55,9 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._queued: deque[tuple[Request, bool]] = deque()
+        self._queued: deque[tuple[Request, bool, int]] = deque()
+        self._reserved_bytes = 0  # of the body that is being received
+        self._discards = False
         self._task: asyncio.Task | None = None
         self._closing = False
         self._idle_since_ms = server.clock.now_ms()
@@ -67,6 +73,10 @@
         """Cancel the request in progress, since its answer cannot be delivered."""
         self.server.connections.discard(self)
         self._closing = True
+        self.server.bodies.release(
+            self._reserved_bytes + sum(reserved for _, _, reserved in self._queued)
+        )
+        self._reserved_bytes = 0
         self._queued.clear()
         if self._task is not None:
             self._task.cancel()
@@ -110,25 +120,33 @@
         self._in_header_section = False
         limits = self.server.limits
         size = sum(len(n) + len(v) + 4 for n, v in self._headers) + len(self._target)
+        length = int(find_header(self._headers, b"content-length") or 0)
         if size > limits.max_header_bytes:
             self._refuse(431)
+        elif length <= limits.max_body_bytes and not self._reserve(length):
+            self._refuse_body()
         elif self._expects_continue and not self._closing:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        if self._closing:
+        if self._closing or self._discards:
             return
         self._body_bytes += len(body)
         if self._body_bytes > self.server.limits.max_body_bytes:
             self._refuse(413)
-        else:
+        elif self._reserve(self._body_bytes - self._reserved_bytes):
             self._body.append(body)
+        else:
+            self._refuse_body()
 
     def on_message_complete(self) -> None:
         """Queue the request, and start the answering task unless it is running."""
         if self._closing:
             return
+        if self._discards:
+            self.close()
+            return
         keep_alive = self._parser.should_keep_alive()
         request = Request(
             self._parser.get_method(),
@@ -142,7 +160,8 @@
         if len(self._queued) >= MAX_PIPELINED_REQUESTS:
             self._refuse(400)
             return
-        self._queued.append((request, keep_alive))
+        self._queued.append((request, keep_alive, self._reserved_bytes))
+        self._reserved_bytes = 0
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
@@ -184,7 +203,7 @@
 
     async def _serve(self) -> None:
         while self._queued and not self._closing:
-            request, keep_alive = self._queued.popleft()
+            request, keep_alive, reserved_bytes = self._queued.popleft()
             try:
                 answer = await self.server.handler(request)
             except asyncio.CancelledError:
@@ -192,6 +211,8 @@
             except Exception as error:
                 self.server.log.write(Event.UNEXPECTED_ERROR, error=repr(error))
                 answer = Answer(502)
+            finally:
+                self.server.bodies.release(reserved_bytes)
             if self._closing:
                 return
             keep_alive = keep_alive and not answer.close and not self.server.draining
@@ -203,6 +224,33 @@
         self._idle_since_ms = self.server.clock.now_ms()
         self._task = None
 
+    def _reserve(self, n_bytes: int) -> bool:
+        """Reserve room for a part of the body; return whether there is enough."""
+        if n_bytes <= 0:
+            return True
+        if not self.server.bodies.reserve(n_bytes):
+            return False
+        self._reserved_bytes += n_bytes
+        return True
+
+    def _refuse_body(self) -> None:
+        """Refuse a request for lack of memory, and read on until its end.
+
+        Closing the connection before would reset it, and the caller lose the refusal.
+        """
+        self._discards = True
+        self._body.clear()
+        self.server.bodies.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+        self.server.log.write(
+            Event.REQUEST_REFUSED,
+            refusal=f"{ResultCode.OVERLOADED.value} OVERLOADED: too many large bodies",
+        )
+        if self._task is None:
+            answer = Answer(503, [(b"retry-after", b"%d" % BODY_RETRY_AFTER_S)])
+            self.transport.write(render_answer(answer, keep_alive=False))
+        asyncio.get_running_loop().call_later(DISCARD_S, self.close)
+
     def _refuse(self, status: int) -> None:
         if self._closing:
             return
@@ -230,6 +278,9 @@
     ----------
     draining : bool
         Whether the server closes each connection after its next answer.
+    bodies : ByteBudget
+        Bound on the bodies of all requests in progress; servers of one process may
+        share it.
     """
 
     def __init__(
@@ -247,6 +298,7 @@
         self.limits = limits or RequestLimits()
         self.draining = False
         self.connections: set[ServerConnection] = set()
+        self.bodies = ByteBudget(MAX_BODY_BYTES)
         self.log = EventLogger("http1")
         self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
--- a/bulrushlead/http1/tests/test_server.py
+++ b/bulrushlead/http1/tests/test_server.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bulrushlead.http1 import Answer, RequestLimits
+from bulrushlead.http1._budget import ByteBudget
 from bulrushlead.http1.tests.conftest import read_header_section, send_and_read_all
 
 GET = b"GET /a?b=1 HTTP/1.1\r\nhost: h\r\n"
@@ -142,3 +143,64 @@
     )
     assert received.endswith(b"\r\n\r\n")
     assert b"content-length: 2\r\n" in received
+
+
+async def send_body(server, size, chunked=False):
+    """Send a body, then read the status of the answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    head = b"POST /p HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+    if chunked:
+        writer.write(head + b"transfer-encoding: chunked\r\n\r\n")
+        for _ in range(size // 1_000):
+            writer.write(b"3e8\r\n%s\r\n" % (b"x" * 1_000))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+    else:
+        writer.write(head + b"content-length: %d\r\n\r\n" % size + b"x" * size)
+    await writer.drain()
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+async def test_bodies_together_have_a_bound(serve, chunked):
+    """Guards against large bodies that end each host that takes them.
+
+    A caller whose host has run out of memory sends the same body to the next host.
+    """
+    held = []
+    release = asyncio.Event()
+
+    async def hold(request):
+        held.append(len(request.body))
+        await release.wait()
+        return Answer(200)
+
+    server = await serve(hold)
+    server.bodies = ByteBudget(2_500_000)
+    sent = [
+        asyncio.create_task(send_body(server, 1_000_000, chunked)) for _ in range(4)
+    ]
+    async with asyncio.timeout(5):
+        while sum(task.done() for task in sent) + len(held) < 4:
+            await asyncio.sleep(0.01)
+    assert held == [1_000_000] * 2
+    release.set()
+    answers = await asyncio.gather(*sent)
+    refused = [answer for answer in answers if answer.startswith(b"HTTP/1.1 503")]
+    assert len(refused) == 2
+    assert all(b"retry-after: " in answer for answer in refused)
+    assert server.bodies.used_bytes == 0
+
+
+async def test_a_caller_that_leaves_gives_its_room_back(serve):
+    server = await serve()
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(b"POST /p HTTP/1.1\r\nhost: h\r\ncontent-length: 5000\r\n\r\nxx")
+    async with asyncio.timeout(5):
+        while not server.bodies.used_bytes:
+            await asyncio.sleep(0.01)
+        writer.close()
+        while server.bodies.used_bytes:
+            await asyncio.sleep(0.01)
