List and release refused requests; test how a refusal ends

Cause: only a trial or a complete run ended a refusal; operators could neither see nor end one.

Change: commands quarantine and release-request, answered by the leading coordinator at its peer port; an unknown fingerprint is refused with NOT_FOUND. The calls about suspects have a module of their own. A release that was accepted is known to hosts with their next update; it is not in the replicated log, so that it can be lost with a leader that stops before that: the request is then still listed.

--- a/bulrushlead/cli/_main.py
+++ b/bulrushlead/cli/_main.py
@@ -6,7 +6,14 @@
 
 import defopt
 
-from bulrushlead.cli import _bench, _daemons, _explain, _operate, _query
+from bulrushlead.cli import (
+    _bench,
+    _daemons,
+    _explain,
+    _operate,
+    _quarantine,
+    _query,
+)
 from bulrushlead.results import CODES, BulrushleadError, ResultCode
 
 COMMANDS = {
@@ -25,6 +32,8 @@
     "keys": _query.keys,
     "resolve-key": _query.resolve_key,
     "forget-keys": _query.forget_keys,
+    "quarantine": _quarantine.quarantine,
+    "release-request": _quarantine.release_request,
     "bench": _bench.bench,
     "explain": _explain.explain,
 }
--- a/bulrushlead/cli/_query.py
+++ b/bulrushlead/cli/_query.py
@@ -46,7 +46,7 @@
     """
 
     async def operation() -> int:
-        reply = await _call(control, ListUnknownKeys(service, limit))
+        reply = await call_leader(control, ListUnknownKeys(service, limit))
         if json:
             print_json(reply)
             return 0
@@ -89,7 +89,7 @@
 
     async def operation() -> int:
         command = ResolveKey(key, service, attempt_id, ran, note)
-        reply = await _call(control, command)
+        reply = await call_leader(control, command)
         if not reply.applied:
             raise BulrushleadError(
                 ResultCode.NOT_FOUND,
@@ -119,7 +119,7 @@
     """
 
     async def operation() -> int:
-        reply = await _call(control, ForgetKeys(service, keep))
+        reply = await call_leader(control, ForgetKeys(service, keep))
         print(f"{reply.count} spent key(s) of service {service} forgotten")
         return 0
 
@@ -154,7 +154,8 @@
     return 0
 
 
-async def _call(addresses: list[str], request: object) -> object:
+async def call_leader(addresses: list[str], request: object) -> object:
+    """Send a request to the leader among control hosts and return its reply."""
     clock = MonotonicClock()
     client = LeaderClient(
         addresses, clock, new_rng(), lambda address: MessageClient(address, clock)
--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -9,6 +9,7 @@
 from bulrushlead.coordinator._messages import AnnounceBatch, StatusReply
 from bulrushlead.coordinator._settings import CoordinatorSettings
 from bulrushlead.coordinator._state import OrderState
+from bulrushlead.coordinator._suspect_calls import SuspectCalls
 from bulrushlead.fleet import (
     Announcement,
     FleetRegistry,
@@ -22,12 +23,7 @@
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
 from bulrushlead.placement import OwnerTable, PlacementServer
-from bulrushlead.quarantine import (
-    SuspectReport,
-    SuspectTable,
-    TrialReply,
-    TrialRequest,
-)
+from bulrushlead.quarantine import SuspectTable
 from bulrushlead.replication import ReplicatedLog
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire import MessageServer, PackedPayload, codec
@@ -120,8 +116,7 @@
         """Answer the calls of hosts and of other coordinators."""
         messages.register_handler(SyncRequest, self.handle_sync)
         messages.register_handler(AnnounceBatch, self.handle_heartbeats)
-        messages.register_handler(SuspectReport, self.handle_suspects)
-        messages.register_handler(TrialRequest, self.handle_trial_request)
+        SuspectCalls(self).register(messages)
 
     def require_leader(self) -> None:
         """Raise an error if this host is not the leader.
@@ -148,41 +143,16 @@
         self.registry.publish_limits()
         self.suspects.expire()
         self._update_owners()
-        self._notify_if_changed()
+        self.notify_if_changed()
 
     async def handle_heartbeats(self, request: AnnounceBatch) -> StatusReply:
         """Record the heartbeats that another coordinator received."""
         self.require_leader()
         for heartbeat in request.heartbeats:
             self._record_heartbeat(heartbeat)
-        self._notify_if_changed()
+        self.notify_if_changed()
         return StatusReply(True)
 
-    async def handle_suspects(self, request: SuspectReport) -> StatusReply:
-        """Record what a host learned of requests under which servers ended."""
-        self.require_leader()
-        changed = self.suspects.merge(request.suspects)
-        self._notify_if_changed()
-        return StatusReply(bool(changed))
-
-    async def handle_trial_request(self, request: TrialRequest) -> TrialReply:
-        """Let one host send a quarantined request once, if a trial is due."""
-        self.require_leader()
-        fingerprint = request.fingerprint
-        versions = self.registry.ready_versions(self.suspects.service(fingerprint))
-        trial = self.suspects.due_trial(fingerprint, versions)
-        if trial is None:
-            return TrialReply()
-        self.suspects.record_trial(fingerprint, trial)
-        self._notify_if_changed()
-        self._events.write(
-            Event.TRIAL_GRANTED,
-            fingerprint=fingerprint,
-            host_id=request.host_id,
-            trial=trial.value,
-        )
-        return TrialReply(trial.value)
-
     def apply_published(self, update: FleetUpdate) -> None:
         """Learn as a follower what a successor of the leader must know."""
         self.suspects.merge(update.suspects)
@@ -193,7 +163,7 @@
         self.registry.record_host_report(request.report)
         self.suspects.merge(request.report.suspects)
         self.owners.record_demand(request.report.demand)
-        self._notify_if_changed()
+        self.notify_if_changed()
         deadline_ms = self.clock.now_ms() + request.wait_ms
         while not self._has_changes(request.position):
             remaining_ms = deadline_ms - self.clock.now_ms()
@@ -370,7 +340,8 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    def _notify_if_changed(self) -> None:
+    def notify_if_changed(self) -> None:
+        """Answer the waiting sync requests if there is something to publish."""
         revisions = (
             self.registry.server_revision,
             self.registry.host_revision,
--- a/bulrushlead/gateway/tests/test_crashing_requests.py
+++ b/bulrushlead/gateway/tests/test_crashing_requests.py
@@ -5,7 +5,9 @@
 
 import pytest
 
-from bulrushlead.gateway.tests.steered_fleet import SteeredFleet
+from bulrushlead.gateway.tests.steered_fleet import LeaderLink, SteeredFleet
+from bulrushlead.http1 import Request
+from bulrushlead.quarantine import ReleaseRequest, request_fingerprint
 
 # From the third crash of a request until all hosts in touch have stopped it, and how
 # often it may reach servers later than that, as BUDGET states.
@@ -138,3 +140,52 @@
     answers = await fleet.send_for(6.0, SOUND_INTERVAL_S, sound)
     assert len(fleet.crashes) >= 3 * at_once
     assert served_share(answers) >= 0.98
+
+
+async def crash_three_servers(fleet):
+    """Send a bad request until it is refused."""
+    fleet.bad = {BAD_GET}
+    async with asyncio.timeout(5):
+        while (await fleet.send(0, *BAD_GET)).status != 503:
+            await asyncio.sleep(0.05)
+
+
+async def test_a_refusal_says_that_the_request_did_not_run_and_when_to_return(build):
+    fleet = await build()
+    await crash_three_servers(fleet)
+    arrivals = len(fleet.arrivals)
+    answer = await fleet.send(0, *BAD_GET)
+    assert answer.status == 503
+    assert float(answer.header(b"retry-after")) > 0
+    assert len(fleet.arrivals) == arrivals
+
+
+async def test_a_corrected_release_ends_the_refusal(build):
+    """Guards against refusing a request for good after its fault was corrected."""
+    fleet = await build()
+    await crash_three_servers(fleet)
+    fleet.fixed_version = "v2"
+    for server in fleet.servers:
+        server.version = "v2"
+        if server.is_running:
+            server.crash()
+    async with asyncio.timeout(10):
+        while (await fleet.send(1, *BAD_GET)).status != 200:
+            await asyncio.sleep(0.2)
+    answers = await fleet.send_for(1.0, SOUND_INTERVAL_S, [BAD_GET])
+    assert served_share(answers) >= MIN_SERVED_SHARE
+
+
+async def test_an_operator_ends_the_refusal_at_all_hosts(build):
+    fleet = await build()
+    await crash_three_servers(fleet)
+    fleet.bad = set()
+    await LeaderLink(fleet).call(ReleaseRequest(request_fingerprint_of(BAD_GET)), 1_000)
+    await asyncio.sleep(1.0)
+    answers = await fleet.send_for(1.0, SOUND_INTERVAL_S, [BAD_GET])
+    assert served_share(answers) >= MIN_SERVED_SHARE
+
+
+def request_fingerprint_of(request):
+    target, body = request
+    return request_fingerprint(Request(b"GET", target, [(b"host", b"h")], body))
--- a/bulrushlead/quarantine/__init__.py
+++ b/bulrushlead/quarantine/__init__.py
@@ -3,6 +3,9 @@
 from bulrushlead.quarantine._fingerprint import request_fingerprint
 from bulrushlead.quarantine._messages import (
     CrashNotice,
+    ListQuarantine,
+    QuarantineReply,
+    ReleaseRequest,
     SuspectNotice,
     SuspectReport,
     TrialReply,
@@ -15,6 +18,9 @@
 __all__ = [
     "Crash",
     "CrashNotice",
+    "ListQuarantine",
+    "QuarantineReply",
+    "ReleaseRequest",
     "RequestWitness",
     "Run",
     "RunEnd",
--- a/bulrushlead/quarantine/_messages.py
+++ b/bulrushlead/quarantine/_messages.py
@@ -89,3 +89,34 @@
     """
 
     trial: str = ""
+
+
+@message("quarantine.list")
+class ListQuarantine:
+    """An operator's call for the requests that are refused."""
+
+
+@message("quarantine.list_reply")
+class QuarantineReply:
+    """Answer to a ``ListQuarantine``.
+
+    Parameters
+    ----------
+    requests : dict of str to SuspectNotice
+        Evidence on each refused request, by fingerprint.
+    """
+
+    requests: dict[str, SuspectNotice]
+
+
+@message("quarantine.release")
+class ReleaseRequest:
+    """An operator's call to send a request again.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Fingerprint of the request.
+    """
+
+    fingerprint: str
