Compute the digest of a body while it arrives

Evidence: the tests of http1/, quarantine/, relay/ and platform/ pass; a new one sends one body with a length and in chunks and finds the same fingerprint.

--- a/bulrushlead/http1/__init__.py
+++ b/bulrushlead/http1/__init__.py
@@ -1,8 +1,10 @@
 """HTTP/1.1 connections to callers and backend servers, parsed by ``httptools``."""
 
 from bulrushlead.http1._client import ClientConnection, ExchangeError, ExchangeFault
+from bulrushlead.http1._limits import RequestLimits
 from bulrushlead.http1._messages import (
     Answer,
+    BodyDigest,
     HeaderList,
     Request,
     find_header,
@@ -11,11 +13,12 @@
     render_request,
 )
 from bulrushlead.http1._pool import CONNECT_TIMEOUT_MS, ConnectionPool
-from bulrushlead.http1._server import HttpServer, RequestLimits, ServerConnection
+from bulrushlead.http1._server import HttpServer, ServerConnection
 
 __all__ = [
     "CONNECT_TIMEOUT_MS",
     "Answer",
+    "BodyDigest",
     "ClientConnection",
     "ConnectionPool",
     "ExchangeError",
--- a/bulrushlead/http1/_messages.py
+++ b/bulrushlead/http1/_messages.py
@@ -1,5 +1,6 @@
 """Requests and answers, and how they are rendered as bytes."""
 
+import hashlib
 from http import HTTPStatus
 
 import attrs
@@ -28,6 +29,25 @@
 BODILESS_STATUSES = frozenset({204, 304})
 
 
+class BodyDigest:
+    """Cryptographic digest of a body, computed as it arrives.
+
+    The digest of a large body at once would hold up all other requests of the host.
+
+    Parameters
+    ----------
+    data : bytes, optional
+        First part of the body.
+    """
+
+    SIZE_BYTES = 16
+
+    def __init__(self, data: bytes = b""):
+        self._hash = hashlib.blake2b(data, digest_size=self.SIZE_BYTES)
+        self.update = self._hash.update
+        self.digest = self._hash.digest
+
+
 @attrs.define(eq=False)
 class Request:
     """One complete request from a caller.
@@ -44,6 +64,8 @@
         Complete body, without transfer coding.
     received_ms : float
         When its first byte arrived, in milliseconds of the host's clock.
+    body_digest : bytes
+        Digest of the body; computed from the body if it is not given.
     """
 
     method: bytes
@@ -51,6 +73,11 @@
     headers: HeaderList
     body: bytes = b""
     received_ms: float = 0.0
+    body_digest: bytes = attrs.field(
+        default=attrs.Factory(
+            lambda request: BodyDigest(request.body).digest(), takes_self=True
+        )
+    )
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a field, by its lower-case name, or None."""
--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -5,12 +5,18 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
-import attrs
 import httptools
 
 from bulrushlead.clock import Clock
 from bulrushlead.http1._budget import MAX_BODY_BYTES, ByteBudget
-from bulrushlead.http1._messages import Answer, Request, find_header, render_answer
+from bulrushlead.http1._limits import RequestLimits
+from bulrushlead.http1._messages import (
+    Answer,
+    BodyDigest,
+    Request,
+    find_header,
+    render_answer,
+)
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.results import ResultCode
 
@@ -23,25 +29,6 @@
 Handler = Callable[[Request], Awaitable[Answer]]
 
 
-@attrs.frozen
-class RequestLimits:
-    """Limits on the size and duration of a caller's requests.
-
-    Parameters
-    ----------
-    max_header_bytes, max_body_bytes : int
-        Largest request line with header fields, and largest body, in bytes.
-    header_timeout_ms, idle_timeout_ms : float
-        Longest time to receive the header fields, and between two requests, in
-        milliseconds.
-    """
-
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 64 * 1024 * 1024
-    header_timeout_ms: float = 5_000
-    idle_timeout_ms: float = 30_000
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection of a caller; a single task answers its requests in order.
 
@@ -137,6 +124,7 @@
             self._refuse(413)
         elif self._reserve(self._body_bytes - self._reserved_bytes):
             self._body.append(body)
+            self._body_digest.update(body)
         else:
             self._refuse_body()
 
@@ -154,6 +142,7 @@
             self._headers,
             b"".join(self._body),
             self._first_byte_ms or self.server.clock.now_ms(),
+            self._body_digest.digest(),
         )
         self._first_byte_ms = None
         self._start_message()
@@ -196,6 +185,7 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
+        self._body_digest = BodyDigest()
         self._body_bytes = 0
         self._header_bytes = 0
         self._in_header_section = True
--- a/bulrushlead/quarantine/_fingerprint.py
+++ b/bulrushlead/quarantine/_fingerprint.py
@@ -33,5 +33,5 @@
         # The lengths keep two requests apart whose parts are divided differently.
         digest.update(b"%d:" % len(part))
         digest.update(part)
-    digest.update(request.body)
+    digest.update(request.body_digest)
     return digest.hexdigest()
--- a/bulrushlead/quarantine/tests/test_fingerprint.py
+++ b/bulrushlead/quarantine/tests/test_fingerprint.py
@@ -1,6 +1,9 @@
+import asyncio
+
 import pytest
 
-from bulrushlead.http1 import Request
+from bulrushlead.clock import MonotonicClock
+from bulrushlead.http1 import Answer, HttpServer, Request
 from bulrushlead.quarantine import request_fingerprint
 
 HEADERS = [(b"host", b"h"), (b"request-id", b"1"), (b"deadline-ms", b"900")]
@@ -41,5 +44,29 @@
     assert fingerprint(**changes) != fingerprint()
 
 
+async def test_a_body_that_arrives_in_chunks_keeps_its_fingerprint():
+    """Guards against counting one body with and without a length as two."""
+    received = []
+
+    async def record(request):
+        received.append(request)
+        return Answer(200)
+
+    server = HttpServer("127.0.0.1", 0, record, MonotonicClock())
+    await server.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    head = b"POST /a/x HTTP/1.1\r\nhost: h\r\n"
+    writer.write(head + b"content-length: 4\r\n\r\nbody")
+    writer.write(head + b"transfer-encoding: chunked\r\n\r\n2\r\nbo\r\n")
+    await writer.drain()
+    await asyncio.sleep(0.01)
+    writer.write(b"2\r\ndy\r\n0\r\n\r\n")
+    for _ in range(2):
+        await reader.readuntil(b"\r\n\r\n")
+    await server.close()
+    writer.close()
+    assert {request_fingerprint(request) for request in received} == {fingerprint()}
+
+
 def test_a_fingerprint_does_not_show_the_body():
     assert "secret" not in fingerprint(body=b"secret")
