Refuse documents that could not be stored before they are read

An operator's document of up to 64 MiB was read and decoded by a coordinator, which takes several times its size of the 296 MB there; without an answer it is sent to the next coordinator.

Change: the control interface reads at most 4 MiB, the largest message between hosts, and the directory 16 KiB; more is refused with 413, which ends a call at once.

Evidence: test_a_call_that_could_not_be_stored_is_refused_before_it_is_read; before, both had the default limits. Tests of platform/ and of the processes pass.

--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -295,10 +295,16 @@
         self._timeout_task: asyncio.Task | None = None
 
     @classmethod
-    def at(cls, address: str, handler: Handler, clock: Clock) -> "HttpServer":
+    def at(
+        cls,
+        address: str,
+        handler: Handler,
+        clock: Clock,
+        limits: RequestLimits | None = None,
+    ) -> "HttpServer":
         """Return a server that will listen on ``host:port``."""
         host, _, port = address.rpartition(":")
-        return cls(host, int(port), handler, clock)
+        return cls(host, int(port), handler, clock, limits)
 
     async def start(self) -> None:
         """Listen for connections."""
--- a/bulrushlead/platform/_control.py
+++ b/bulrushlead/platform/_control.py
@@ -5,16 +5,20 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.coordinator import Coordinator
-from bulrushlead.http1 import Answer, Request
+from bulrushlead.http1 import Answer, Request, RequestLimits
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.platform._heartbeats import decode_born_ms, decode_heartbeat
 from bulrushlead.platform._plans import decode_plan
 from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.wire import MAX_MESSAGE_BYTES
 
 _JSON = (b"content-type", b"application/json")
 # A caller retries at another host after one second. A call that was delayed longer,
 # for example because this host was suspended, must not take effect late.
 MAX_CALL_AGE_MS = 1_000
+# No larger document could be stored. Without a bound, one that takes more memory than a
+# host has would end one coordinator after the other, since it is sent again.
+LIMITS = RequestLimits(max_body_bytes=MAX_MESSAGE_BYTES)
 _CLIENT_ERRORS = frozenset(
     {
         ResultCode.DECLARATION_INVALID,
--- a/bulrushlead/platform/_directory.py
+++ b/bulrushlead/platform/_directory.py
@@ -5,8 +5,9 @@
 from urllib.parse import parse_qs
 
 from bulrushlead.fleet import FleetView, HostRecord
-from bulrushlead.http1 import Answer, Request
+from bulrushlead.http1 import Answer, Request, RequestLimits
 
+LIMITS = RequestLimits(max_body_bytes=16 * 1024)  # look-ups have no body
 MAX_ADDRESSES = 64  # callers ignore any further addresses
 MIN_ADDRESSES = 2  # a caller needs an alternative when a host fails
 TTL_MS = 2_000  # longest time for which callers may use a failed host's address
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -134,8 +134,7 @@
     async def _start_control(self, stack) -> CompactMeters:
         # Imported here to save memory: a host loads only the program that it runs.
         from bulrushlead.coordinator import Coordinator
-        from bulrushlead.platform._control import ControlInterface
-        from bulrushlead.platform._directory import Directory
+        from bulrushlead.platform import _control, _directory
 
         settings, clock = self.settings, self.clock
         coordinator = Coordinator(
@@ -149,12 +148,17 @@
             lambda new: coordinator.reload(new.for_coordinator())
         )
         if settings.serves_control:
-            interface = ControlInterface(coordinator, settings.zone_regions, clock)
+            interface = _control.ControlInterface(
+                coordinator, settings.zone_regions, clock
+            )
             await self._start_component(
-                stack, HttpServer.at(settings.control_address, interface.answer, clock)
+                stack,
+                HttpServer.at(
+                    settings.control_address, interface.answer, clock, _control.LIMITS
+                ),
             )
         if settings.serves_directory:
-            directory = Directory(
+            directory = _directory.Directory(
                 coordinator.view,
                 settings.zone_regions,
                 settings.lookup_ttl_ms,
@@ -162,7 +166,12 @@
             )
             await self._start_component(
                 stack,
-                HttpServer.at(settings.directory_address, directory.answer, clock),
+                HttpServer.at(
+                    settings.directory_address,
+                    directory.answer,
+                    clock,
+                    _directory.LIMITS,
+                ),
             )
             self._reload_callbacks.append(
                 lambda new: directory.set_max_ttl(new.lookup_ttl_ms)
--- a/bulrushlead/platform/tests/test_hostile_input.py
+++ b/bulrushlead/platform/tests/test_hostile_input.py
@@ -4,6 +4,7 @@
 from sending any update, or a program from handling any request.
 """
 
+import asyncio
 import tomllib
 
 import pytest
@@ -11,7 +12,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bulrushlead.clock import MonotonicClock
 from bulrushlead.dispatch import DispatchSettings
+from bulrushlead.http1 import Answer, HttpServer
+from bulrushlead.platform import _control, _directory
 from bulrushlead.platform._heartbeats import decode_born_ms, decode_heartbeat
 from bulrushlead.platform._plans import decode_plan
 from bulrushlead.platform._settings import load_host_settings
@@ -163,3 +167,27 @@
     assert isinstance(settings.for_gateway().dispatch, DispatchSettings)
     assert all(isinstance(seed, str) for seed in settings.seeds)
     assert all(isinstance(region, str) for region in settings.zone_regions.values())
+
+
+@pytest.mark.parametrize("limits", [_control.LIMITS, _directory.LIMITS])
+async def test_a_call_that_could_not_be_stored_is_refused_before_it_is_read(limits):
+    """Guards against one document that ends coordinator after coordinator.
+
+    Decoded, a document takes several times its size, and a call that gets no answer
+    is sent to the next one.
+    """
+    handled = []
+
+    async def record(request):
+        handled.append(len(request.body))
+        return Answer(200)
+
+    server = HttpServer("127.0.0.1", 0, record, MonotonicClock(), limits)
+    await server.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(b"POST / HTTP/1.1\r\ncontent-length: 9000000\r\n\r\n")
+    writer.write(b" " * 4_500_000)
+    assert (await reader.read(12)).endswith(b"413")
+    writer.close()
+    await server.close()
+    assert handled == []
