Confirm only evidence that each report on its way contains

Cause: while a host searches for the leader it sends its report to several coordinators; the reply to an earlier one confirmed what only a later one contained, so that no leader heard of that crash until the next change.

Change: a reply confirms what all reports since the last reply contain. Evidence: test_a_reply_confirms_only_what_each_report_on_its_way_contains failed before.

--- a/bulrushlead/quarantine/_witness.py
+++ b/bulrushlead/quarantine/_witness.py
@@ -113,7 +113,7 @@
         self._unsettled_count = 0
         self._lost_at: dict[str, set[str]] = {}  # incarnations by fingerprint
         self._delivered: dict[str, tuple[str, int]] = {}
-        self._reported: dict[str, int] = {}
+        self._reported: dict[str, int] | None = None
         self._log = EventLogger("quarantine")
 
     def hold(self, fingerprint: str) -> Hold | None:
@@ -232,14 +232,18 @@
     def report(self, epoch: str) -> dict[str, SuspectNotice]:
         """Return the same, for a report that the next call of ``apply`` confirms."""
         suspects = self.undelivered(epoch)
-        self._reported = {f: self.table.revision_of(f) for f in suspects}
+        reported = {f: self.table.revision_of(f) for f in suspects}
+        if self._reported is not None:
+            # Several reports may be on their way; a reply confirms what all contain.
+            reported = dict(reported.items() & self._reported.items())
+        self._reported = reported
         return suspects
 
     def apply(self, epoch: str, notices: dict[str, SuspectNotice]) -> None:
         """Apply what a leader published in its reply to the last report."""
-        for fingerprint, revision in self._reported.items():
+        for fingerprint, revision in (self._reported or {}).items():
             self._delivered[fingerprint] = (epoch, revision)
-        self._reported = {}
+        self._reported = None
         if len(self._delivered) > 2 * len(self.table):
             self._delivered = {
                 f: sent for f, sent in self._delivered.items() if f in self.table
--- a/bulrushlead/quarantine/tests/test_witness.py
+++ b/bulrushlead/quarantine/tests/test_witness.py
@@ -126,6 +126,19 @@
     assert set(witness.report("two")) == {"f"}
 
 
+def test_a_reply_confirms_only_what_each_report_on_its_way_contains(witness):
+    """Guards against evidence that no leader has and that is not told again.
+
+    A host that searches for the leader sends its report to several coordinators.
+    """
+    crash(witness, "s1", "first")
+    witness.report("one")
+    crash(witness, "s2", "second")
+    witness.report("one")
+    witness.apply("one", {})
+    assert set(witness.report("one")) == {"second"}
+
+
 def test_evidence_of_other_hosts_counts_and_own_runs_clear_it(witness, clock):
     others = [RequestWitness(clock) for _ in range(3)]
     complete(witness, "sound")
