--- a/bulrushlead/cli/_explain.py
+++ b/bulrushlead/cli/_explain.py
@@ -9,6 +9,8 @@
 # Fields that are printed in the heading or left out because every line has them.
 _HEADING_FIELDS = frozenset({"time", "level", "event", "name", "slice"})
 
+_IDENTIFIERS = ("request_id", "server_id", "fingerprint")
+
 
 @attrs.frozen
 class _Line:
@@ -25,8 +27,9 @@
     Parameters
     ----------
     request_id : str
-        Identifier of a request, or of a backend server. For a server, the lines of
-        requests that tried it are printed too.
+        Identifier of a request, or of a backend server, or fingerprint of a request
+        under which servers ended. For a server, the lines of requests that tried it
+        are printed too.
     log_files : str
         Log files of hosts, in JSON format.
     """
@@ -74,8 +77,10 @@
 
 
 def _mentions(line: _Line, identifier: str) -> bool:
-    if identifier in (line.fields.get("request_id"), line.fields.get("server_id")):
+    if identifier in (line.fields.get(name) for name in _IDENTIFIERS):
         return True
+    if identifier in line.fields.get("refusal", "").replace(";", " ").split():
+        return True  # a refused request names its fingerprint there
     return identifier in _attempted_servers(line)
 
 
--- a/bulrushlead/cli/tests/test_explain.py
+++ b/bulrushlead/cli/tests/test_explain.py
@@ -56,3 +56,26 @@
 def test_unknown_identifier_is_an_error(log_files, capsys):
     assert explain("r9", *log_files) == 1
     assert "no line about r9" in capsys.readouterr().out
+
+
+def test_explain_fingerprint_includes_crashes_and_refusals(tmp_path, capsys):
+    """Guards against a refusal that leads to no server that ended."""
+    lines = [
+        {"time": "1", "event": 630, "name": "REQUEST_SUSPECTED", "fingerprint": "f0"},
+        {
+            "time": "2",
+            "event": 211,
+            "name": "REQUEST_REFUSED",
+            "request_id": "r4",
+            "refusal": "3211 REQUEST_QUARANTINED: 3 servers have ended under request "
+            "f0; retry after 57186 ms",
+        },
+        {"time": "3", "event": 630, "name": "REQUEST_SUSPECTED", "fingerprint": "f1"},
+    ]
+    log = tmp_path / "edge.log"
+    log.write_text("\n".join(json.dumps(line) for line in lines))
+    assert explain("f0", str(log)) == 0
+    text = capsys.readouterr().out
+    assert "REQUEST_SUSPECTED" in text
+    assert "request_id: r4" in text
+    assert "f1" not in text
