Judge evidence that arrives together together, and notice a closed probe at once

Cause: a host that started logged a sound request as quarantined for a millisecond (soak, edge-0, no request refused), since a notice was judged before the one that explains its crashes.

Change: verdicts follow after all notices of a message are merged; a probe ends when its connection does. The soak reports sound requests that are quarantined.

Evidence: test_evidence_that_arrives_together_is_judged_together failed before. Tests of quarantine/ and of the soak's checker pass.

--- a/bulrushlead/gateway/_crash_check.py
+++ b/bulrushlead/gateway/_crash_check.py
@@ -12,6 +12,7 @@
 # Something in front of a server may accept a connection before it learns that the
 # server has ended. It closes it within a round trip to the farthest region.
 SETTLE_MS = 150
+SETTLE_STEP_MS = 5.0  # what a host learns at once can spare another server
 
 
 class ServerFate(Enum):
@@ -86,7 +87,9 @@
             )
             fate = ServerFate.ENDED if is_closed else ServerFate.SILENT
             return fate, error.detail
-        await self.clock.sleep_ms(SETTLE_MS)
+        open_until_ms = self.clock.now_ms() + SETTLE_MS
+        while connection.is_reusable and self.clock.now_ms() < open_until_ms:
+            await self.clock.sleep_ms(SETTLE_STEP_MS)
         is_open = connection.is_reusable
         self.pool.release(address, connection)
         if is_open:
--- a/bulrushlead/quarantine/_table.py
+++ b/bulrushlead/quarantine/_table.py
@@ -145,7 +145,9 @@
                 suspect = self._add(fingerprint, notice.service)
             if suspect.merge(notice, now_ms):
                 changed.add(fingerprint)
-                self._record_change(fingerprint, suspect)
+                self._advance(fingerprint, suspect)
+        # Only now, since one notice may explain the crashes of another.
+        self._update_quarantine(changed)
         return changed
 
     def due_trial(self, fingerprint: str, versions: Iterable[str]) -> Trial | None:
@@ -284,6 +286,11 @@
         return explained
 
     def _record_change(self, fingerprint: str, suspect: Suspect) -> None:
+        self._advance(fingerprint, suspect)
+        self._update_quarantine({fingerprint})
+
+    def _advance(self, fingerprint: str, suspect: Suspect) -> None:
+        """Give a request that has changed its new revisions."""
         suspect.changed_ms = self.clock.now_ms()
         self.revision += 1
         suspect.revision = self.revision
@@ -294,23 +301,23 @@
         if suspect.published_revision or fingerprint in self._repeated:
             self.published_revision += 1
             suspect.published_revision = self.published_revision
-        self._update_quarantine(fingerprint)
-        # Its crashes may have been held against others.
-        for other in list(self._quarantined - {fingerprint}):
-            self._update_quarantine(other)
 
-    def _update_quarantine(self, fingerprint: str) -> None:
+    def _update_quarantine(self, changed: set[str]) -> None:
+        """Judge the requests that changed, then those that they may explain."""
+        for fingerprint in changed - self._quarantined:
+            if self.crash_count(fingerprint) >= CONVICTING_CRASHES:
+                self._quarantined.add(fingerprint)
+                self._log_verdict(fingerprint, Event.REQUEST_QUARANTINED)
+        for fingerprint in list(self._quarantined):
+            if self.crash_count(fingerprint) < CONVICTING_CRASHES:
+                self._quarantined.discard(fingerprint)
+                self._log_verdict(fingerprint, Event.QUARANTINE_ENDED)
+
+    def _log_verdict(self, fingerprint: str, event: Event) -> None:
         suspect = self._suspects[fingerprint]
-        is_quarantined = self.crash_count(fingerprint) >= CONVICTING_CRASHES
-        if is_quarantined == (fingerprint in self._quarantined):
-            return
         now_ms = self.clock.now_ms()
-        if is_quarantined:
-            self._quarantined.add(fingerprint)
-        else:
-            self._quarantined.discard(fingerprint)
         self._log.write(
-            Event.REQUEST_QUARANTINED if is_quarantined else Event.QUARANTINE_ENDED,
+            event,
             fingerprint=fingerprint,
             service=suspect.service,
             crash_ages_ms={
--- a/bulrushlead/quarantine/tests/test_table.py
+++ b/bulrushlead/quarantine/tests/test_table.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from bulrushlead.clock import ManualClock
+from bulrushlead.logs import Event
 from bulrushlead.quarantine import (
     Crash,
     CrashNotice,
@@ -154,6 +155,24 @@
     assert table.crash_count("same") == 0
 
 
+def test_evidence_that_arrives_together_is_judged_together(table, clock, monkeypatch):
+    """Guards against a host that starts, and refuses what another notice explains."""
+    events = []
+    monkeypatch.setattr(table._log, "write", lambda event, **_: events.append(event))
+    for number in range(4):
+        sent_ms = 999_000.0 + 100 * number
+        crash(table, f"s{number}", sent_ms, sent_ms + 60, "same", 998_990.0)
+        crash(table, f"s{number}", sent_ms, sent_ms + 60, "bad")
+    notices = table.changed_since(0)
+    assert list(notices) == ["same", "bad"]
+    other = SuspectTable(clock)
+    events.clear()
+    monkeypatch.setattr(other._log, "write", lambda event, **_: events.append(event))
+    other.merge(notices)
+    assert other.quarantined == {"bad"}
+    assert events == [Event.REQUEST_QUARANTINED]
+
+
 def test_a_request_that_was_sound_is_tried_again_soon(table, clock):
     """Guards against refusing for long what all callers send."""
     for number in range(3):
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import random
 import tempfile
@@ -10,6 +11,8 @@
 
 import aiohttp
 
+from bulrushlead.http1 import Request
+from bulrushlead.quarantine import request_fingerprint
 from tests.soak.backends import Backend, Caller, Operator, call_control
 from tests.soak.checker import InvariantChecker
 from tests.soak.faults import CRASHES, CUTS, FAULTS, PLANNED
@@ -194,6 +197,24 @@
         self.checker.check_after_recovery(document)
         for edge in self.edges:
             self.checker.check_readiness(edge.name, await self._is_ready(edge))
+        self._check_quarantine()
+
+    def _check_quarantine(self):
+        """Check that the logs name no sound request as quarantined."""
+        bad = {
+            request_fingerprint(Request(method, path.encode(), [(b"host", b"h")]))
+            for path in self.crashing_paths
+            for method in (b"GET", b"POST")
+        }
+        quarantined = set()
+        for path in self.folder.glob("edge-*/log-*.txt"):
+            for line in path.read_text(errors="replace").splitlines():
+                if '"REQUEST_QUARANTINED", "slice"' in line:
+                    quarantined.add(json.loads(line)["fingerprint"])
+        for fingerprint in sorted(quarantined - bad):
+            self.checker.record_violation(
+                "BUDGET", f"sound request {fingerprint} was quarantined"
+            )
 
     async def _is_ready(self, edge):
         url = f"http://{edge.ip}:{READY_PORT}/v1/ready"
