Count no crash that a bad request is set free by, nor one of a server long gone

Causes, from its logs: (1) a second bad request with more crashes explained one of the first one's three; (2) it had that crash only because a proxy accepts connections for a server that is gone, so that requests sent later count as lost in the crash; (3) a host that had just started remembers no complete runs, and took the most frequent request for one that never completed; (4) crashes of that request that runs at other hosts clear were not told to them, as only one host knew of them.

Change: only requests that completed runs lately, now two minutes, are cleared by others; a request sent after the server was first seen to end is no suspect; a host refuses in its first 30 s only what the leader has published; the leader publishes requests that completed runs with their first crash.

Ruled out: keeping the explanation for convicted requests only, which makes the verdict depend on the order of reports.

--- a/bulrushlead/quarantine/_suspect.py
+++ b/bulrushlead/quarantine/_suspect.py
@@ -14,7 +14,7 @@
 MAX_CRASHES = 8  # kept of one request; the newest ones
 # A request that completed a run this long before its crashes is probably sound: what is
 # sent often is in progress wherever servers end.
-RECENT_RUN_MS = 30_000
+RECENT_RUN_MS = 120_000
 
 
 class Trial(Enum):
--- a/bulrushlead/quarantine/_table.py
+++ b/bulrushlead/quarantine/_table.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Container, Iterable
 
+import attrs
+
 from bulrushlead.clock import Clock
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.quarantine._messages import SuspectNotice
@@ -13,8 +15,8 @@
     is_valid_notice,
 )
 
-# Hosts tell each other, through the leader, of requests with this many crashes. Each
-# crash leaves several sound ones with a single one.
+# Hosts tell each other, through the leader, of requests with this many crashes, and of
+# those that completed runs before. Each crash leaves several others with a single one.
 PUBLISHED_CRASHES = 2
 RECHECK_AFTER_MS = 1_000  # from the last crash to the trial of one that was sound
 RETAINED_MS = 60_000  # callers repeat a request within seconds
@@ -22,6 +24,8 @@
 PAUSE_MS = 60_000  # from the last crash to the only trial of any other one
 _TRIAL_AFTER_MS = {Trial.RECHECK: RECHECK_AFTER_MS, Trial.PAUSE: PAUSE_MS}
 MAX_SUSPECTS = 2_000
+# Ages that hosts report grow by the time that a report travels.
+MAX_AGE_ERROR_MS = 100
 MAX_NAME_LENGTH = 200  # of services, versions and incarnations in a notice
 
 
@@ -49,6 +53,7 @@
         self.revision = 0
         self.published_revision = 0
         self._suspects: dict[str, Suspect] = {}
+        self._ended_ms: dict[str, float] = {}  # by incarnation
         self._repeated: set[str] = set()  # those with PUBLISHED_CRASHES or more
         self._quarantined: set[str] = set()
         self._log = EventLogger("quarantine")
@@ -103,6 +108,8 @@
             End of the last complete run that this host remembers, in milliseconds.
         """
         suspect = self._suspects.get(fingerprint)
+        if not self._is_in_time(incarnation, crash):
+            return False
         if suspect is None:
             if crash.sent_ms < completed_ms:
                 return False
@@ -143,7 +150,15 @@
                 if not notice.crashes:
                     continue
                 suspect = self._add(fingerprint, notice.service)
-            if suspect.merge(notice, now_ms):
+            crashes = {
+                incarnation: crash
+                for incarnation, crash in notice.crashes.items()
+                if self._is_in_time(
+                    incarnation,
+                    Crash(now_ms - crash.sent_age_ms, now_ms - crash.ended_age_ms),
+                )
+            }
+            if suspect.merge(attrs.evolve(notice, crashes=crashes), now_ms):
                 changed.add(fingerprint)
                 self._advance(fingerprint, suspect)
         # Only now, since one notice may explain the crashes of another.
@@ -258,6 +273,31 @@
         self._quarantined.discard(fingerprint)
         self._repeated.discard(fingerprint)
 
+    def _is_in_time(self, incarnation: str, crash: Crash) -> bool:
+        """Return whether a request was sent before its server was seen to end.
+
+        What accepts connections in front of a server may outlive it: requests that come
+        later are lost, too.
+        """
+        ended_ms = self._ended_ms.setdefault(incarnation, crash.ended_ms)
+        if crash.ended_ms < ended_ms:
+            self._ended_ms[incarnation] = ended_ms = crash.ended_ms
+            self._drop_late(incarnation, ended_ms)
+        while len(self._ended_ms) > MAX_SUSPECTS:
+            del self._ended_ms[next(iter(self._ended_ms))]
+        return crash.sent_ms <= ended_ms + MAX_AGE_ERROR_MS
+
+    def _drop_late(self, incarnation: str, ended_ms: float) -> None:
+        """Drop what counted only while the server was thought to have ended later."""
+        dropped = set()
+        for fingerprint, suspect in self._suspects.items():
+            crash = suspect.crashes.get(incarnation)
+            if crash is not None and crash.sent_ms > ended_ms + MAX_AGE_ERROR_MS:
+                del suspect.crashes[incarnation]
+                self._advance(fingerprint, suspect)
+                dropped.add(fingerprint)
+        self._update_quarantine(dropped)
+
     def _is_due(self, suspect: Suspect, trial: Trial, versions: Iterable[str]) -> bool:
         since_crash_ms = self.clock.now_ms() - suspect.last_ended_ms
         match trial:
@@ -269,21 +309,19 @@
         return any(version and version not in crashed for version in versions)
 
     def _explained(self, fingerprint: str, suspect: Suspect) -> Container[str]:
-        """Return the incarnations whose end another request explains better.
+        """Return the incarnations whose end another request explains.
 
         One that completed runs lately is cleared by any other one that did not and that
-        crashed a second server, too. Otherwise it takes one with more crashes.
+        crashed a second server, too.
         """
-        lately = suspect.completed_lately
-        own_count = suspect.crash_count()
-        explained: set[str] = set()
-        for name in self._repeated:
-            other = self._suspects[name]
-            if name == fingerprint or other.completed_lately:
-                continue
-            if lately or (name in self._quarantined and len(other.crashes) > own_count):
-                explained.update(other.crashes)
-        return explained
+        if not suspect.completed_lately:
+            return ()
+        return {
+            incarnation
+            for name in self._repeated
+            if name != fingerprint and not self._suspects[name].completed_lately
+            for incarnation in self._suspects[name].crashes
+        }
 
     def _record_change(self, fingerprint: str, suspect: Suspect) -> None:
         self._advance(fingerprint, suspect)
@@ -298,7 +336,12 @@
             self._repeated.add(fingerprint)
         else:
             self._repeated.discard(fingerprint)
-        if suspect.published_revision or fingerprint in self._repeated:
+        if (
+            suspect.published_revision
+            or fingerprint in self._repeated
+            # Other hosts may have completed it since, and so clear it.
+            or (suspect.crashes and suspect.was_sound)
+        ):
             self.published_revision += 1
             suspect.published_revision = self.published_revision
 
--- a/bulrushlead/quarantine/_witness.py
+++ b/bulrushlead/quarantine/_witness.py
@@ -16,6 +16,7 @@
 MAX_UNSETTLED_RUNS = 2_000
 # A server that has gone silent misses several heartbeats before the leader says so.
 UNSETTLED_MS = 10_000
+MIN_MEMORY_MS = 30_000  # in which a host has seen the requests that come often
 # A run that is in progress may settle what is known of the same request by then.
 RUNNING_RETRY_AFTER_MS = 300
 # From here on a request is sent to one server at a time, and is not retried: another
@@ -114,11 +115,13 @@
         self._lost_at: dict[str, set[str]] = {}  # incarnations by fingerprint
         self._delivered: dict[str, tuple[str, int]] = {}
         self._reported: dict[str, int] | None = None
+        self._started_ms = clock.now_ms()
+        self._published: set[str] = set()
         self._log = EventLogger("quarantine")
 
     def hold(self, fingerprint: str) -> Hold | None:
         """Return why a request may not be sent now, or None if it may."""
-        if fingerprint not in self.table:
+        if fingerprint not in self.table or not self._may_judge(fingerprint):
             return None
         count = self.table.crash_count(fingerprint)
         if count >= CONVICTING_CRASHES:
@@ -248,11 +251,22 @@
             self._delivered = {
                 f: sent for f, sent in self._delivered.items() if f in self.table
             }
+        self._published = {f for f in self._published if f in self.table}
+        self._published |= notices.keys()
         for fingerprint in self.table.merge(notices):
             completed_ms = self._completed_ms.get(fingerprint, -math.inf)
             if self.table.record_completed(fingerprint, completed_ms):
                 self._notify()
 
+    def _may_judge(self, fingerprint: str) -> bool:
+        """Return whether this host knows enough to refuse a request.
+
+        One that has just started remembers no complete runs. It may refuse what the
+        leader has published, and so what all hosts could clear.
+        """
+        age_ms = self.clock.now_ms() - self._started_ms
+        return age_ms >= MIN_MEMORY_MS or fingerprint in self._published
+
     def _notify(self) -> None:
         if self.on_evidence is not None:
             self.on_evidence()
