--- a/bulrushlead/gateway/tests/steered_fleet.py
+++ b/bulrushlead/gateway/tests/steered_fleet.py
@@ -158,6 +158,11 @@
             self.close()
         self.fleet.spawn(self._restart())
 
+    def reset_connections(self):
+        """Reset all open connections; new ones are accepted."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _restart(self):
         await asyncio.sleep(RESTART_AFTER_S)
         if self.is_silent:
--- a/bulrushlead/gateway/tests/test_crashing_requests.py
+++ b/bulrushlead/gateway/tests/test_crashing_requests.py
@@ -142,6 +142,33 @@
     assert served_share(answers) >= 0.98
 
 
+@pytest.mark.parametrize("sound", [SOUND_GETS, SAME_GET], ids=["many", "one"])
+async def test_connections_that_are_reset_make_no_request_a_suspect(build, sound):
+    """Guards against taking lost connections for crashes."""
+    fleet = await build()
+
+    async def reset_in_turn():
+        for server in itertools.cycle(fleet.servers):
+            await asyncio.sleep(0.1)
+            server.reset_connections()
+
+    fleet.spawn(reset_in_turn())
+    answers = await fleet.send_for(3.0, SOUND_INTERVAL_S, sound)
+    assert served_share(answers) >= 0.98
+    assert not any(len(gateway.witness.table) for gateway in fleet.gateways)
+
+
+@pytest.mark.parametrize("sound", [SOUND_GETS, SAME_GET], ids=["many", "one"])
+async def test_a_zone_that_goes_silent_convicts_no_request(build, sound):
+    """Guards against refusing what was in progress in a zone that was lost."""
+    fleet = await build(servers=12)
+    await fleet.send_for(0.5, SOUND_INTERVAL_S, sound)
+    for server in fleet.servers[::3]:
+        server.crash(is_silent=True)
+    await fleet.send_for(4.0, SOUND_INTERVAL_S, sound)
+    assert not any(gateway.witness.table.quarantined for gateway in fleet.gateways)
+
+
 async def crash_three_servers(fleet):
     """Send a bad request until it is refused."""
     fleet.bad = {BAD_GET}
