Keep room for lost runs beside those that callers gave up

Cause: 2,000 unanswered runs of ten seconds, as many callers that give up leave, filled the memory for runs that are not settled, so that a crash after them counted nobody. Change: unanswered runs may use half of it. Evidence: test_many_callers_that_give_up_do_not_hide_a_crash failed before.

--- a/bulrushlead/quarantine/_witness.py
+++ b/bulrushlead/quarantine/_witness.py
@@ -308,12 +308,15 @@
         return counts
 
     def _add_unsettled(self, lost: _Unsettled) -> None:
-        if self._unsettled_count >= MAX_UNSETTLED_RUNS:
+        # Callers that give up must not hide the runs that were lost in a crash.
+        is_lost = lost.end is RunEnd.LOST
+        limit = MAX_UNSETTLED_RUNS if is_lost else MAX_UNSETTLED_RUNS // 2
+        if self._unsettled_count >= limit:
             return
         run = lost.run
         self._unsettled.setdefault(run.incarnation, []).append(lost)
         self._unsettled_count += 1
-        if lost.end is RunEnd.LOST:
+        if is_lost:
             self._lost_at.setdefault(run.fingerprint, set()).add(run.incarnation)
 
     def _settle(self, incarnation: str, keeps: Callable[[_Unsettled], bool]) -> None:
--- a/bulrushlead/quarantine/tests/test_witness.py
+++ b/bulrushlead/quarantine/tests/test_witness.py
@@ -3,7 +3,11 @@
 import pytest
 
 from bulrushlead.quarantine import RequestWitness, Run, RunEnd
-from bulrushlead.quarantine._witness import MIN_MEMORY_MS, UNSETTLED_MS
+from bulrushlead.quarantine._witness import (
+    MAX_UNSETTLED_RUNS,
+    MIN_MEMORY_MS,
+    UNSETTLED_MS,
+)
 
 
 @pytest.fixture
@@ -128,6 +132,14 @@
     assert witness.hold("f") is None
 
 
+def test_many_callers_that_give_up_do_not_hide_a_crash(witness):
+    """Guards against a flood of unanswered requests beside the one that crashes."""
+    for number in range(MAX_UNSETTLED_RUNS):
+        lose(witness, "s0", f"other-{number}", end=RunEnd.UNANSWERED)
+    crash(witness, "s1")
+    assert witness.is_suspect("f")
+
+
 def test_evidence_is_told_again_to_a_new_leader(witness):
     """Guards against a leader that never hears what its predecessor knew."""
     crash(witness)
