Use plainer names for what a host learns of crashes

RequestWitness is CrashObserver, CONVICTING_CRASHES is QUARANTINE_CRASHES, _may_judge and _log_verdict say what they do. No name on the wire, in settings, events or metrics changes.

--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -32,7 +32,7 @@
 )
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
-from bulrushlead.quarantine import RequestWitness, Run, RunEnd
+from bulrushlead.quarantine import CrashObserver, Run, RunEnd
 from bulrushlead.relay import Connectivity
 
 # Longest idle time of a connection that is reused. The server may have closed an idle
@@ -85,7 +85,7 @@
         Metrics in which attempts are counted.
     connectivity : Connectivity
         Learns whether connections to servers can be opened.
-    witness : RequestWitness
+    observer : CrashObserver
         Learns how each attempt ended.
     """
 
@@ -97,7 +97,7 @@
         pool: ConnectionPool,
         meters: CompactMeters,
         connectivity: Connectivity,
-        witness: RequestWitness,
+        observer: CrashObserver,
     ):
         self.clock = clock
         self.dialect = dialect
@@ -105,7 +105,7 @@
         self.pool = pool
         self.meters = meters
         self.connectivity = connectivity
-        self.witness = witness
+        self.observer = observer
         self.crash_check = CrashCheck(clock, pool)
         self.crash_check.on_result = self._on_fate
         self._log = EventLogger("gateway")
@@ -129,13 +129,13 @@
             server.version,
             self.clock.now_ms(),
         )
-        self.witness.begin(run)
+        self.observer.begin(run)
         task = asyncio.ensure_future(self._run(state, work, placement, attempt, run))
 
         def discard(_: asyncio.Task) -> None:
             # A task that is cancelled before its first step records no outcome.
             server.discard_attempt(attempt)
-            self.witness.end(run, RunEnd.NOT_RUN)
+            self.observer.end(run, RunEnd.NOT_RUN)
 
         task.add_done_callback(discard)
         return task
@@ -186,17 +186,17 @@
         if not result.may_have_run or (end is RunEnd.LOST and not server.ready):
             # A server that leaves may end as planned.
             end = RunEnd.NOT_RUN
-        self.witness.end(run, end)
+        self.observer.end(run, end)
         if result.outcome in ANSWERS:
-            self.witness.record_answer(server.server_id, server.born_ms, run.sent_ms)
+            self.observer.record_answer(server.server_id, server.born_ms, run.sent_ms)
         elif end is RunEnd.LOST:
             self.crash_check.start(server, run.fingerprint)
 
     def _on_fate(self, server: ServerStats, fate: ServerFate) -> None:
         if fate is ServerFate.ENDED:
-            self.witness.record_ended(server.server_id, server.born_ms)
+            self.observer.record_ended(server.server_id, server.born_ms)
         elif fate is ServerFate.RUNNING:
-            self.witness.record_running(server.server_id, server.born_ms)
+            self.observer.record_running(server.server_id, server.born_ms)
 
     def _record_duration(
         self, work: Work, placement: Placement, elapsed_ms: float
--- a/bulrushlead/gateway/_evidence_link.py
+++ b/bulrushlead/gateway/_evidence_link.py
@@ -5,7 +5,7 @@
 from bulrushlead.fleet import LeaderSession
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.quarantine import (
-    RequestWitness,
+    CrashObserver,
     SuspectReport,
     Trial,
     TrialReply,
@@ -17,7 +17,7 @@
 
 
 class EvidenceLink:
-    """Calls the leader on behalf of a ``RequestWitness``.
+    """Calls the leader on behalf of a ``CrashObserver``.
 
     The sync requests carry the same evidence until the leader has it, so that a call
     that fails is not repeated.
@@ -28,14 +28,14 @@
         Name of this host.
     session : LeaderSession
         Finds the leader.
-    witness : RequestWitness
+    observer : CrashObserver
         What this host learned.
     """
 
-    def __init__(self, host_id: str, session: LeaderSession, witness: RequestWitness):
+    def __init__(self, host_id: str, session: LeaderSession, observer: CrashObserver):
         self.host_id = host_id
         self.session = session
-        self.witness = witness
+        self.observer = observer
         self._task: asyncio.Task | None = None
         self._is_due = False
         self._log = EventLogger("quarantine")
@@ -63,13 +63,13 @@
             # A lost reply may have granted the trial, which then is not used.
             return None
         if trial is not None:
-            self.witness.table.record_trial(fingerprint, trial)
+            self.observer.table.record_trial(fingerprint, trial)
         return trial
 
     async def _send(self) -> None:
         while self._is_due:
             self._is_due = False
-            suspects = self.witness.undelivered(self.session.view.position.epoch)
+            suspects = self.observer.undelivered(self.session.view.position.epoch)
             if not suspects:
                 continue
             try:
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -34,7 +34,7 @@
 from bulrushlead.http1 import Answer, ConnectionPool, Request
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
-from bulrushlead.quarantine import RequestWitness
+from bulrushlead.quarantine import CrashObserver
 from bulrushlead.relay import Connectivity, RelayOrder, RelayVerdict
 from bulrushlead.results import ResultCode
 from bulrushlead.traffic import Route, RouteTable, TrafficPlan, WeightedSplit
@@ -93,8 +93,8 @@
         self.meters = meters or CompactMeters()
         self.connectivity = connectivity or Connectivity(clock)
         self.relay = relay
-        self.witness = RequestWitness(clock)
-        self.gate = QuarantineGate(self.witness, dispatcher)
+        self.observer = CrashObserver(clock)
+        self.gate = QuarantineGate(self.observer, dispatcher)
         self._runner = AttemptRunner(
             clock,
             dialect,
@@ -102,7 +102,7 @@
             pool,
             self.meters,
             self.connectivity,
-            self.witness,
+            self.observer,
         )
         self._started_ms = clock.now_ms()
         self._stopping = False
@@ -294,7 +294,7 @@
 
     async def _relay(self, state: RequestState, work: Work, sent: int) -> Answer | None:
         """Return the answer of another host, or None if none takes the request."""
-        if self.relay is None or not self.witness.may_repeat(state.fingerprint):
+        if self.relay is None or not self.observer.may_repeat(state.fingerprint):
             return None
         result = await self.relay.send(state, work, sent)
         return None if result is None else result.answer
@@ -338,7 +338,7 @@
         self, state: RequestState, work: Work, servers: frozenset[str], sent: int
     ) -> Placement | None:
         """Return a server without a queue for a hedged attempt, or None."""
-        if self.witness.is_suspect(state.fingerprint) or not self._may_retry(
+        if self.observer.is_suspect(state.fingerprint) or not self._may_retry(
             state, work, sent
         ):
             return None
@@ -358,7 +358,7 @@
     def _may_retry(self, state: RequestState, work: Work, sent: int) -> bool:
         return (
             sent < state.route.max_attempts
-            and self.witness.may_repeat(state.fingerprint)
+            and self.observer.may_repeat(state.fingerprint)
             and self.dispatcher.budget.allows(work.service)
         )
 
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -123,12 +123,12 @@
             self._on_update,
             rng,
         )
-        self.witness = self.forwarder.witness
-        self.evidence_link = EvidenceLink(settings.host_id, self.session, self.witness)
-        self.witness.on_evidence = self.evidence_link.send_soon
+        self.observer = self.forwarder.observer
+        self.evidence_link = EvidenceLink(settings.host_id, self.session, self.observer)
+        self.observer.on_evidence = self.evidence_link.send_soon
         self.forwarder.gate.request_trial = self.evidence_link.request_trial
         self.meters.register_gauge(
-            Metric.QUARANTINED_REQUESTS, lambda: len(self.witness.table.quarantined)
+            Metric.QUARANTINED_REQUESTS, lambda: len(self.observer.table.quarantined)
         )
         self.meters.register_gauge(Metric.FLEET_AGE_MS, self.dispatcher.fleet_age_ms)
         self.meters.register_gauge(Metric.SERVERS, lambda: len(self.view.servers))
@@ -236,7 +236,7 @@
             answered=answered,
             peer_address=settings.peer_address if self.peer_server is not None else "",
             reaches_servers=not self.connectivity.is_cut_off,
-            suspects=self.witness.report(self.view.position.epoch),
+            suspects=self.observer.report(self.view.position.epoch),
         )
 
     def _on_connectivity(self) -> None:
@@ -256,8 +256,8 @@
         if update.plan is not None and plan is not None:
             self._activate_plan(plan)
         self.dispatcher.update(self.view)
-        self.witness.apply(update.position.epoch, update.suspects)
-        self.witness.review(self._has_ended)
+        self.observer.apply(update.position.epoch, update.suspects)
+        self.observer.review(self._has_ended)
         self.carriers.update(self.view.hosts)
 
     def _has_ended(self, server_id: str, born_ms: int) -> bool:
--- a/bulrushlead/gateway/_quarantine_gate.py
+++ b/bulrushlead/gateway/_quarantine_gate.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bulrushlead.dispatch import Dispatcher, Refusal, Work
-from bulrushlead.quarantine import RequestWitness, Trial
+from bulrushlead.quarantine import CrashObserver, Trial
 from bulrushlead.results import ResultCode
 
 
@@ -14,7 +14,7 @@
 
     Parameters
     ----------
-    witness : RequestWitness
+    observer : CrashObserver
         What is known of each request.
     dispatcher : Dispatcher
         Knows the servers of each service.
@@ -26,8 +26,8 @@
         once; it returns the ``Trial``, or None.
     """
 
-    def __init__(self, witness: RequestWitness, dispatcher: Dispatcher):
-        self.witness = witness
+    def __init__(self, observer: CrashObserver, dispatcher: Dispatcher):
+        self.observer = observer
         self.dispatcher = dispatcher
         self.request_trial: Callable[[str], Awaitable[Trial | None]] | None = None
         self._asking: set[str] = set()
@@ -38,9 +38,9 @@
         A suspect goes to the server with the least to lose, and not to the one that
         has cached its object, where others of that object would be lost with it.
         """
-        hold = self.witness.hold(fingerprint)
+        hold = self.observer.hold(fingerprint)
         if hold is None:
-            if self.witness.is_suspect(fingerprint):
+            if self.observer.is_suspect(fingerprint):
                 return attrs.evolve(work, sticky=False)
             return work
         trial = await self._ask_for_trial(fingerprint, work.service)
@@ -50,7 +50,7 @@
             )
         excluded = work.excluded
         if trial is Trial.RELEASE:
-            crashed = self.witness.table.crashed_versions(fingerprint)
+            crashed = self.observer.table.crashed_versions(fingerprint)
             excluded |= {
                 server.server_id
                 for server in self.dispatcher.ready_servers(work.service)
@@ -63,7 +63,7 @@
         if (
             self.request_trial is None
             or fingerprint in self._asking
-            or self.witness.table.due_trial(fingerprint, versions) is None
+            or self.observer.table.due_trial(fingerprint, versions) is None
         ):
             return None
         self._asking.add(fingerprint)
--- a/bulrushlead/gateway/tests/test_crashing_requests.py
+++ b/bulrushlead/gateway/tests/test_crashing_requests.py
@@ -155,7 +155,7 @@
     fleet.spawn(reset_in_turn())
     answers = await fleet.send_for(3.0, SOUND_INTERVAL_S, sound)
     assert served_share(answers) >= 0.98
-    assert not any(len(gateway.witness.table) for gateway in fleet.gateways)
+    assert not any(len(gateway.observer.table) for gateway in fleet.gateways)
 
 
 @pytest.mark.parametrize("sound", [SOUND_GETS, SAME_GET], ids=["many", "one"])
@@ -166,7 +166,7 @@
     for server in fleet.servers[::3]:
         server.crash(is_silent=True)
     await fleet.send_for(4.0, SOUND_INTERVAL_S, sound)
-    assert not any(gateway.witness.table.quarantined for gateway in fleet.gateways)
+    assert not any(gateway.observer.table.quarantined for gateway in fleet.gateways)
 
 
 async def crash_three_servers(fleet):
--- a/bulrushlead/gateway/tests/test_cut_off_hosts.py
+++ b/bulrushlead/gateway/tests/test_cut_off_hosts.py
@@ -56,7 +56,7 @@
         )
     assert served_share(others) > 0.9
     # What was lost with the links is no sign that requests crash servers.
-    assert not any(gateway.witness.table.quarantined for gateway in fleet.gateways)
+    assert not any(gateway.observer.table.quarantined for gateway in fleet.gateways)
 
 
 async def test_a_host_with_few_requests_notices_from_its_silent_connections(build):
--- a/bulrushlead/quarantine/__init__.py
+++ b/bulrushlead/quarantine/__init__.py
@@ -11,9 +11,9 @@
     TrialReply,
     TrialRequest,
 )
+from bulrushlead.quarantine._observer import CrashObserver, Run, RunEnd
 from bulrushlead.quarantine._suspect import Crash, Trial
 from bulrushlead.quarantine._table import SuspectTable
-from bulrushlead.quarantine._witness import RequestWitness, Run, RunEnd
 
 __all__ = [
     "Crash",
@@ -21,7 +21,7 @@
     "ListQuarantine",
     "QuarantineReply",
     "ReleaseRequest",
-    "RequestWitness",
+    "CrashObserver",
     "Run",
     "RunEnd",
     "SuspectNotice",
--- a/bulrushlead/quarantine/_witness.py
+++ b/bulrushlead/quarantine/_observer.py
@@ -9,7 +9,7 @@
 from bulrushlead.clock import Clock
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.quarantine._messages import SuspectNotice
-from bulrushlead.quarantine._suspect import CONVICTING_CRASHES, Crash
+from bulrushlead.quarantine._suspect import QUARANTINE_CRASHES, Crash
 from bulrushlead.quarantine._table import SuspectTable
 
 MAX_REMEMBERED_RUNS = 4_096  # requests whose last complete run is remembered
@@ -20,8 +20,8 @@
 # A run that is in progress may settle what is known of the same request by then.
 RUNNING_RETRY_AFTER_MS = 300
 # From here on a request is sent to one server at a time, and is not retried: another
-# crash would convict it.
-CAUTIOUS_CRASHES = CONVICTING_CRASHES - 1
+# crash would quarantine it.
+CAUTIOUS_CRASHES = QUARANTINE_CRASHES - 1
 
 
 class RunEnd(Enum):
@@ -85,7 +85,7 @@
     ended_ms: float
 
 
-class RequestWitness:
+class CrashObserver:
     """Learns from the runs of this host's requests which of them crash servers.
 
     Each request in progress at a server that ends is a suspect. Most of them are sound,
@@ -121,10 +121,10 @@
 
     def hold(self, fingerprint: str) -> Hold | None:
         """Return why a request may not be sent now, or None if it may."""
-        if fingerprint not in self.table or not self._may_judge(fingerprint):
+        if fingerprint not in self.table or not self._may_refuse(fingerprint):
             return None
         count = self.table.crash_count(fingerprint)
-        if count >= CONVICTING_CRASHES:
+        if count >= QUARANTINE_CRASHES:
             self.table.record_refused(fingerprint)
             return Hold(
                 self.table.retry_after_ms(fingerprint),
@@ -258,7 +258,7 @@
             if self.table.record_completed(fingerprint, completed_ms):
                 self._notify()
 
-    def _may_judge(self, fingerprint: str) -> bool:
+    def _may_refuse(self, fingerprint: str) -> bool:
         """Return whether this host knows enough to refuse a request.
 
         One that has just started remembers no complete runs. It may refuse what the
--- a/bulrushlead/quarantine/_suspect.py
+++ b/bulrushlead/quarantine/_suspect.py
@@ -10,7 +10,7 @@
 
 # Crashes in a row, without a complete run between, that show that a request crashes
 # the servers that run it.
-CONVICTING_CRASHES = 3
+QUARANTINE_CRASHES = 3
 MAX_CRASHES = 8  # kept of one request; the newest ones
 # A request that completed a run this long before its crashes is probably sound: what is
 # sent often is in progress wherever servers end.
--- a/bulrushlead/quarantine/_table.py
+++ b/bulrushlead/quarantine/_table.py
@@ -8,7 +8,7 @@
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.quarantine._messages import SuspectNotice
 from bulrushlead.quarantine._suspect import (
-    CONVICTING_CRASHES,
+    QUARANTINE_CRASHES,
     Crash,
     Suspect,
     Trial,
@@ -186,7 +186,7 @@
             Software versions of the servers that could run it.
         """
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or self.crash_count(fingerprint) < CONVICTING_CRASHES:
+        if suspect is None or self.crash_count(fingerprint) < QUARANTINE_CRASHES:
             return None
         for trial in Trial:
             if trial not in suspect.trials_ms and self._is_due(
@@ -369,15 +369,15 @@
     def _update_quarantine(self, changed: set[str]) -> None:
         """Judge the requests that changed, then those that they may explain."""
         for fingerprint in changed - self._quarantined:
-            if self.crash_count(fingerprint) >= CONVICTING_CRASHES:
+            if self.crash_count(fingerprint) >= QUARANTINE_CRASHES:
                 self._quarantined.add(fingerprint)
-                self._log_verdict(fingerprint, Event.REQUEST_QUARANTINED)
+                self._log_change(fingerprint, Event.REQUEST_QUARANTINED)
         for fingerprint in list(self._quarantined):
-            if self.crash_count(fingerprint) < CONVICTING_CRASHES:
+            if self.crash_count(fingerprint) < QUARANTINE_CRASHES:
                 self._quarantined.discard(fingerprint)
-                self._log_verdict(fingerprint, Event.QUARANTINE_ENDED)
+                self._log_change(fingerprint, Event.QUARANTINE_ENDED)
 
-    def _log_verdict(self, fingerprint: str, event: Event) -> None:
+    def _log_change(self, fingerprint: str, event: Event) -> None:
         suspect = self._suspects[fingerprint]
         now_ms = self.clock.now_ms()
         self._log.write(
--- a/bulrushlead/quarantine/tests/test_large_fleet.py
+++ b/bulrushlead/quarantine/tests/test_large_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from bulrushlead.quarantine import RequestWitness, Run, RunEnd, SuspectTable
+from bulrushlead.quarantine import CrashObserver, Run, RunEnd, SuspectTable
 
 HOSTS = 184
 SERVERS = 807
@@ -26,7 +26,7 @@
         self.clock = clock
         self.rng = random.Random(seed)
         self.leader = SuspectTable(clock)
-        self.hosts = [RequestWitness(clock) for _ in range(HOSTS)]
+        self.hosts = [CrashObserver(clock) for _ in range(HOSTS)]
         self.in_progress = {f"s{n}": set() for n in range(SERVERS)}
         self.incarnation = dict.fromkeys(self.in_progress, 1)
         self.crashes = []
