--- a/bulrushlead/quarantine/_table.py
+++ b/bulrushlead/quarantine/_table.py
@@ -367,7 +367,7 @@
             suspect.published_revision = self.published_revision
 
     def _update_quarantine(self, changed: set[str]) -> None:
-        """Judge the requests that changed, then those that they may explain."""
+        """Update which requests are refused, after some have changed."""
         for fingerprint in changed - self._quarantined:
             if self.crash_count(fingerprint) >= QUARANTINE_CRASHES:
                 self._quarantined.add(fingerprint)
--- a/bulrushlead/quarantine/tests/test_large_fleet.py
+++ b/bulrushlead/quarantine/tests/test_large_fleet.py
@@ -136,7 +136,7 @@
 
 @pytest.mark.parametrize("at_once", [1, 40, 270])
 def test_sound_requests_are_not_refused_when_many_servers_end(clock, at_once):
-    """Guards against convicting what merely ran where servers ended by themselves."""
+    """Guards against refusing what merely ran where servers ended by themselves."""
     fleet = LargeFleet(clock, at_once)
     fleet.send("", False, SOUND_EVERY_MS)
     fleet.send("same", False, SOUND_EVERY_MS)
--- a/bulrushlead/quarantine/tests/test_table.py
+++ b/bulrushlead/quarantine/tests/test_table.py
@@ -90,7 +90,7 @@
 def test_a_request_that_was_sent_after_the_end_of_a_server_is_no_suspect(
     table, is_reported
 ):
-    """Guards against blaming what a proxy accepts for a server that is gone."""
+    """Guards against counting what a proxy accepts for a server that is gone."""
     crash(table, "s0", 999_000.0, 999_060.0, "bad")
     if is_reported:
         late = SuspectNotice("stock", {"s0": CrashNotice(600.0, 550.0)})
@@ -101,7 +101,7 @@
 
 
 def test_the_order_of_reports_does_not_matter(clock):
-    """Guards against hosts that judge the same evidence differently."""
+    """Guards against hosts that decide differently on the same evidence."""
     notices = [
         SuspectNotice("stock", {"s0": CrashNotice(900.0, 800.0)}),
         SuspectNotice("stock", {"s1": CrashNotice(700.0, 600.0)}),
