--- /dev/null
+++ b/bulrushlead/organisations/tests/test_quota_gate.py
@@ -0,0 +1,112 @@
+"""What one host admits of an organisation."""
+
+import random
+
+import pytest
+
+from bulrushlead.organisations import OrganisationSettings, QuotaGate, QuotaState
+from bulrushlead.organisations._quota_gate import STALE_AFTER_MS
+from bulrushlead.organisations.tests.model import SteppedClock
+from bulrushlead.traffic import Organisation
+
+LABS = Organisation("labs", (), None, 100.0, 50.0)
+
+
+@pytest.fixture
+def gate():
+    gate = QuotaGate(SteppedClock(1_000.0), OrganisationSettings(), random.Random(3))
+    gate.record_update("e1", {}, 1_000.0)
+    return gate
+
+
+def send(gate, count, interval_ms=10.0, with_news=True):
+    """Offer requests; return the retry delays of those that were refused."""
+    refused = []
+    for _ in range(count):
+        gate.clock.advance(interval_ms)
+        retry_after_ms = gate.admit(LABS)
+        if retry_after_ms is not None:
+            refused.append(retry_after_ms)
+        if with_news:
+            gate.report()
+            gate.record_update("e1", None, gate.clock.now_ms())
+    return refused
+
+
+def test_an_organisation_below_its_quota_is_admitted(gate):
+    assert send(gate, 500) == []
+
+
+def test_an_organisation_without_a_quota_is_not_counted(gate):
+    assert gate.admit(Organisation("mills")) is None
+    assert gate.report().counts == {}
+
+
+@pytest.mark.parametrize("fraction", [0.0, 0.07, 0.5, 0.9])
+def test_the_published_fraction_is_admitted(gate, fraction):
+    gate.record_update("e1", {"labs": QuotaState(fraction, 100.0, 1)}, 1_000.0)
+    refused = send(gate, 1_000)
+    assert len(refused) == pytest.approx(1_000 * (1 - fraction), abs=2)
+
+
+def test_retry_delays_are_spread_around_the_time_between_admissions(gate):
+    """Guards against callers that return in the same instant."""
+    gate.record_update("e1", {"labs": QuotaState(0.02, 100.0, 1)}, 1_000.0)
+    delays_ms = send(gate, 500)[200:]
+    assert len({round(delay_ms) for delay_ms in delays_ms}) > 50
+    assert 250 <= sum(delays_ms) / len(delays_ms) <= 1_000
+
+
+def test_a_request_that_no_server_ran_is_given_back(gate):
+    gate.record_update("e1", {"labs": QuotaState(0.5, 100.0, 1)}, 1_000.0)
+    admitted = 0
+    for _ in range(100):
+        gate.clock.advance(10.0)
+        if gate.admit(LABS) is None:
+            admitted += 1
+            if admitted % 2:
+                gate.give_back(LABS)
+    assert admitted > 60
+    assert gate.report().counts["labs"][1] < 60
+
+
+def test_without_news_a_host_keeps_its_share_of_the_bound(gate):
+    """Guards against hosts that admit all that comes while the leader is lost."""
+    states = {"labs": QuotaState(1.0, 100.0, 10)}
+    gate.record_update("e1", states, gate.clock.now_ms())
+    send(gate, 100, 100.0)  # a tenth of the demand
+    gate.clock.advance(STALE_AFTER_MS + 5_000.0)
+    refused = send(gate, 500, 10.0, with_news=False)
+    bound = OrganisationSettings().bound(LABS)
+    assert 500 - len(refused) == pytest.approx(bound / 10, rel=0.15)
+
+
+def test_a_host_without_news_refuses_an_organisation_that_is_new_to_it(gate):
+    gate.record_update("e1", {"labs": QuotaState(1.0, 100.0, 10)}, 1_000.0)
+    gate.clock.advance(STALE_AFTER_MS + 1)
+    assert gate.admit(LABS) is not None
+
+
+def test_a_new_leader_gets_all_counts_and_their_history(gate):
+    send(gate, 10)
+    assert gate.report().counts == {}
+    gate.record_update("e2", None, gate.clock.now_ms())
+    report = gate.report()
+    assert report.counts["labs"][:2] == (10, 10)
+    assert sum(report.history["labs"]) == 10
+
+
+def test_news_of_a_leader_that_has_not_settled_do_not_count(gate):
+    """Guards against hosts that send without a limit right after an election."""
+    send(gate, 10)
+    gate.clock.advance(STALE_AFTER_MS + 1)
+    gate.record_update("e2", None, gate.clock.now_ms())
+    assert gate.age_ms() > STALE_AFTER_MS
+    gate.record_update("e2", {}, gate.clock.now_ms())
+    assert gate.age_ms() == 0.0
+
+
+def test_organisations_that_left_the_plan_are_forgotten(gate):
+    send(gate, 10, with_news=False)
+    gate.retain(["mills"])
+    assert gate.report().counts == {}
--- /dev/null
+++ b/bulrushlead/organisations/tests/test_quota_table.py
@@ -0,0 +1,118 @@
+"""What the leader publishes about quotas."""
+
+import pytest
+
+from bulrushlead.organisations import OrganisationSettings, QuotaTable, UsageReport
+from bulrushlead.organisations._quota_table import SETTLE_MS, SILENT_AFTER_MS
+from bulrushlead.organisations.tests.model import SteppedClock
+from bulrushlead.traffic import Organisation
+
+LABS = Organisation("labs", (), None, 100.0, 50.0)
+NO_HISTORY = (0,) * 11
+
+
+def new_table(expected=()):
+    table = QuotaTable(SteppedClock(10_000.0), OrganisationSettings(), expected)
+    table.set_organisations([LABS])
+    return table
+
+
+def report(offered, admitted, recent_per_s=0.0, history=NO_HISTORY, incarnation=1):
+    counts = {"labs": (offered, admitted, recent_per_s, recent_per_s)}
+    return UsageReport(incarnation, counts, {"labs": history})
+
+
+def feed(table, rate_per_s, duration_ms, admitted_share=1.0, hosts=4):
+    """Report the requests that some hosts get, every 400 ms."""
+    offered = 0.0
+    for _ in range(int(duration_ms / 400)):
+        table.clock.advance(400.0)
+        offered += rate_per_s * 0.4 / hosts
+        for host in range(hosts):
+            counts = (int(offered), int(offered * admitted_share))
+            table.record_report(f"e{host}", report(*counts, rate_per_s / hosts))
+        table.check()
+
+
+def fraction(table):
+    return table.published["labs"].fraction
+
+
+def test_usual_demand_is_not_limited():
+    table = new_table()
+    feed(table, 90.0, 10_000)
+    assert fraction(table) == 1.0
+    assert table.published["labs"].hosts == 4
+
+
+def test_demand_over_the_quota_is_limited_to_it():
+    table = new_table()
+    feed(table, 400.0, 8_000, admitted_share=0.25)
+    assert 400.0 * fraction(table) == pytest.approx(100.0, rel=0.7)
+    feed(table, 400.0, 4_000)
+    assert fraction(table) < 0.1  # all were admitted: the debt is repaid first
+
+
+def test_the_fraction_returns_to_one_after_the_demand_falls():
+    table = new_table()
+    feed(table, 400.0, 4_000)
+    table._hosts.clear()
+    feed(table, 20.0, 12_000)
+    assert fraction(table) == 1.0
+
+
+def test_hosts_without_reports_are_charged():
+    """Guards against hosts that are cut off and send beside the others."""
+    table = new_table()
+    feed(table, 90.0, 6_000)
+    tokens = table._buckets["labs"].tokens
+    for _ in range(8):
+        table.clock.advance(400.0)
+        table.check()
+    assert table._buckets["labs"].tokens < tokens
+    assert SILENT_AFTER_MS < 8 * 400.0
+
+
+def test_a_new_leader_publishes_nothing_until_all_hosts_have_reported():
+    table = new_table(["e1", "e2"])
+    first = UsageReport(1, {"labs": (500, 500, 90.0, 90.0)})  # for the old leader
+    for host in ("e1", "e2"):
+        table.record_report(host, first)
+        assert table.published is None
+    table.record_report("e1", report(500, 500))
+    assert table.published is None
+    table.record_report("e2", report(500, 500))
+    assert table.published is not None
+
+
+def test_a_new_leader_does_not_wait_for_lost_hosts():
+    table = new_table(["e1", "e2"])
+    table.clock.advance(SETTLE_MS)
+    table.check()
+    assert table.published is not None
+
+
+def test_a_new_leader_knows_what_was_admitted_before_it():
+    """Guards against a second burst after each election."""
+    table = new_table(["e1"])
+    table.record_report("e1", UsageReport(1))
+    table.record_report("e1", report(9_000, 9_000, 800.0, (300, 200) + (0,) * 9))
+    assert fraction(table) < 0.05
+
+
+def test_counts_of_a_report_that_was_sent_twice_are_charged_once():
+    table = new_table()
+    table.record_report("e1", report(40, 40))
+    tokens = table._buckets["labs"].tokens
+    table.record_report("e1", report(40, 40))
+    assert table._buckets["labs"].tokens == pytest.approx(tokens)
+
+
+def test_a_lowered_quota_limits_at_once():
+    table = new_table()
+    feed(table, 90.0, 6_000)
+    lowered = Organisation("labs", (), None, 10.0, 0.0)
+    table.set_organisations([lowered])
+    assert fraction(table) < 0.5
+    table.set_organisations([])
+    assert table.published == {}
