Enforce keys, quotas, homes and ranks of organisations on every host

Cause: requests passed through without a look at their key.

The entry host now identifies the caller by the digest of its key and removes every spelling of the key and of the organisation's field; 401 only if its news are recent, else 503. The key is checked again before each attempt and once the connection is open, so that nothing is sent with a key that was withdrawn while a request waited or the host was suspended. A host without the lease passes requests to another one, which checks the digest itself; a host that has used up its share without news asks up to three others. Requests that no server ran are given back to the quota. Crash fingerprints name the organisation, so that a changed key does not make the same request another one.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -218,7 +218,7 @@
             ``DECLARATION_INVALID`` if the plan is invalid, or the error of the call if
             no leader accepted it.
         """
-        check_plan(plan)
+        check_plan(plan, self.settings.zone_regions.values())
         return await self._submit(AcceptPlan(plan, document))
 
     async def start_evacuation(self, zone: str) -> bool:
--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -22,6 +22,7 @@
 )
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.organisations import QuotaTable
 from bulrushlead.placement import OwnerTable, PlacementServer
 from bulrushlead.quarantine import SuspectTable
 from bulrushlead.replication import ReplicatedLog
@@ -66,6 +67,8 @@
         Servers that own objects in the current leadership term.
     suspects : SuspectTable
         Requests under which servers ended; a follower learns them from the leader.
+    quotas : QuotaTable
+        What hosts admit of each organisation in the current leadership term.
     """
 
     def __init__(
@@ -82,10 +85,11 @@
         self.registry = FleetRegistry(clock, settings.heartbeat_ms)
         self.owners = OwnerTable(clock)
         self.suspects = SuspectTable(clock)
+        self.quotas = QuotaTable(clock, settings.organisations)
         self._state: OrderState | None = None
         self._log: ReplicatedLog | None = None
         self._changed = asyncio.Event()
-        self._notified_revisions = (0, 0, 0)
+        self._notified_revisions = (0, 0, 0, 0)
         self._leading_since_ms: float | None = None
         self._packed: dict[SyncPosition, PackedPayload] = {}
         self._packed_position: SyncPosition | None = None
@@ -108,7 +112,7 @@
         self._log = log
         self._state = state
         self._leading_since_ms = None
-        state.on_change = self._notify
+        state.on_change = self._on_change
         state.on_departure = self._on_departure
         log.watch_leadership(self._on_leadership)
 
@@ -142,6 +146,7 @@
         self.registry.update_published_loads()
         self.registry.publish_limits()
         self.suspects.expire()
+        self.quotas.check()
         self._update_owners()
         self.notify_if_changed()
 
@@ -163,6 +168,7 @@
         self.registry.record_host_report(request.report)
         self.suspects.merge(request.report.suspects)
         self.owners.record_demand(request.report.demand)
+        self.quotas.record_report(request.report.host_id, request.report.usage)
         self.notify_if_changed()
         deadline_ms = self.clock.now_ms() + request.wait_ms
         while not self._has_changes(request.position):
@@ -233,6 +239,7 @@
             pressure_revision=registry.load_revision,
             owner_revision=self.owners.revision,
             suspect_revision=self.suspects.published_revision,
+            quota_revision=self.quotas.revision,
         )
 
     def _build_update(self, since: SyncPosition, position: SyncPosition) -> FleetUpdate:
@@ -244,6 +251,9 @@
         hosts = None
         if not is_same_epoch or since.host_revision < registry.host_revision:
             hosts = registry.hosts()
+        quotas = None
+        if not is_same_epoch or since.quota_revision < self.quotas.revision:
+            quotas = self.quotas.published
         return FleetUpdate(
             term=self._log.term,
             position=position,
@@ -264,6 +274,7 @@
             suspects=self.suspects.published_since(
                 since.suspect_revision if is_same_epoch else 0
             ),
+            quotas=quotas,
         )
 
     def _has_changes(self, since: SyncPosition) -> bool:
@@ -273,6 +284,7 @@
             or since.server_revision < self.registry.server_revision
             or since.host_revision < self.registry.host_revision
             or since.suspect_revision < self.suspects.published_revision
+            or since.quota_revision < self.quotas.revision
             or since.order_index < self._state.order_index
             or (plan is not None and since.plan_version < plan.version)
         )
@@ -298,10 +310,22 @@
             self.owners = OwnerTable(self.clock)
             self.owners.restore(self.view.owners)
             self._update_owners()
+            hosts = [host.host_id for host in self.view.hosts if host.accepting]
+            settings = self.settings.organisations
+            self.quotas = QuotaTable(self.clock, settings, hosts)
+            self._update_quotas()
         else:
             self._leading_since_ms = None
         self._notify()
 
+    def _on_change(self) -> None:
+        self._update_quotas()
+        self._notify()
+
+    def _update_quotas(self) -> None:
+        if self._state.plan is not None:
+            self.quotas.set_organisations(self._state.plan.organisations)
+
     def _on_departure(self, server_id: str, born_ms: int) -> None:
         if self._leading_since_ms is not None:
             self.registry.mark_draining(server_id, born_ms)
@@ -346,6 +370,7 @@
             self.registry.server_revision,
             self.registry.host_revision,
             self.suspects.published_revision,
+            self.quotas.revision,
         )
         if revisions != self._notified_revisions:
             self._notified_revisions = revisions
--- a/bulrushlead/coordinator/_settings.py
+++ b/bulrushlead/coordinator/_settings.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from bulrushlead.organisations import OrganisationSettings
 from bulrushlead.results import BulrushleadError, ResultCode
 
 
@@ -40,6 +41,8 @@
         empty.
     zone_regions : dict of str to str
         Region of each availability zone; objects move between servers of one region.
+    organisations : OrganisationSettings
+        How exactly the quotas of organisations hold.
     """
 
     host_id: str
@@ -52,3 +55,4 @@
     heartbeat_ms: float = 1_500.0
     listen_ip: str = ""
     zone_regions: dict[str, str] = attrs.field(factory=dict)
+    organisations: OrganisationSettings = OrganisationSettings()
--- a/bulrushlead/coordinator/tests/test_publisher.py
+++ b/bulrushlead/coordinator/tests/test_publisher.py
@@ -5,7 +5,7 @@
 from bulrushlead.coordinator import CoordinatorSettings
 from bulrushlead.coordinator._messages import AnnounceBatch
 from bulrushlead.coordinator._publisher import FleetPublisher
-from bulrushlead.coordinator._state import OrderState, RecordDeparture
+from bulrushlead.coordinator._state import AcceptPlan, OrderState, RecordDeparture
 from bulrushlead.fleet import (
     FleetView,
     HostReport,
@@ -16,6 +16,8 @@
 )
 from bulrushlead.fleet.tests.samples import heartbeat
 from bulrushlead.metrics import CompactMeters
+from bulrushlead.organisations import UsageReport
+from bulrushlead.traffic import Organisation, TrafficPlan
 from bulrushlead.wire import codec
 from bulrushlead.wire._frame import unpack_frame
 
@@ -205,3 +207,46 @@
     publisher.check_silence()
     _, update = await sync(publisher, "e2", update.position)
     assert [server.limit for server in update.servers] == [notice]
+
+
+def usage(admitted, history=(0,) * 11):
+    counts = {"labs": (admitted, admitted, 500.0, 500.0)}
+    return UsageReport(1, counts, {"labs": history})
+
+
+async def sync_usage(publisher, host_id, report, position=None):
+    host = HostReport(host_id, f"{host_id}:80", "a", "north", True, usage=report)
+    packed = await publisher.handle_sync(SyncRequest(position or SyncPosition(), host))
+    return codec.decode(unpack_frame(packed.frame(1))[1])
+
+
+async def test_quotas_are_published_to_all_hosts(publisher, state):
+    labs = Organisation("labs", (), None, 10.0, 0.0)
+    plan = TrafficPlan(1, organisations=(labs,))
+    state.apply(1, codec.encode(AcceptPlan(plan, b"{}")))
+    position = (await sync_usage(publisher, "e1", UsageReport(1))).position
+    report = usage(400, (400,) + (0,) * 10)
+    update = await sync_usage(publisher, "e1", report, position)
+    assert update.quotas["labs"].fraction < 0.2
+    other = await sync_usage(publisher, "e2", UsageReport(1), position)
+    assert other.quotas == update.quotas
+
+
+async def test_a_new_leader_publishes_no_quotas_until_hosts_have_reported(
+    publisher, state
+):
+    """Guards against an organisation that starts over after each election."""
+    labs = Organisation("labs", (), None, 10.0, 0.0)
+    state.apply(
+        1, codec.encode(AcceptPlan(TrafficPlan(1, organisations=(labs,)), b"{}"))
+    )
+    first = await sync_usage(publisher, "e1", UsageReport(1))
+    publisher.view.apply(attrs.evolve(first, position=attrs.evolve(first.position)))
+    publisher._log.callback(False)
+    publisher._log.term = 2
+    publisher._log.callback(True)
+    update = await sync_usage(publisher, "e1", UsageReport(1))
+    assert update.quotas is None
+    report = usage(400, (400,) + (0,) * 10)
+    update = await sync_usage(publisher, "e1", report, update.position)
+    assert update.quotas["labs"].fraction < 0.2
--- a/bulrushlead/fleet/_messages.py
+++ b/bulrushlead/fleet/_messages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from bulrushlead.organisations import QuotaState, UsageReport
 from bulrushlead.quarantine import SuspectNotice
 from bulrushlead.traffic import TrafficPlan
 from bulrushlead.wire import message
@@ -146,6 +147,8 @@
     suspects : dict of str to SuspectNotice
         Requests under which servers ended, by fingerprint, if the leader does not know
         of them yet.
+    usage : UsageReport
+        Requests that this host received from organisations with a quota.
     """
 
     host_id: str
@@ -162,6 +165,7 @@
     peer_address: str = ""
     reaches_servers: bool = True
     suspects: dict[str, SuspectNotice] = attrs.field(factory=dict)
+    usage: UsageReport = UsageReport()
 
 
 @message("fleet.host")
@@ -209,6 +213,8 @@
         Revision of the newest change of the objects' owners received.
     suspect_revision : int
         Revision of the newest change of the requests under which servers ended.
+    quota_revision : int
+        Revision of the newest change of the organisations over their quotas.
     """
 
     epoch: str = ""
@@ -219,6 +225,7 @@
     pressure_revision: int = 0
     owner_revision: int = 0
     suspect_revision: int = 0
+    quota_revision: int = 0
 
 
 @message("fleet.sync")
@@ -271,6 +278,9 @@
         the object's key; empty for an object that left the table.
     suspects : dict of str to SuspectNotice
         Changed evidence on requests under which servers ended, by fingerprint.
+    quotas : dict of str to QuotaState or None
+        States of all organisations with a quota; None if they have not changed, or
+        while a new leader does not know them.
     """
 
     term: int
@@ -284,6 +294,7 @@
     pressures: dict[str, float] = attrs.field(factory=dict)
     owners: dict[str, dict[int, str]] = attrs.field(factory=dict)
     suspects: dict[str, SuspectNotice] = attrs.field(factory=dict)
+    quotas: dict[str, QuotaState] | None = None
 
 
 def owner_group(region: str, service: str) -> str:
--- a/bulrushlead/fleet/_session.py
+++ b/bulrushlead/fleet/_session.py
@@ -127,6 +127,7 @@
         backoff_ms = RETRY_BACKOFF_MS
         while True:
             try:
+                asked_ms = self.clock.now_ms()
                 if self.leader is not None:
                     update = await self._sync(self.leader, SYNC_WAIT_MS)
                 else:
@@ -140,11 +141,12 @@
                     backoff_ms = min(2 * backoff_ms, MAX_RETRY_BACKOFF_MS)
                 continue
             backoff_ms = RETRY_BACKOFF_MS
-            self._apply_update(update)
+            self._apply_update(update, asked_ms)
 
-    def _apply_update(self, update: FleetUpdate) -> None:
+    def _apply_update(self, update: FleetUpdate, asked_ms: float) -> None:
         try:
             if self.view.apply(update):
+                self.view.confirmed_ms = asked_ms
                 self.on_update(update)
         except Exception as error:
             # A faulty update must not stop the updates after it.
--- a/bulrushlead/fleet/_view.py
+++ b/bulrushlead/fleet/_view.py
@@ -63,6 +63,8 @@
         Server that owns an object, by group (``owner_group``) and digest of the key.
     updated_ms : float or None
         Time when the last update was applied, in milliseconds.
+    confirmed_ms : float
+        Time before the question that the last update answers, in milliseconds.
     """
 
     def __init__(self, clock: Clock):
@@ -76,6 +78,7 @@
         self.fleet_loads: dict[str, float] = {}
         self.owners: dict[str, dict[int, str]] = {}
         self.updated_ms: float | None = None
+        self.confirmed_ms = float("-inf")
         self._term = 0
 
     def apply(self, update: FleetUpdate) -> bool:
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one backend server."""
 
 import asyncio
+from collections.abc import Callable
 
 from bulrushlead.clock import Clock
 from bulrushlead.dispatch import (
@@ -19,6 +20,7 @@
     AttemptResult,
     RequestState,
 )
+from bulrushlead.gateway._server_headers import server_headers
 from bulrushlead.http1 import (
     CONNECT_TIMEOUT_MS,
     Answer,
@@ -26,7 +28,6 @@
     ConnectionPool,
     ExchangeError,
     ExchangeFault,
-    HeaderList,
     forwardable_headers,
     render_request,
 )
@@ -43,9 +44,6 @@
 # request, the pool counts it as stale: probably the server closed it while it was idle,
 # and did not crash during the request. The request still may have run.
 MAX_STALE_CLOSE_MS = 100
-# Subtracted from the time that the server is given, so that its timeout answer arrives
-# before the deadline.
-DEADLINE_MARGIN_MS = 10
 # Least share of an answer's duration that counts as work; the rest is the expected
 # wait, which may be overestimated.
 MIN_WORK_SHARE = 0.2
@@ -87,6 +85,11 @@
         Learns whether connections to servers can be opened.
     observer : CrashObserver
         Learns how each attempt ended.
+
+    Attributes
+    ----------
+    may_send : callable
+        Returns whether a request may still be sent once its connection is open.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         self.meters = meters
         self.connectivity = connectivity
         self.observer = observer
+        self.may_send: Callable[[RequestState], bool] = lambda state: True
         self.crash_check = CrashCheck(clock, pool)
         self.crash_check.on_result = self._on_fate
         self._log = EventLogger("gateway")
@@ -219,11 +223,15 @@
             outcome = Outcome.UNREACHABLE if had_time else Outcome.ABANDONED
             return AttemptResult(outcome, detail=error.detail)
         remaining_ms = state.deadline_ms - self.clock.now_ms()
-        if remaining_ms < MIN_ATTEMPT_MS or state.caller_disconnected:
+        if (
+            remaining_ms < MIN_ATTEMPT_MS
+            or state.caller_disconnected
+            or not self.may_send(state)
+        ):
             # The server did not cause this, so its statistics must not change.
             self.pool.release(server.address, connection)
             return AttemptResult(Outcome.ABANDONED)
-        headers = self._server_headers(request.headers, server.server_id, remaining_ms)
+        headers = server_headers(self.dialect, state, server.server_id, remaining_ms)
         data = render_request(request.method, request.target, headers, request.body)
         sent_ms = self.clock.now_ms()
         # None on a new connection, which cannot be stale.
@@ -365,17 +373,6 @@
             server.server_id, server.born_ms, limit_per_s, sent_ms
         )
 
-    def _server_headers(
-        self, headers: HeaderList, server_id: str, remaining_ms: float
-    ) -> HeaderList:
-        dialect = self.dialect
-        replaced = (dialect.deadline_ms, dialect.expected_server)
-        sent_headers = [h for h in forwardable_headers(headers) if h[0] not in replaced]
-        timeout_ms = max(1, int(remaining_ms - DEADLINE_MARGIN_MS))
-        sent_headers.append((dialect.deadline_ms, b"%d" % timeout_ms))
-        sent_headers.append((dialect.expected_server, server_id.encode()))
-        return sent_headers
-
 
 def _record_reported_load(server: ServerStats, value: bytes, now_ms: float) -> None:
     """Record the load in a header field ``running,queued,slots``; ignore the slots."""
--- a/bulrushlead/gateway/_dialect.py
+++ b/bulrushlead/gateway/_dialect.py
@@ -29,6 +29,10 @@
     retry_after : bytes
         In a refusal of a backend server: seconds for which it wants no request of this
         host.
+    credential : bytes
+        Key of the caller's organisation; never sent to a backend server.
+    organisation : bytes
+        Name of that organisation, set by this host.
     """
 
     request_id: bytes
@@ -40,3 +44,5 @@
     draining: bytes
     limit: bytes
     retry_after: bytes = b"retry-after"
+    credential: bytes = b"api-key"
+    organisation: bytes = b"organisation"
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -1,15 +1,16 @@
 """Handles one request: route, placement, attempts, answer."""
 
-import asyncio
 import random
 
 import attrs
 
 from bulrushlead.clock import Clock
-from bulrushlead.dispatch import Dispatcher, Outcome, Placement, Refusal, Work
+from bulrushlead.dispatch import Dispatcher, Outcome, Refusal, Work
+from bulrushlead.gateway._active_plan import ActivePlan
 from bulrushlead.gateway._attempts import AttemptRunner
+from bulrushlead.gateway._caller_gate import NO_REGION_RETRY_AFTER_MS, CallerGate
 from bulrushlead.gateway._dialect import Dialect
-from bulrushlead.gateway._hedging import first_success, hedge_delay_ms
+from bulrushlead.gateway._hedging import HedgedAttempts
 from bulrushlead.gateway._quarantine_gate import QuarantineGate
 from bulrushlead.gateway._refusals import (
     CUT_OFF,
@@ -27,17 +28,21 @@
 from bulrushlead.gateway._request_log import header_text, write_request_line
 from bulrushlead.gateway._request_state import (
     MIN_ATTEMPT_MS,
-    AttemptResult,
     RequestState,
     allowed_time_ms,
 )
 from bulrushlead.http1 import Answer, ConnectionPool, Request
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.organisations import (
+    Caller,
+    OrganisationSettings,
+    common_regions,
+)
 from bulrushlead.quarantine import CrashObserver
 from bulrushlead.relay import Connectivity, RelayOrder, RelayVerdict
 from bulrushlead.results import ResultCode
-from bulrushlead.traffic import Route, RouteTable, TrafficPlan, WeightedSplit
+from bulrushlead.traffic import Route, TrafficPlan
 
 # Unreachable servers tolerated per request. They do not count against the route's limit
 # of attempts, since nothing was sent to them.
@@ -73,6 +78,8 @@
         Whether this host reaches servers.
     relay : HostRelay, optional
         Passes requests on to other hosts; without one none is passed on.
+    organisations : OrganisationSettings, optional
+        How long keys may be used without news, and how exactly quotas hold.
     """
 
     def __init__(
@@ -85,6 +92,7 @@
         meters: CompactMeters | None = None,
         connectivity: Connectivity | None = None,
         relay: HostRelay | None = None,
+        organisations: OrganisationSettings | None = None,
     ):
         self.clock = clock
         self.dialect = dialect
@@ -95,6 +103,9 @@
         self.relay = relay
         self.observer = CrashObserver(clock)
         self.gate = QuarantineGate(self.observer, dispatcher)
+        self.callers = CallerGate(
+            clock, dialect, organisations or OrganisationSettings(), rng
+        )
         self._runner = AttemptRunner(
             clock,
             dialect,
@@ -104,27 +115,17 @@
             self.connectivity,
             self.observer,
         )
+        self._runner.may_send = self.callers.may_send
+        self._attempts = HedgedAttempts(clock, dispatcher, self.observer, self._runner)
         self._started_ms = clock.now_ms()
         self._stopping = False
-        self._plan: TrafficPlan | None = None
-        self._table: RouteTable | None = None
-        self._splits: dict[str, WeightedSplit] = {}
-        self._top_priorities: dict[str, int] = {}
-        self._finishing: set[asyncio.Task] = set()
+        self._plan: ActivePlan | None = None
         self._log = EventLogger("gateway")
 
     def set_plan(self, plan: TrafficPlan) -> None:
         """Apply a plan to all later requests."""
-        self._plan = plan
-        self._table = RouteTable(plan)
-        self._splits = {
-            route.name: WeightedSplit(route.shares) for route in plan.routes
-        }
-        self._top_priorities = {}
-        for route in plan.routes:
-            for share in route.shares:
-                top_priority = self._top_priorities.get(share.service, route.priority)
-                self._top_priorities[share.service] = min(top_priority, route.priority)
+        self._plan = ActivePlan(plan)
+        self.callers.set_plan(plan)
 
     def stop(self) -> None:
         """Refuse all later requests."""
@@ -140,7 +141,7 @@
             return self._refuse(
                 request, ResultCode.STOPPING, STOPPING_RETRY_AFTER_MS, "stopping"
             )
-        if self._table is None:
+        if self._plan is None:
             age_ms = self.clock.now_ms() - self._started_ms
             return self._refuse(
                 request,
@@ -148,7 +149,7 @@
                 max(NO_PLAN_RETRY_AFTER_MS, FIRST_PLAN_MS - age_ms),
                 f"no plan received {age_ms:.0f} ms after the start",
             )
-        route = self._table.find(request.header(b"host") or b"", request.target)
+        route = self._plan.find_route(request.header(b"host") or b"", request.target)
         if route is None:
             self._record_refusal(
                 header_text(request.header(self.dialect.request_id)),
@@ -156,16 +157,33 @@
                 f"no route in plan {self._plan.version}",
             )
             return Answer(404)
-        return await self._forward(request, route)
+        caller = self.callers.identify(request, route)
+        if caller is ResultCode.UNKNOWN_KEY:
+            self._record_refusal(
+                header_text(request.header(self.dialect.request_id)),
+                caller,
+                f"no organisation of plan {self._plan.version} holds the key",
+            )
+            return Answer(401)
+        if isinstance(caller, ResultCode):
+            return self._refuse(
+                request, caller, NO_PLAN_RETRY_AFTER_MS, "the key may be a new one"
+            )
+        return await self._forward(request, route, caller)
 
-    async def _forward(self, request: Request, route: Route) -> Answer:
-        service = self._splits[route.name].next_service()
+    async def _forward(self, request: Request, route: Route, caller: Caller) -> Answer:
+        service = self._plan.next_service(route)
         request_id = request.header(self.dialect.request_id) or b""
         self.dispatcher.budget.record_request(service)
         allowed_ms = allowed_time_ms(request.header(self.dialect.deadline_ms), route)
         state = RequestState(
-            request, request_id, route, request.received_ms + allowed_ms
+            request,
+            request_id,
+            route,
+            request.received_ms + allowed_ms,
+            caller=caller,
         )
+        regions = common_regions(route.allowed_regions, caller)
         key = request.header(self.dialect.affinity_key)
         work = Work(
             service=service,
@@ -174,9 +192,16 @@
             sticky=route.sticky and key is not None,
             target_latency_ms=route.target_latency_ms,
             remaining_ms=state.deadline_ms - self.clock.now_ms(),
-            urgent=route.priority <= self._top_priorities[service],
-            allowed_regions=route.allowed_regions,
+            urgent=self._plan.is_urgent(route, service, caller),
+            allowed_regions=regions or (),
         )
+        if regions is None:
+            refusal = Refusal(
+                ResultCode.NO_COMMON_REGION,
+                NO_REGION_RETRY_AFTER_MS,
+                f"{caller.name} may not run in the regions of {route.name}",
+            )
+            return self._refusal_answer(state, refusal)
         return await self._handle(state, work)
 
     async def carry(
@@ -185,12 +210,15 @@
         """Send a request that another host received; return the verdict for it."""
         if self._stopping:
             return Answer(503), RelayVerdict.DECLINED
-        state = carried_state(request, order)
+        caller = self.callers.identify_carried(order)
+        if isinstance(caller, ResultCode):
+            return Answer(503), RelayVerdict.DECLINED
+        state = carried_state(request, order, caller)
         state.request_id = request.header(self.dialect.request_id) or b""
         work = carried_work(order)
         if not order.previous_attempts:
             self.dispatcher.budget.record_request(work.service)
-        elif not self._may_retry(state, work, order.previous_attempts):
+        elif not self._attempts.may_retry(state, work, order.previous_attempts):
             return Answer(503), RelayVerdict.DECLINED
         answer = await self._handle(state, work, order.previous_attempts)
         verdict = carried_verdict(state)
@@ -203,10 +231,11 @@
         plan_version = -1 if self._plan is None else self._plan.version
         status = 0
         try:
-            answer = await self._try_servers(state, work, sent)
+            answer = await self._admit(state, work, sent)
             status = answer.status
             return answer
         finally:
+            self.callers.settle(state)
             total_ms = self.clock.now_ms() - state.request.received_ms
             service = work.service
             self.meters.count(Metric.REQUESTS_TOTAL, service=service, code=str(status))
@@ -222,6 +251,22 @@
                 fleet_age_ms=self.dispatcher.fleet_age_ms(),
             )
 
+    async def _admit(self, state: RequestState, work: Work, sent: int) -> Answer:
+        """Count a request against its quota and send it, or let another host do so."""
+        if (refusal := self.callers.refusal(state.caller)) is not None:
+            relayed = await self._relay(state, work, sent)
+            return relayed or self._refusal_answer(state, refusal)
+        if state.caller.digest:
+            refusal = self.callers.quota_refusal(state.caller)
+            if refusal is not None:
+                relayed = None
+                if self.callers.may_pass_on(refusal):
+                    state.may_be_elsewhere = True
+                    relayed = await self._relay(state, work, sent)
+                return relayed or self._refusal_answer(state, refusal, 429)
+            state.is_counted = True
+        return await self._try_servers(state, work, sent)
+
     async def _try_servers(self, state: RequestState, work: Work, sent: int) -> Answer:
         """Send attempts to one server after another until one answers.
 
@@ -237,6 +282,9 @@
             )
             if work.remaining_ms < MIN_ATTEMPT_MS:
                 return last or self._timeout_answer(state)
+            withdrawn = self.callers.refusal(state.caller)
+            if withdrawn is not None:
+                return last or self._refusal_answer(state, withdrawn)
             if self._suspects_links(unreachable, started_ms):
                 relayed = await self._relay(state, work, sent)
                 if relayed is not None:
@@ -256,7 +304,7 @@
                 )
             if sent:
                 self.dispatcher.budget.record_retry(work.service)
-            result, servers = await self._attempt(state, work, placement, sent + 1)
+            result, servers = await self._attempts.run(state, work, placement, sent + 1)
             if result.final:
                 return result.answer
             last = result.answer or last
@@ -268,7 +316,7 @@
                 refusal = SHED if result.outcome is Outcome.SHED else REFUSED
             if state.may_have_run and not state.route.idempotent:
                 return last or Answer(502)
-            if sent and not self._may_retry(state, work, sent):
+            if sent and not self._attempts.may_retry(state, work, sent):
                 return last or self._refusal_answer(state, refusal or REFUSED)
             work = attrs.evolve(work, excluded=work.excluded | servers)
             if unreachable > MAX_UNREACHABLE_SERVERS:
@@ -299,79 +347,19 @@
         result = await self.relay.send(state, work, sent)
         return None if result is None else result.answer
 
-    async def _attempt(
-        self, state: RequestState, work: Work, placement: Placement, sent: int
-    ) -> tuple[AttemptResult, frozenset[str]]:
-        """Run one attempt, and a hedged one beside it if the first is late.
-
-        Returns
-        -------
-        tuple
-            The result, and the servers that got an attempt.
-        """
-        task = self._runner.start(state, work, placement)
-        tasks = {task}
-        servers = frozenset({placement.server.server_id})
-        try:
-            if not state.route.idempotent:
-                self._finishing.add(task)
-                task.add_done_callback(self._finishing.discard)
-                return await asyncio.shield(task), servers
-            delay_ms = hedge_delay_ms(placement)
-            done, _ = await asyncio.wait(tasks, timeout=delay_ms / 1000.0)
-            if not done:
-                hedge = self._hedge_placement(state, work, servers, sent)
-                if hedge is not None:
-                    servers |= {hedge.server.server_id}
-                    tasks.add(self._runner.start(state, work, hedge))
-            return await first_success(tasks), servers
-        except asyncio.CancelledError:
-            state.caller_disconnected = True
-            raise
-        finally:
-            # A non-idempotent attempt continues even if its caller disconnected.
-            if state.route.idempotent:
-                for task in tasks:
-                    task.cancel()
-
-    def _hedge_placement(
-        self, state: RequestState, work: Work, servers: frozenset[str], sent: int
-    ) -> Placement | None:
-        """Return a server without a queue for a hedged attempt, or None."""
-        if self.observer.is_suspect(state.fingerprint) or not self._may_retry(
-            state, work, sent
-        ):
-            return None
-        remaining_ms = state.deadline_ms - self.clock.now_ms()
-        placement = self.dispatcher.place(
-            attrs.evolve(
-                work, remaining_ms=remaining_ms, excluded=work.excluded | servers
-            )
-        )
-        if isinstance(placement, Refusal) or placement.wait_ms > 0:
-            return None
-        if placement.work_ms > remaining_ms:
-            return None
-        self.dispatcher.budget.record_retry(work.service)
-        return placement
-
-    def _may_retry(self, state: RequestState, work: Work, sent: int) -> bool:
-        return (
-            sent < state.route.max_attempts
-            and self.observer.may_repeat(state.fingerprint)
-            and self.dispatcher.budget.allows(work.service)
-        )
-
-    def _refusal_answer(self, state: RequestState, refusal: Refusal) -> Answer:
+    def _refusal_answer(
+        self, state: RequestState, refusal: Refusal, status: int = 503
+    ) -> Answer:
         if state.may_have_run:
             return Answer(502)
-        state.may_be_elsewhere = refusal.code in LOCAL_REFUSALS
+        if refusal.code in LOCAL_REFUSALS:
+            state.may_be_elsewhere = True
         state.refusal = (
             f"{refusal.code.value} {refusal.code.name}: {refusal.detail}; "
             f"retry after {refusal.retry_after_ms:.0f} ms"
         )
         self.meters.count(Metric.REFUSALS_TOTAL, code=refusal.code.name)
-        return not_run_answer(refusal.retry_after_ms)
+        return not_run_answer(refusal.retry_after_ms, status)
 
     def _timeout_answer(self, state: RequestState) -> Answer:
         return Answer(504) if state.may_have_run else not_run_answer(MIN_ATTEMPT_MS)
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -101,6 +101,7 @@
             self.meters,
             self.connectivity,
             relay,
+            settings.organisations,
         )
         self.relay_service = RelayService(self.forwarder.carry, self.meters)
         self.peer_server: HttpServer | None = None
@@ -237,6 +238,7 @@
             peer_address=settings.peer_address if self.peer_server is not None else "",
             reaches_servers=not self.connectivity.is_cut_off,
             suspects=self.observer.report(self.view.position.epoch),
+            usage=self.forwarder.callers.quota.report(),
         )
 
     def _on_connectivity(self) -> None:
@@ -259,6 +261,9 @@
         self.observer.apply(update.position.epoch, update.suspects)
         self.observer.review(self._has_ended)
         self.carriers.update(self.view.hosts)
+        callers, asked_ms = self.forwarder.callers, self.view.confirmed_ms
+        callers.quota.record_update(update.position.epoch, update.quotas, asked_ms)
+        callers.access.confirm(asked_ms)
 
     def _has_ended(self, server_id: str, born_ms: int) -> bool:
         server = self.view.servers.get(server_id)
--- a/bulrushlead/gateway/_refusals.py
+++ b/bulrushlead/gateway/_refusals.py
@@ -21,9 +21,15 @@
 )
 
 # Refusals for a reason that concerns this host, so that another one may accept.
-LOCAL_REFUSALS = frozenset({ResultCode.CONNECT_FAILED, ResultCode.NO_BACKEND_SERVER})
+LOCAL_REFUSALS = frozenset(
+    {
+        ResultCode.CONNECT_FAILED,
+        ResultCode.NO_BACKEND_SERVER,
+        ResultCode.KEYS_UNCONFIRMED,
+    }
+)
 
 
-def not_run_answer(retry_after_ms: float) -> Answer:
+def not_run_answer(retry_after_ms: float, status: int = 503) -> Answer:
     """Return a refusal that says that the request did not run, and when to retry."""
-    return Answer(503, [(b"retry-after", b"%.2f" % (retry_after_ms / 1000.0))])
+    return Answer(status, [(b"retry-after", b"%.2f" % (retry_after_ms / 1000.0))])
--- a/bulrushlead/gateway/_relaying.py
+++ b/bulrushlead/gateway/_relaying.py
@@ -11,6 +11,7 @@
 )
 from bulrushlead.http1 import Answer, Request
 from bulrushlead.metrics import CompactMeters, Metric
+from bulrushlead.organisations import Caller
 from bulrushlead.relay import (
     CarrierTable,
     Connectivity,
@@ -19,7 +20,7 @@
     RelayReply,
     RelayVerdict,
 )
-from bulrushlead.traffic import Route
+from bulrushlead.traffic import Organisation, Route
 
 MAX_CARRIERS = 3  # hosts that may decline a request before it is refused
 _OUTCOMES = {
@@ -150,6 +151,8 @@
             previous_attempts=sent,
             excluded=tuple(state.sent_servers),
             allowed_regions=work.allowed_regions,
+            organisation=state.caller.name,
+            credential=b"" if state.is_counted else state.caller.digest,
         )
 
     def _result(
@@ -168,8 +171,20 @@
         return AttemptResult(outcome, answer, final=True, may_have_run=True)
 
 
-def carried_state(request: Request, order: RelayOrder) -> RequestState:
-    """Return the state of a request that another host passed on."""
+def carried_state(request: Request, order: RelayOrder, caller: Caller) -> RequestState:
+    """Return the state of a request that another host passed on.
+
+    Parameters
+    ----------
+    request : Request
+        The request.
+    order : RelayOrder
+        How to handle it.
+    caller : Caller
+        Who sent it, if this host had to find out; else the order names it.
+    """
+    if caller.organisation is None and order.organisation:
+        caller = Caller(Organisation(order.organisation))
     route = Route(
         order.route,
         host="",
@@ -190,6 +205,7 @@
         sent_servers=list(order.excluded),
         may_not_relay=True,
         received_by=order.host_id,
+        caller=caller,
     )
 
 
--- a/bulrushlead/gateway/_request_log.py
+++ b/bulrushlead/gateway/_request_log.py
@@ -52,6 +52,9 @@
         "fleet_age_ms": fleet_age_ms,
         "received_by": state.received_by,
     }
+    if state.caller.name:
+        fields["organisation"] = state.caller.name
+        fields["credential"] = state.caller.key_label
     if state.lost_attempts:
         fields["fingerprint"] = state.fingerprint
     log.write(_request_event(state, status), **fields)
--- a/bulrushlead/gateway/_request_state.py
+++ b/bulrushlead/gateway/_request_state.py
@@ -6,6 +6,7 @@
 
 from bulrushlead.dispatch import Outcome
 from bulrushlead.http1 import Answer, Request
+from bulrushlead.organisations import ANYONE, Caller
 from bulrushlead.quarantine import request_fingerprint
 from bulrushlead.traffic import Route
 
@@ -44,6 +45,10 @@
         Host that passed it on; empty if this host received it from its caller.
     lost_attempts : int
         Attempts whose connection ended before the answer.
+    caller : Caller
+        Who sent it.
+    is_counted : bool
+        Whether this host counts it against the quota of the caller's organisation.
     fingerprint : str
         What it has in common with the same request sent again.
     """
@@ -61,10 +66,13 @@
     may_be_elsewhere: bool = False
     received_by: str = ""
     lost_attempts: int = 0
+    caller: Caller = ANYONE
+    is_counted: bool = False
     fingerprint: str = attrs.field(
         init=False,
         default=attrs.Factory(
-            lambda state: request_fingerprint(state.request), takes_self=True
+            lambda state: request_fingerprint(state.request, state.caller.name),
+            takes_self=True,
         ),
     )
 
--- a/bulrushlead/gateway/_settings.py
+++ b/bulrushlead/gateway/_settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 from bulrushlead.dispatch import DispatchSettings
+from bulrushlead.organisations import OrganisationSettings
 
 
 @attrs.frozen
@@ -28,6 +29,8 @@
         empty if it does not.
     drain_ms : float
         Longest time from a planned stop to the end of the process, in milliseconds.
+    organisations : OrganisationSettings
+        How long keys may be used without news, and how exactly quotas hold.
     """
 
     host_id: str
@@ -39,3 +42,4 @@
     dispatch: DispatchSettings
     peer_address: str = ""
     drain_ms: float = 5_000.0
+    organisations: OrganisationSettings = OrganisationSettings()
--- a/bulrushlead/gateway/tests/test_forwarding.py
+++ b/bulrushlead/gateway/tests/test_forwarding.py
@@ -45,7 +45,7 @@
 async def test_request_without_route_or_plan_is_refused(build):
     harness = await build(fakes.good)
     assert (await harness.send_request(b"/other/")).status == 404
-    harness.forwarder._table = None
+    harness.forwarder._plan = None
     answer = await harness.send_request(b"/read/1")
     assert answer.status == 503
     assert retry_after(answer) > 0
@@ -55,7 +55,7 @@
     """After a restart of all hosts, a caller refused twice gives up its request."""
     harness = await build(fakes.good)
     forwarder = harness.forwarder
-    forwarder._table = None
+    forwarder._plan = None
     retry_after_ms = {}
     for age_ms in (0, 1_000, 60_000):
         forwarder._started_ms = fakes.CLOCK.now_ms() - age_ms
--- a/bulrushlead/quarantine/_fingerprint.py
+++ b/bulrushlead/quarantine/_fingerprint.py
@@ -10,24 +10,36 @@
 CALLER_HEADER = b"authorization"
 
 
-def request_fingerprint(request: Request) -> str:
+def request_fingerprint(request: Request, organisation: str = "") -> str:
     """Return a digest of what stays the same when a caller sends a request again.
 
-    It covers method, host, target, the caller's credentials and the body without its
-    transfer coding. The digest is cryptographic: nobody can send a request that has
+    It covers method, host, target, the caller and the body without its transfer coding.
+    The caller is its organisation, which may use several keys, or else whoever the
+    credentials name. The digest is cryptographic: nobody can send a request that has
     the fingerprint of another caller's request.
 
+    Parameters
+    ----------
+    request : Request
+        The request.
+    organisation : str
+        Organisation of the caller; empty if it has none.
+
     Returns
     -------
     str
         Hexadecimal digits, which show neither credentials nor body.
     """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    caller = request.header(CALLER_HEADER) or b""
+    if organisation:
+        digest.update(b"organisation")
+        caller = organisation.encode()
     parts = (
         request.method,
         (request.header(b"host") or b"").lower(),
         request.target,
-        request.header(CALLER_HEADER) or b"",
+        caller,
     )
     for part in parts:
         # The lengths keep two requests apart whose parts are divided differently.
--- a/bulrushlead/quarantine/tests/test_fingerprint.py
+++ b/bulrushlead/quarantine/tests/test_fingerprint.py
@@ -70,3 +70,18 @@
 
 def test_a_fingerprint_does_not_show_the_body():
     assert "secret" not in fingerprint(body=b"secret")
+
+
+def test_keys_of_one_organisation_give_the_same_fingerprint():
+    """Guards against a request that counts as new after its caller changes the key."""
+
+    def of(organisation, credentials=b""):
+        headers = [*HEADERS, (b"authorization", credentials)]
+        request = Request(b"POST", b"/a/x", headers, b"body")
+        return request_fingerprint(request, organisation)
+
+    assert of("labs", b"one") == of("labs", b"two")
+    assert of("labs") != of("mills")
+    assert of("") != of("labs")
+    # A caller must not be able to look like an organisation.
+    assert of("labs") != of("", b"labs")
--- a/bulrushlead/relay/_messages.py
+++ b/bulrushlead/relay/_messages.py
@@ -60,6 +60,11 @@
         The servers that have got it already.
     allowed_regions : tuple of str
         Regions that may run it; all if empty.
+    organisation : str
+        Organisation that sent it; empty if it needs none.
+    credential : bytes
+        Digest of the caller's key, if the carrying host has to find out whether the
+        organisation may still send, and to count the request against its quota.
     """
 
     host_id: str
@@ -76,6 +81,8 @@
     previous_attempts: int = 0
     excluded: tuple[str, ...] = ()
     allowed_regions: tuple[str, ...] = ()
+    organisation: str = ""
+    credential: bytes = b""
 
 
 def encode_order(order: RelayOrder) -> bytes:
