Show operators organisations, their use and who holds a key

`bulrushlead organisations` lists use against quota from the leader's account; `bulrushlead key-holder` names the holder of a key and sends only its digest. The leader logs when an organisation is limited (640) and no longer so (641).

--- a/bulrushlead/cli/_main.py
+++ b/bulrushlead/cli/_main.py
@@ -11,6 +11,7 @@
     _daemons,
     _explain,
     _operate,
+    _organisations,
     _quarantine,
     _query,
 )
@@ -34,6 +35,8 @@
     "forget-keys": _query.forget_keys,
     "quarantine": _quarantine.quarantine,
     "release-request": _quarantine.release_request,
+    "organisations": _organisations.organisations,
+    "key-holder": _organisations.key_holder,
     "bench": _bench.bench,
     "explain": _explain.explain,
 }
--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -7,6 +7,7 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.coordinator._messages import AnnounceBatch, StatusReply
+from bulrushlead.coordinator._organisation_calls import OrganisationCalls
 from bulrushlead.coordinator._settings import CoordinatorSettings
 from bulrushlead.coordinator._state import OrderState
 from bulrushlead.coordinator._suspect_calls import SuspectCalls
@@ -27,6 +28,7 @@
 from bulrushlead.quarantine import SuspectTable
 from bulrushlead.replication import ReplicatedLog
 from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.traffic import TrafficPlan
 from bulrushlead.wire import MessageServer, PackedPayload, codec
 
 # After this many heartbeat intervals, a new leader has a heartbeat of every running
@@ -121,6 +123,12 @@
         messages.register_handler(SyncRequest, self.handle_sync)
         messages.register_handler(AnnounceBatch, self.handle_heartbeats)
         SuspectCalls(self).register(messages)
+        OrganisationCalls(self).register(messages)
+
+    @property
+    def plan(self) -> TrafficPlan | None:
+        """Plan in force; None before the first one."""
+        return self._state.plan
 
     def require_leader(self) -> None:
         """Raise an error if this host is not the leader.
--- a/bulrushlead/gateway/_caller_gate.py
+++ b/bulrushlead/gateway/_caller_gate.py
@@ -13,10 +13,11 @@
     Caller,
     OrganisationSettings,
     QuotaGate,
+    key_label,
 )
 from bulrushlead.relay import RelayOrder
 from bulrushlead.results import ResultCode
-from bulrushlead.traffic import Route, TrafficPlan
+from bulrushlead.traffic import Route, TrafficPlan, key_digest
 
 # Until the session with the leader is back, or the caller has found another host.
 UNCONFIRMED_RETRY_AFTER_MS = 300
@@ -48,13 +49,15 @@
         self.dialect = dialect
         self.access = Access(clock, settings)
         self.quota = QuotaGate(clock, settings, rng)
+        self._plan_version = -1
 
     def set_plan(self, plan: TrafficPlan) -> None:
         """Apply the organisations of a plan."""
+        self._plan_version = plan.version
         self.access.set_plan(plan)
         self.quota.retain([organisation.name for organisation in plan.organisations])
 
-    def identify(self, request: Request, route: Route) -> Caller | ResultCode:
+    def identify(self, request: Request, route: Route) -> Caller | Refusal:
         """Return who sent a request; remove its key, which no server may see."""
         if not self.access.has_organisations:
             return ANYONE
@@ -64,7 +67,16 @@
             if name.lower() == self.dialect.credential
         ]
         request.headers = self._without_identity(request.headers)
-        return self.access.identify(keys, route.public)
+        caller = self.access.identify(keys, route.public)
+        if isinstance(caller, Caller):
+            return caller
+        labels = " ".join(key_label(key_digest(key.strip())) for key in keys)
+        return Refusal(
+            caller,
+            UNCONFIRMED_RETRY_AFTER_MS,
+            f"keys [{labels}] on route {route.name}, not one key of an organisation of "
+            f"plan {self._plan_version} as of {self.access.age_ms():.0f} ms ago",
+        )
 
     def identify_carried(self, order: RelayOrder) -> Caller | ResultCode:
         """Return who sent a request that another host passed on."""
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -158,18 +158,12 @@
             )
             return Answer(404)
         caller = self.callers.identify(request, route)
-        if caller is ResultCode.UNKNOWN_KEY:
-            self._record_refusal(
-                header_text(request.header(self.dialect.request_id)),
-                caller,
-                f"no organisation of plan {self._plan.version} holds the key",
-            )
-            return Answer(401)
-        if isinstance(caller, ResultCode):
-            return self._refuse(
-                request, caller, NO_PLAN_RETRY_AFTER_MS, "the key may be a new one"
-            )
-        return await self._forward(request, route, caller)
+        if isinstance(caller, Caller):
+            return await self._forward(request, route, caller)
+        refused = self._refuse(
+            request, caller.code, caller.retry_after_ms, caller.detail
+        )
+        return Answer(401) if caller.code is ResultCode.UNKNOWN_KEY else refused
 
     async def _forward(self, request: Request, route: Route, caller: Caller) -> Answer:
         service = self._plan.next_service(route)
@@ -211,7 +205,7 @@
         if self._stopping:
             return Answer(503), RelayVerdict.DECLINED
         caller = self.callers.identify_carried(order)
-        if isinstance(caller, ResultCode):
+        if not isinstance(caller, Caller):
             return Answer(503), RelayVerdict.DECLINED
         state = carried_state(request, order, caller)
         state.request_id = request.header(self.dialect.request_id) or b""
--- a/bulrushlead/gateway/tests/test_organisations.py
+++ b/bulrushlead/gateway/tests/test_organisations.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+import logbook
 import pytest
 
 from bulrushlead.gateway.tests import harness as fakes
@@ -95,6 +96,17 @@
     assert harness.requests_received() == 0
 
 
+async def test_the_log_names_a_rejected_key_by_its_digest(build):
+    harness = await build(fakes.good)
+    with logbook.TestHandler() as handler:
+        await send(harness, keys=(b"secret-key",))
+        await send(harness)
+    text = " ".join(str(record.extra) for record in handler.records)
+    assert "secret-key" not in text
+    assert "'k1'" not in text
+    assert key_digest(b"secret-key").hex()[:8] in text
+
+
 async def test_a_host_with_old_news_refuses_an_unknown_key_as_not_run(build):
     harness = await build(fakes.good)
     confirm(harness, 2_000.0)
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -83,6 +83,8 @@
     REQUEST_QUARANTINED = 631
     QUARANTINE_ENDED = 632
     TRIAL_GRANTED = 633
+    QUOTA_EXCEEDED = 640
+    QUOTA_KEPT = 641
 
     # Idempotency keys.
     KEY_CLAIMED = 700
@@ -223,6 +225,10 @@
     _E.TRIAL_GRANTED: EventInfo(
         "WARNING", "A host may send a quarantined request once."
     ),
+    _E.QUOTA_EXCEEDED: EventInfo(
+        "INFO", "An organisation exceeds its quota; hosts admit a fraction."
+    ),
+    _E.QUOTA_KEPT: EventInfo("INFO", "An organisation is within its quota again."),
     _E.KEY_CLAIMED: EventInfo("INFO", "An idempotency key was claimed."),
     _E.KEY_FINISHED: EventInfo("INFO", "The outcome of a key was recorded."),
     _E.KEY_REPLAYED: EventInfo("INFO", "A recorded answer was sent again."),
--- a/bulrushlead/organisations/_access.py
+++ b/bulrushlead/organisations/_access.py
@@ -39,7 +39,12 @@
     @property
     def key_label(self) -> str:
         """First digits of the key's digest, for logs."""
-        return self.digest.hex()[:LOG_DIGITS]
+        return key_label(self.digest)
+
+
+def key_label(digest: bytes) -> str:
+    """Return the first digits of a key's digest, for logs."""
+    return digest.hex()[:LOG_DIGITS]
 
 
 ANYONE = Caller()
--- a/bulrushlead/organisations/_quota_table.py
+++ b/bulrushlead/organisations/_quota_table.py
@@ -6,7 +6,13 @@
 import attrs
 
 from bulrushlead.clock import Clock, decayed
-from bulrushlead.organisations._messages import UNLIMITED, QuotaState, UsageReport
+from bulrushlead.logs import Event, EventLogger
+from bulrushlead.organisations._messages import (
+    UNLIMITED,
+    OrganisationUse,
+    QuotaState,
+    UsageReport,
+)
 from bulrushlead.organisations._settings import OrganisationSettings
 from bulrushlead.organisations._usage import BINS
 from bulrushlead.traffic import Organisation
@@ -96,6 +102,7 @@
         self._awaited = set(expected)
         self._settled = False
         self._demands_ms = -math.inf
+        self._log = EventLogger("organisations")
 
     def set_organisations(self, organisations: Iterable[Organisation]) -> None:
         """Apply the quotas of a plan; tokens and demand measured so far stay."""
@@ -169,17 +176,21 @@
                 self._charge_silence(host, silent_ms)
         self._publish(now_ms, self._buckets)
 
-    def usage(self) -> dict[str, tuple[float, float, float]]:
-        """Return demand and quota in requests per second, and the fraction, by name."""
-        now_ms = self.clock.now_ms()
-        return {
-            name: (
-                1_000.0 * _demand_per_ms(bucket, now_ms),
-                bucket.organisation.rate_per_s,
-                bucket.published.fraction,
-            )
-            for name, bucket in self._buckets.items()
-        }
+    def use(self, organisation: Organisation) -> OrganisationUse:
+        """Return what all hosts got from an organisation."""
+        keys = len(organisation.key_digests)
+        bucket = self._buckets.get(organisation.name)
+        if bucket is None:
+            return OrganisationUse(0.0, organisation.burst, keys=keys)
+        return OrganisationUse(
+            organisation.rate_per_s,
+            organisation.burst,
+            1_000.0 * _demand_per_ms(bucket, self.clock.now_ms()),
+            bucket.usual_per_s,
+            bucket.published.fraction,
+            bucket.hosts,
+            keys,
+        )
 
     def _charge(
         self,
@@ -325,6 +336,8 @@
             ):
                 bucket.published = state
                 changed.append(bucket)
+            if (state.fraction < 1.0) != (before.fraction < 1.0):
+                self._write_limit(bucket, now_ms)
         if changed:
             self.revision += 1
             for bucket in changed:
@@ -332,6 +345,18 @@
             if may_send_demands:
                 self._demands_ms = now_ms
 
+    def _write_limit(self, bucket: _Bucket, now_ms: float) -> None:
+        is_limited = bucket.published.fraction < 1.0
+        self._log.write(
+            Event.QUOTA_EXCEEDED if is_limited else Event.QUOTA_KEPT,
+            organisation=bucket.organisation.name,
+            demand_per_s=round(1_000.0 * _demand_per_ms(bucket, now_ms), 1),
+            rate_per_s=bucket.organisation.rate_per_s,
+            tokens=round(bucket.tokens, 1),
+            fraction=round(bucket.published.fraction, 3),
+            hosts=bucket.hosts,
+        )
+
 
 def _demand_per_ms(bucket: _Bucket, now_ms: float) -> float:
     return decayed(bucket.demand_per_ms, now_ms - bucket.demand_ms, DEMAND_HALF_LIFE_MS)
