Read a stored plan from the operator's document

A coordinator of an older build drops the fields that it does not know, so that a newer one read a plan without organisations although the document beside it has them: every key would have been accepted after an upgrade. The state machine now decodes the document itself and keeps the stored plan only where it cannot.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -84,6 +84,8 @@
     rng : random.Random
         Source of replica identities and election timeouts; seeded differently in each
         process.
+    read_document : callable, optional
+        Returns the plan in an operator's document; see ``OrderState``.
 
     Attributes
     ----------
@@ -98,8 +100,10 @@
         clock: Clock,
         link_factory: LinkFactory,
         rng: random.Random,
+        read_document: Callable[[bytes], TrafficPlan] | None = None,
     ):
         self.settings = settings
+        self.read_document = read_document
         self.clock = clock
         self.link_factory = link_factory
         self.rng = rng
@@ -164,7 +168,7 @@
         await self.messages.close()
 
     def _build_log(self) -> tuple[OrderState, ReplicatedLog]:
-        state = OrderState()
+        state = OrderState(self.read_document)
         log = ReplicatedLog(
             self._replica_settings(),
             self.clock,
--- a/bulrushlead/coordinator/_state.py
+++ b/bulrushlead/coordinator/_state.py
@@ -1,6 +1,9 @@
 """Replicated state: the traffic plan, evacuations and departures of servers."""
 
+from collections.abc import Callable
+
 from bulrushlead.coordinator._messages import StatusReply
+from bulrushlead.results import BulrushleadError
 from bulrushlead.traffic import TrafficPlan
 from bulrushlead.wire import codec, message
 
@@ -77,6 +80,12 @@
 class OrderState:
     """State machine of the coordinators' replicated log.
 
+    Parameters
+    ----------
+    read_document : callable, optional
+        Returns the plan in an operator's document. A plan in the log lacks the fields
+        that the build which stored it did not know; the document has them.
+
     Attributes
     ----------
     plan : TrafficPlan or None
@@ -97,7 +106,8 @@
         ``on_change``.
     """
 
-    def __init__(self):
+    def __init__(self, read_document: Callable[[bytes], TrafficPlan] | None = None):
+        self.read_document = read_document
         self.plan: TrafficPlan | None = None
         self.document = b""
         self.evacuated_zones: set[str] = set()
@@ -129,7 +139,7 @@
     def restore(self, data: bytes) -> None:
         """Replace the state by that of a snapshot."""
         snapshot = codec.decode(data)
-        self.plan = snapshot.plan
+        self.plan = snapshot.plan and self._read(snapshot.plan, snapshot.document)
         self.document = snapshot.document
         self.evacuated_zones = set(snapshot.evacuated_zones)
         self.departures = dict(snapshot.departures)
@@ -140,12 +150,22 @@
         """Return whether the departure of this or a later incarnation is recorded."""
         return self.departures.get(server_id, -1) >= born_ms
 
+    def _read(self, stored: TrafficPlan, document: bytes) -> TrafficPlan:
+        """Return the plan as this build reads it, or else as it was stored."""
+        if self.read_document is None or not document:
+            return stored
+        try:
+            plan = self.read_document(document)
+        except BulrushleadError:
+            return stored  # accepted by a build that reads more than this one
+        return plan if plan.version == stored.version else stored
+
     def _apply(self, command) -> bool:
         match command:
             case AcceptPlan(plan=plan, document=document):
                 if self.plan is not None and plan.version <= self.plan.version:
                     return False
-                self.plan = plan
+                self.plan = self._read(plan, document)
                 self.document = document
                 return True
             case StartEvacuation(zone=zone):
--- a/bulrushlead/coordinator/tests/test_state.py
+++ b/bulrushlead/coordinator/tests/test_state.py
@@ -8,7 +8,8 @@
     StartEvacuation,
 )
 from bulrushlead.coordinator._state import MAX_DEPARTURES
-from bulrushlead.traffic import TrafficPlan
+from bulrushlead.results import BulrushleadError, ResultCode
+from bulrushlead.traffic import Organisation, TrafficPlan
 from bulrushlead.wire import codec
 
 
@@ -44,6 +45,31 @@
     assert harness.state.document == b"first"
 
 
+def read_document(document):
+    if document == b"later":
+        raise BulrushleadError(ResultCode.DECLARATION_INVALID, "unknown")
+    return TrafficPlan(7, organisations=(Organisation("labs"),))
+
+
+def test_a_plan_that_an_older_build_stored_keeps_all_its_fields():
+    """Guards against a newer build that knows no organisations after an upgrade."""
+    old, new = StateHarness(), OrderState(read_document)
+    old.apply(plan(7, b"document"))
+    new.restore(old.state.snapshot())
+    assert [organisation.name for organisation in new.plan.organisations] == ["labs"]
+    from_log = OrderState(read_document)
+    from_log.apply(1, codec.encode(plan(7, b"document")))
+    assert from_log.plan == new.plan
+    assert from_log.document == b"document"
+
+
+@pytest.mark.parametrize("stored", [plan(7, b"later"), plan(8, b"other"), plan(7, b"")])
+def test_a_plan_whose_document_does_not_fit_stays_as_it_was_stored(stored):
+    state = OrderState(read_document)
+    state.apply(1, codec.encode(stored))
+    assert state.plan == stored.plan
+
+
 def test_a_repeated_evacuation_changes_nothing(harness):
     assert harness.apply(StartEvacuation("a"))
     assert not harness.apply(StartEvacuation("a"))
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -135,6 +135,7 @@
         # Imported here to save memory: a host loads only the program that it runs.
         from bulrushlead.coordinator import Coordinator
         from bulrushlead.platform import _control, _directory
+        from bulrushlead.platform._plans import decode_plan
 
         settings, clock = self.settings, self.clock
         coordinator = Coordinator(
@@ -142,6 +143,7 @@
             clock,
             lambda address: MessageClient(address, clock),
             self.rng,
+            decode_plan,
         )
         await self._start_component(stack, coordinator)
         self._reload_callbacks.append(
