Keep a part of each quota at one host while the leader is lost

Cause: without news each host admitted its own share, a sliding window of less than one request for most organisations on 78 hosts, and chance decided which hosts may send. Asking three random hosts found few shares. Now the part of a quota that hosts cannot own is at one host for each organisation, chosen alike by rendezvous hashing; a host that has used its own share up asks it first.

Ruled out: larger shares (they add up to more than the quota), longer averages of the demand (the loss is in shares below one request, not in their estimate).

--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -256,7 +256,7 @@
                 relayed = None
                 if self.callers.may_pass_on(refusal):
                     state.may_be_elsewhere = True
-                    relayed = await self._relay(state, work, sent)
+                    relayed = await self._relay_to_keeper(state, work, sent)
                 return relayed or self._refusal_answer(state, refusal, 429)
             state.is_counted = True
         return await self._try_servers(state, work, sent)
@@ -341,6 +341,16 @@
         result = await self.relay.send(state, work, sent)
         return None if result is None else result.answer
 
+    async def _relay_to_keeper(
+        self, state: RequestState, work: Work, sent: int
+    ) -> Answer | None:
+        """Return the answer of a host that admits what this one does not, or None."""
+        if self.relay is None:
+            return None
+        keeper = self.relay.carriers.keeper(state.caller.name)
+        result = await self.relay.send(state, work, sent, keeper)
+        return None if result is None else result.answer
+
     def _refusal_answer(
         self, state: RequestState, refusal: Refusal, status: int = 503
     ) -> Answer:
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -103,6 +103,9 @@
             relay,
             settings.organisations,
         )
+        self.forwarder.callers.quota.is_keeper = lambda name: (
+            self.carriers.keeper(name) == settings.host_id
+        )
         self.relay_service = RelayService(self.forwarder.carry, self.meters)
         self.peer_server: HttpServer | None = None
         if settings.peer_address:
--- a/bulrushlead/gateway/_relaying.py
+++ b/bulrushlead/gateway/_relaying.py
@@ -68,7 +68,7 @@
         self._finishing: set[asyncio.Task] = set()
 
     async def send(
-        self, state: RequestState, work: Work, sent: int
+        self, state: RequestState, work: Work, sent: int, preferred: str = ""
     ) -> AttemptResult | None:
         """Let another host send a request.
 
@@ -81,6 +81,8 @@
             The request to place.
         sent : int
             Servers that have got it already.
+        preferred : str
+            Host to ask first.
 
         Returns
         -------
@@ -90,7 +92,7 @@
         if state.may_not_relay:
             return None
         state.may_not_relay = True
-        task = asyncio.ensure_future(self._try_hosts(state, work, sent))
+        task = asyncio.ensure_future(self._try_hosts(state, work, sent, preferred))
         if state.route.idempotent:
             return await task
         # A non-idempotent request continues even if its caller disconnects.
@@ -103,14 +105,14 @@
             raise
 
     async def _try_hosts(
-        self, state: RequestState, work: Work, sent: int
+        self, state: RequestState, work: Work, sent: int, preferred: str
     ) -> AttemptResult | None:
         declined: set[str] = set()
         while len(declined) < MAX_CARRIERS and not state.caller_disconnected:
             remaining_ms = state.deadline_ms - self.clock.now_ms()
             if remaining_ms < MIN_ATTEMPT_MS:
                 return None
-            host = self.carriers.choose(work.allowed_regions, declined)
+            host = self.carriers.choose(work.allowed_regions, declined, preferred)
             if host is None:
                 return None
             started_ms = self.clock.now_ms()
--- a/bulrushlead/organisations/_quota_gate.py
+++ b/bulrushlead/organisations/_quota_gate.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -19,6 +19,13 @@
 # an organisation moves without news must not take all of it each.
 MIN_DEMAND_RATIO = 0.25
 MIN_BETWEEN_NEWS = 3  # requests; callers may move to any host
+# Requests in a window that a host gets of an organisation from which on it owns half of
+# its part of the quota; with fewer, most of the quota is at the organisation's keeper,
+# since chance decides which hosts need it.
+OWN_HALF_REQUESTS = 4.0
+# Requests that a keeper gets, by the usual demand at all hosts, from which on it admits
+# none of the common part: an organisation that sends so much has used it up before.
+MAX_KEEPER_RATIO = 1.2
 # Part of the requests between news that still counts after them: the leader may be lost
 # before it has limited an organisation that it knows to send more.
 CARRIED_SHARE = 0.75
@@ -48,8 +55,9 @@
     The leader knows what all hosts admitted and publishes, for each organisation whose
     demand exceeds its quota, the fraction of its requests that every host admits. All
     other organisations are admitted without a limit; their requests are counted. A host
-    that hears nothing from the leader admits its share of what all hosts may send in a
-    window, in proportion to the demand that it had.
+    that hears nothing from the leader admits a share of the quota in proportion to the
+    demand that it had; another part of the quota is at one host, the organisation's
+    keeper, which others ask.
 
     Parameters
     ----------
@@ -64,6 +72,9 @@
     ----------
     states : dict of str to QuotaState
         What the leader published last, by name of the organisation.
+    is_keeper : callable
+        Returns whether this host keeps what all hosts share of the quota of an
+        organisation, by its name.
     """
 
     def __init__(
@@ -73,6 +84,7 @@
         self.settings = settings
         self.rng = rng
         self.states: dict[str, QuotaState] = {}
+        self.is_keeper: Callable[[str], bool] = lambda name: False
         self.incarnation = rng.getrandbits(48)
         self._shares: dict[str, _Share] = {}
         self._started_ms: float | None = None  # of the first request
@@ -220,12 +232,22 @@
         The shares of all hosts add up to the quota. Most of them contain a fraction of
         a request; chance decides which hosts send it.
         """
-        if not share.usual_per_ms:
-            return 0  # the shares of the others add up to all
         if share.rounding is None:
             share.rounding = self.rng.random()
-        quota = self.settings.quota(organisation)
-        return math.floor(self._ratio(share, organisation) * quota + share.rounding)
+        demand_per_s = self._demand_per_s(share, organisation)
+        state = self.states.get(organisation.name, UNLIMITED)
+        window_s = self.settings.window_ms / 1_000.0
+        per_host = demand_per_s * window_s / max(1, state.hosts)
+        owned = per_host / (per_host + OWN_HALF_REQUESTS)
+        part = owned * 1_000.0 * share.usual_per_ms / demand_per_s
+        recent_per_s = 1_000.0 * share.usage.recent_per_ms(self.clock.now_ms())
+        has_spare = (
+            state.fraction >= 1.0 and recent_per_s < MAX_KEEPER_RATIO * demand_per_s
+        )
+        if has_spare and self.is_keeper(organisation.name):
+            part += 1.0 - owned
+        rounding = share.rounding if share.usual_per_ms else 0.0
+        return math.floor(part * self.settings.quota(organisation) + rounding)
 
     def _ratio(self, share: _Share, organisation: Organisation) -> float:
         """Return the share of this host in all demand.
--- a/bulrushlead/relay/_carriers.py
+++ b/bulrushlead/relay/_carriers.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Collection, Iterable
 
+import xxhash
+
 from bulrushlead.clock import Clock
 from bulrushlead.fleet import HostRecord
 
@@ -34,12 +36,18 @@
         self.rng = rng
         self._hosts: list[HostRecord] = []
         self._near_count = 0
+        self._keeper_hashes: dict[str, int] = {}  # by name of the host
+        self._keepers: dict[str, str] = {}  # by organisation
         self._unusable_until_ms: dict[str, float] = {}
 
     def update(self, hosts: Iterable[HostRecord]) -> None:
         """Apply the leader's list of hosts."""
         hosts = [host for host in hosts if host.accepting]
         self._near_count = sum(host.region == self.region for host in hosts)
+        names = {host.host_id for host in hosts if host.peer_address}
+        if names != self._keeper_hashes.keys():
+            self._keeper_hashes = {name: _hash(name) for name in names}
+            self._keepers = {}
         self._hosts = [
             host
             for host in hosts
@@ -51,8 +59,25 @@
         for host_id in self._unusable_until_ms.keys() - known:
             del self._unusable_until_ms[host_id]
 
+    def keeper(self, organisation: str) -> str:
+        """Return the host that keeps what all hosts share of an organisation's quota.
+
+        Hosts with the same list choose the same one, by rendezvous hashing.
+        """
+        keeper = self._keepers.get(organisation)
+        if keeper is None:
+            seeds = self._keeper_hashes
+            keeper = max(
+                seeds, key=lambda name: _hash(organisation, seeds[name]), default=""
+            )
+            self._keepers[organisation] = keeper
+        return keeper
+
     def choose(
-        self, allowed_regions: Collection[str], excluded: Collection[str]
+        self,
+        allowed_regions: Collection[str],
+        excluded: Collection[str],
+        preferred: str = "",
     ) -> HostRecord | None:
         """Return a host that may carry a request, or None.
 
@@ -62,6 +87,8 @@
             Regions that may see the request; all if empty.
         excluded : collection of str
             Hosts that have declined it.
+        preferred : str
+            Host to choose if it may carry the request.
         """
         now_ms = self.clock.now_ms()
         hosts = [
@@ -71,6 +98,9 @@
             and now_ms >= self._unusable_until_ms.get(host.host_id, 0.0)
             and (not allowed_regions or host.region in allowed_regions)
         ]
+        for host in hosts:
+            if host.host_id == preferred:
+                return host
         near = [host for host in hosts if host.region == self.region]
         if near and len(near) >= MIN_NEAR_SHARE * self._near_count:
             hosts = near
@@ -79,3 +109,7 @@
     def record_failure(self, host_id: str) -> None:
         """Leave a host out for a while, since it could not be reached."""
         self._unusable_until_ms[host_id] = self.clock.now_ms() + CARRIER_BACKOFF_MS
+
+
+def _hash(text: str, seed: int = 0) -> int:
+    return xxhash.xxh64_intdigest(text.encode(), seed)
