--- a/bulrushlead/organisations/_quota_gate.py
+++ b/bulrushlead/organisations/_quota_gate.py
@@ -203,6 +203,8 @@
         if self.is_stale():
             in_window = share.usage.admitted_in_window(now_ms)
             return in_window + 1 <= self._stale_share(share, organisation)
+        if organisation.name not in self.states:
+            return True  # nobody knows what it usually sends
         fraction = self.fraction(organisation.name)
         since_news = share.usage.admitted - share.admitted
         spare = self._spare(share, organisation) - share.carried
