--- a/bulrushlead/platform/tests/test_organisations.py
+++ b/bulrushlead/platform/tests/test_organisations.py
@@ -6,6 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bulrushlead.clock import ManualClock
+from bulrushlead.organisations import Access, OrganisationSettings, QuotaTable
 from bulrushlead.platform._plans import decode_plan
 from bulrushlead.platform._settings import KEY_LEASE_FRACTION, load_host_settings
 from bulrushlead.platform.tests.samples import (
@@ -14,8 +16,10 @@
     encode_json,
     resource,
 )
-from bulrushlead.results import BulrushleadError
+from bulrushlead.platform.tests.test_hostile_input import ODD_VALUES
+from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.traffic import check_plan, key_digest
+from bulrushlead.wire import codec
 
 LABS = {
     "apiKeys": ["key-1", "key-2"],
@@ -100,6 +104,29 @@
         assert key not in str(error)
 
 
+@given(st.dictionaries(st.sampled_from(sorted(LABS)), ODD_VALUES))
+def test_any_odd_organisation_is_an_error_or_reaches_the_hosts(changes):
+    """Guards against a plan that is accepted and then stops the leader's updates."""
+    try:
+        plan = plan_with({**LABS, **changes})
+        check_plan(plan, ["casa"])
+    except BulrushleadError:
+        return
+    assert codec.decode(codec.encode(plan)) == plan
+    table = QuotaTable(ManualClock(), OrganisationSettings())
+    table.set_organisations(plan.organisations)
+    table.check()
+
+
+@given(st.lists(st.binary(max_size=12), max_size=3))
+def test_any_key_field_identifies_at_most_one_organisation(values):
+    access = Access(ManualClock(), OrganisationSettings())
+    access.set_plan(plan_with(LABS))
+    access.confirm(0.0)
+    found = access.identify(values, False)
+    assert found is ResultCode.UNKNOWN_KEY or values[0].strip() in (b"key-1", b"key-2")
+
+
 def load(tmp_path, text):
     path = tmp_path / "boot.toml"
     path.write_text(SETTINGS.replace("warmupSlack = 5", f"warmupSlack = 5\n{text}"))
