Ignore reported rates that are no numbers

Cause: a report with NaN as a rate would have stayed in the leader's sums, and no comparison with it is true: the organisation would never be limited again. Found by reading; the tests fail without the check.

--- a/bulrushlead/organisations/_quota_table.py
+++ b/bulrushlead/organisations/_quota_table.py
@@ -136,6 +136,8 @@
         host.reported_ms = now_ms
         self._refund_silence(host)
         for name, counts in report.counts.items():
+            if not all(math.isfinite(count) and count >= 0 for count in counts):
+                continue  # it would stay in the sums for ever
             use = _Use(*counts)
             before = host.uses.get(name)
             history = report.history.get(name)
--- a/bulrushlead/organisations/tests/test_quota_table.py
+++ b/bulrushlead/organisations/tests/test_quota_table.py
@@ -108,6 +108,16 @@
     assert table._buckets["labs"].tokens == pytest.approx(tokens)
 
 
+@pytest.mark.parametrize("rate", [float("nan"), float("inf"), -5.0])
+def test_a_report_without_a_usable_rate_changes_nothing(rate):
+    """Guards against one faulty host that ends the quotas of an organisation."""
+    table = new_table()
+    feed(table, 90.0, 4_000)
+    before = table.use(LABS)
+    table.record_report("e9", report(10, 10, rate))
+    assert table.use(LABS) == before
+
+
 def test_a_lowered_quota_limits_at_once():
     table = new_table()
     feed(table, 90.0, 6_000)
