Borrow warm copies only from servers with many slots

One request more fills a third of such a server, and hosts of other regions do not see its queue. Servers with fewer than eight slots now get none.

--- a/bulrushlead/dispatch/_warm_copies.py
+++ b/bulrushlead/dispatch/_warm_copies.py
@@ -24,6 +24,9 @@
 # Regions must not exchange their work within seconds.
 MAX_SHARE = 0.08
 MAX_TOKENS = 4.0
+# A server with fewer slots gets no such request: hosts of other regions do not see its
+# queue, and one request more fills a large part of it.
+MIN_SLOTS = 8
 
 
 class WarmCopies:
@@ -122,6 +125,7 @@
         cold = self.eligibility.cold_if_usable(server, work, now_ms, view.age_ms())
         return (
             server.ready
+            and server.slots >= MIN_SLOTS
             and not server.fleet_load
             and server.slowness(now_ms) < SLOW_RATIO
             and cold is False
--- a/bulrushlead/dispatch/tests/test_warm_copies.py
+++ b/bulrushlead/dispatch/tests/test_warm_copies.py
@@ -8,7 +8,7 @@
 
 from bulrushlead.clock import ManualClock
 from bulrushlead.dispatch import Dispatcher, DispatchSettings, Work
-from bulrushlead.dispatch._warm_copies import MAX_SHARE, MAX_TOKENS
+from bulrushlead.dispatch._warm_copies import MAX_SHARE, MAX_TOKENS, MIN_SLOTS
 from bulrushlead.fleet import (
     FleetUpdate,
     FleetView,
@@ -32,7 +32,8 @@
 class Host:
     """The dispatcher of a host in the north, and what the leader sends it."""
 
-    def __init__(self):
+    def __init__(self, slots=9):
+        self.slots = slots
         self.clock = SteppedClock(1_000_000.0)
         self.view = FleetView(self.clock)
         settings = DispatchSettings("e1", "a", "north", REGIONS, 0.2, 60, 10_000, 5)
@@ -57,7 +58,7 @@
                         "stock",
                         f"127.0.0.1:{number}",
                         zone,
-                        4,
+                        self.slots,
                         ServerState.READY,
                     )
                     for number, (name, zone) in enumerate((("n1", "a"), ("s1", "b")))
@@ -135,6 +136,16 @@
     assert set(servers) == {"n1"}
 
 
+@pytest.mark.parametrize("slots", [3, MIN_SLOTS - 1])
+def test_servers_with_few_slots_get_no_requests_of_other_regions(slots):
+    """Guards against queues that hosts of other regions do not see."""
+    host = Host(slots)
+    host.publish({"north": "n1", "south": "s1"})
+    host.placements(100)
+    host.publish(born_ms=2)
+    assert set(host.placements(20)) == {"n1"}
+
+
 def test_copies_that_are_cold_everywhere_stay_where_they_are(host):
     host.publish({"south": ""})
     host.publish({"north": "n1", "south": "s1"}, born_ms=2)
