Drop the time of an owner together with the owner

Cause: a full update removes owners whose servers are gone, and left the times since which they were known; over changes of the leader these would pile up on every host. Found by reading the diff; the test fails without the change.

--- a/bulrushlead/fleet/_view.py
+++ b/bulrushlead/fleet/_view.py
@@ -158,6 +158,9 @@
                     for digest, owner in objects.items()
                     if owner in self.servers
                 }
+                since_ms = self.owner_since_ms.get(group, {})
+                for digest in since_ms.keys() - self.owners[group].keys():
+                    del since_ms[digest]
         for group, changes in update.owners.items():
             objects = self.owners.setdefault(group, {})
             since_ms = self.owner_since_ms.setdefault(group, {})
--- a/bulrushlead/fleet/tests/test_view.py
+++ b/bulrushlead/fleet/tests/test_view.py
@@ -89,6 +89,16 @@
     assert view.owners == {"g": {1: "b1", 3: "b1"}}
 
 
+def test_times_of_owners_leave_with_them():
+    """Guards against times that pile up over changes of the leader."""
+    view = view_with(update(servers=(RECORD,)))
+    view.apply(update(owners={"g": {1: "b1", 2: "b1", 3: "gone"}}))
+    assert set(view.owner_since_ms["g"]) == {1, 2, 3}
+    view.apply(update(owners={"g": {2: ""}}))
+    view.apply(update(servers=(RECORD,), is_full=True))
+    assert set(view.owner_since_ms["g"]) == {1}
+
+
 def test_full_update_drops_owners_that_were_removed():
     view = view_with(update(servers=(RECORD,), owners={"g": {1: "b1", 2: "gone"}}))
     view.apply(update(servers=(RECORD,), is_full=True))
