Wait for the check of a server before a lost request is given up

The order of sets decides which two servers serve the object.

Cause: a server that has lost a request counts as a possible crash until its check ends, 150 ms. Resets come every 100 ms; with two servers under check the request was neither retried nor kept, and its caller lost the answer. Now it waits while only such checks forbid to repeat it, 200 ms at most, and is then retried or given up by the same rule as before. Ruled out: the retry budget (it allowed), a looser bound in the test.

--- a/bulrushlead/gateway/_hedging.py
+++ b/bulrushlead/gateway/_hedging.py
@@ -7,12 +7,14 @@
 from bulrushlead.clock import Clock
 from bulrushlead.dispatch import Dispatcher, Placement, Refusal, Work
 from bulrushlead.gateway._attempts import AttemptRunner
+from bulrushlead.gateway._crash_check import SETTLE_MS, SETTLE_STEP_MS
 from bulrushlead.gateway._request_state import AttemptResult, RequestState
 from bulrushlead.quarantine import CrashObserver
 
 # Delay of a hedged attempt, as a multiple of the expected time until the answer.
 HEDGE_DELAY_FACTOR = 3.0
 HEDGE_MIN_DELAY_MS = 250  # shorter delays of an answer are common
+MAX_CHECK_WAIT_MS = SETTLE_MS + 50  # a check, and the connection that it opens
 
 
 class HedgedAttempts:
@@ -107,6 +109,24 @@
             and self.dispatcher.budget.allows(work.service)
         )
 
+    async def may_retry_once_checked(
+        self, state: RequestState, work: Work, sent: int
+    ) -> bool:
+        """Return the same, after the checks of servers that have lost the request.
+
+        A server may only have lost a connection. A caller gains more from a short wait
+        than from the news that its answer was lost.
+        """
+        may_gain = sent < state.route.max_attempts
+        until_ms = min(self.clock.now_ms() + MAX_CHECK_WAIT_MS, state.deadline_ms)
+        while (
+            may_gain
+            and self.clock.now_ms() < until_ms
+            and self.observer.awaits_checks(state.fingerprint)
+        ):
+            await self.clock.sleep_ms(SETTLE_STEP_MS)
+        return self.may_retry(state, work, sent)
+
 
 def hedge_delay_ms(placement: Placement) -> float:
     """Return the time after which a second attempt may start beside the first."""
--- a/bulrushlead/gateway/tests/test_forwarding.py
+++ b/bulrushlead/gateway/tests/test_forwarding.py
@@ -272,3 +272,32 @@
     assert answer.status == 503
     assert harness.dispatcher.pop_unreachable() == ()
     assert harness.dispatcher.server("s0").is_available(fakes.CLOCK.now_ms())
+
+
+async def test_a_lost_request_waits_for_the_check_of_another_server(build):
+    """Guards against a lost answer although the servers only lost connections.
+
+    Two servers lost connections within the time of a check. Until it is known that one
+    of them runs, the request may not be sent again.
+    """
+    lost = []
+
+    async def losing_the_first(server, head, writer):
+        lost.append(server)
+        return fakes.answer(body=server.server_id.encode()) if len(lost) > 1 else None
+
+    harness = await build(losing_the_first, losing_the_first)
+    observer = harness.forwarder.observer
+    known_ms = fakes.CLOCK.now_ms() + 100
+    observer.may_repeat = lambda fingerprint: fakes.CLOCK.now_ms() >= known_ms
+    observer.awaits_checks = lambda fingerprint: not observer.may_repeat(fingerprint)
+    assert (await harness.send_request(b"/read/1")).status == 200
+    assert len(lost) == 2
+
+
+async def test_a_lost_request_does_not_wait_if_it_may_not_be_sent_again(build):
+    harness = await build(fakes.disconnecting, fakes.disconnecting)
+    harness.forwarder.observer.table.crash_count = lambda fingerprint: 2
+    started_ms = fakes.CLOCK.now_ms()
+    assert (await harness.send_request(b"/read/1")).status == 502
+    assert fakes.CLOCK.now_ms() - started_ms < 100
--- a/bulrushlead/quarantine/_observer.py
+++ b/bulrushlead/quarantine/_observer.py
@@ -150,6 +150,12 @@
         """Return whether a request may be retried, hedged or passed on."""
         return self._suspicion(fingerprint) < CAUTIOUS_CRASHES
 
+    def awaits_checks(self, fingerprint: str) -> bool:
+        """Return whether a request may not be repeated until checks have ended."""
+        return self.table.crash_count(fingerprint) < CAUTIOUS_CRASHES and (
+            not self.may_repeat(fingerprint)
+        )
+
     def begin(self, run: Run) -> None:
         """Record that a request is sent."""
         self._running.setdefault(run.fingerprint, set()).add(run)
--- a/bulrushlead/quarantine/tests/test_observer.py
+++ b/bulrushlead/quarantine/tests/test_observer.py
@@ -186,3 +186,22 @@
     assert len(calls) == 2
     complete(observer)
     assert len(calls) == 2
+
+
+def test_checks_are_awaited_only_if_they_can_clear_a_request(observer):
+    """Guards against a lost answer while nobody knows whether servers have ended."""
+    lose(observer, "s1")
+    assert not observer.awaits_checks("f")  # one may be repeated in any case
+    lose(observer, "s2")
+    assert not observer.may_repeat("f")
+    assert observer.awaits_checks("f")
+    observer.record_running("s1", 1)
+    assert observer.may_repeat("f")
+    assert not observer.awaits_checks("f")
+
+
+def test_no_check_is_awaited_after_two_crashes(observer):
+    crash(observer, "s1")
+    crash(observer, "s2")
+    assert not observer.may_repeat("f")
+    assert not observer.awaits_checks("f")
