Pass no suspect on to a keeper; apply changed settings of organisations

Found by reading the change. A request under which servers had ended was passed to the keeper of its organisation, past the rule that such a request goes to no other host: the keeper had a relay call of its own beside the guarded one; there is one now. Settings of keys and quotas that changed in the file were not applied without a restart, on hosts and on the leader, unlike all other bounds.

--- a/bulrushlead/coordinator/_publisher.py
+++ b/bulrushlead/coordinator/_publisher.py
@@ -108,6 +108,7 @@
         """Apply changed settings."""
         self.settings = settings
         self.registry.heartbeat_ms = settings.heartbeat_ms
+        self.quotas.settings = settings.organisations
 
     def attach(self, log: ReplicatedLog, state: OrderState) -> None:
         """Subscribe to a log and its state, which replace the previous ones."""
--- a/bulrushlead/coordinator/tests/test_publisher.py
+++ b/bulrushlead/coordinator/tests/test_publisher.py
@@ -16,7 +16,7 @@
 )
 from bulrushlead.fleet.tests.samples import heartbeat
 from bulrushlead.metrics import CompactMeters
-from bulrushlead.organisations import UsageReport
+from bulrushlead.organisations import OrganisationSettings, UsageReport
 from bulrushlead.traffic import Organisation, TrafficPlan
 from bulrushlead.wire import codec
 from bulrushlead.wire._frame import unpack_frame
@@ -232,6 +232,12 @@
     assert other.quotas == update.quotas
 
 
+async def test_changed_settings_of_quotas_apply_without_a_restart(publisher):
+    settings = OrganisationSettings(window_ms=2_000.0)
+    publisher.reload(attrs.evolve(SETTINGS, organisations=settings))
+    assert publisher.quotas.settings == settings
+
+
 async def test_a_new_leader_publishes_no_quotas_until_hosts_have_reported(
     publisher, state
 ):
--- a/bulrushlead/gateway/_caller_gate.py
+++ b/bulrushlead/gateway/_caller_gate.py
@@ -1,4 +1,4 @@
-"""Who asks, may it, and how much: the organisations' part of each request."""
+"""Identifies the callers of requests, and admits them under the quotas."""
 
 import random
 
@@ -51,6 +51,11 @@
         self.quota = QuotaGate(clock, settings, rng)
         self._plan_version = -1
 
+    def reload(self, settings: OrganisationSettings) -> None:
+        """Apply changed settings."""
+        self.access.settings = settings
+        self.quota.reload(settings)
+
     def set_plan(self, plan: TrafficPlan) -> None:
         """Apply the organisations of a plan."""
         self._plan_version = plan.version
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -256,7 +256,10 @@
                 relayed = None
                 if self.callers.may_pass_on(refusal):
                     state.may_be_elsewhere = True
-                    relayed = await self._relay_to_keeper(state, work, sent)
+                    keeper = self.relay and self.relay.carriers.keeper(
+                        state.caller.name
+                    )
+                    relayed = await self._relay(state, work, sent, keeper or "")
                 return relayed or self._refusal_answer(state, refusal, 429)
             state.is_counted = True
         return await self._try_servers(state, work, sent)
@@ -310,7 +313,9 @@
                 refusal = SHED if result.outcome is Outcome.SHED else REFUSED
             if state.may_have_run and not state.route.idempotent:
                 return last or Answer(502)
-            if sent and not self._attempts.may_retry(state, work, sent):
+            if sent and not await self._attempts.may_retry_once_checked(
+                state, work, sent
+            ):
                 return last or self._refusal_answer(state, refusal or REFUSED)
             work = attrs.evolve(work, excluded=work.excluded | servers)
             if unreachable > MAX_UNREACHABLE_SERVERS:
@@ -334,21 +339,13 @@
             and self.dispatcher.has_unreachable(work.service)
         )
 
-    async def _relay(self, state: RequestState, work: Work, sent: int) -> Answer | None:
+    async def _relay(
+        self, state: RequestState, work: Work, sent: int, preferred: str = ""
+    ) -> Answer | None:
         """Return the answer of another host, or None if none takes the request."""
         if self.relay is None or not self.observer.may_repeat(state.fingerprint):
             return None
-        result = await self.relay.send(state, work, sent)
-        return None if result is None else result.answer
-
-    async def _relay_to_keeper(
-        self, state: RequestState, work: Work, sent: int
-    ) -> Answer | None:
-        """Return the answer of a host that admits what this one does not, or None."""
-        if self.relay is None:
-            return None
-        keeper = self.relay.carriers.keeper(state.caller.name)
-        result = await self.relay.send(state, work, sent, keeper)
+        result = await self.relay.send(state, work, sent, preferred)
         return None if result is None else result.answer
 
     def _refusal_answer(
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -172,6 +172,7 @@
         self.settings = settings
         self.session.seeds = settings.seeds
         self.dispatcher.reload(settings.dispatch)
+        self.forwarder.callers.reload(settings.organisations)
 
     async def drain(self) -> None:
         """Stop accepting requests and wait for those in progress.
--- a/bulrushlead/gateway/tests/test_organisations.py
+++ b/bulrushlead/gateway/tests/test_organisations.py
@@ -241,6 +241,27 @@
     assert quota.report().counts["labs"][1] == admitted + 3
 
 
+async def test_a_suspect_is_not_passed_on_because_of_a_quota(fleet):
+    """Guards against a request that crashes servers and reaches more hosts."""
+    for gateway in fleet.gateways:
+        set_news_age(gateway, 2_000.0)
+    host = fleet.gateways[0]
+    host.observer.may_repeat = lambda fingerprint: False
+    asked = []
+    host.forwarder.relay.client.exchange = lambda *order: asked.append(order)
+    assert (await fleet.send(0, extra=[(b"api-key", b"k1")])).status == 429
+    assert not asked
+
+
+async def test_changed_settings_of_organisations_apply_without_a_restart(fleet):
+    host = fleet.gateways[0]
+    settings = OrganisationSettings(LEASE_MS / 2, 2_000.0, 0.2, 7.0)
+    host.reload(attrs.evolve(host.settings, organisations=settings))
+    set_news_age(host, 0.75 * LEASE_MS)
+    assert not host.forwarder.callers.access.is_confirmed()
+    assert host.forwarder.callers.quota.settings == settings
+
+
 async def test_no_host_without_news_takes_a_keyed_request(fleet):
     for gateway in fleet.gateways:
         set_news_age(gateway, LEASE_MS)
--- a/bulrushlead/relay/tests/test_carriers.py
+++ b/bulrushlead/relay/tests/test_carriers.py
@@ -68,3 +68,40 @@
     assert choices(carriers) == {"e2"}
     await clock.advance_ms(CARRIER_BACKOFF_MS)
     assert choices(carriers) == {"e1", "e2"}
+
+
+def hosts_of(names):
+    return [host(name, "north") for name in names]
+
+
+def test_hosts_choose_the_same_keeper_of_an_organisation(clock):
+    """Guards against two hosts that both hand out what all share of a quota."""
+    names = [f"e{number}" for number in range(40)]
+    keepers = []
+    for own, seed in (("e0", 1), ("e7", 2)):
+        table = CarrierTable(clock, own, "north", random.Random(seed))
+        table.update(hosts_of(names if seed == 1 else reversed(names)))
+        keepers.append([table.keeper(f"organisation {n}") for n in range(200)])
+    assert keepers[0] == keepers[1]
+    assert len(set(keepers[0])) > 30
+
+
+def test_only_the_organisations_of_a_lost_host_get_another_keeper(carriers):
+    names = [f"e{number}" for number in range(40)]
+    organisations = [f"organisation {number}" for number in range(200)]
+    carriers.update(hosts_of(names))
+    before = {name: carriers.keeper(name) for name in organisations}
+    carriers.update(hosts_of(names[1:]))
+    moved = {name for name in organisations if carriers.keeper(name) != before[name]}
+    assert moved == {name for name in organisations if before[name] == "e0"}
+
+
+def test_without_hosts_there_is_no_keeper(carriers):
+    assert carriers.keeper("labs") == ""
+
+
+def test_the_preferred_host_is_chosen_if_it_may_carry(carriers):
+    carriers.update([host("e1", "north"), host("e2", "south"), host("e3", "south")])
+    assert carriers.choose((), (), "e3").host_id == "e3"
+    assert carriers.choose(("north",), (), "e3").host_id == "e1"
+    assert carriers.choose((), ("e3",), "e3").host_id != "e3"
