Count organisations right that leave a plan and return; share rule in one place

Hosts that had missed the plan in between went on counting, and no longer belonged to the demand. - After an election the states of organisations without a new report were published only with the next check, 250 ms later; hosts had dropped the old ones by then.

The share of a host was computed in the gate and again in the table; both now use _shares.py. What the gate knows of an organisation is an account with named fields, and admission is divided by what is known: no news, no state, spare.

--- a/bulrushlead/organisations/_quota_gate.py
+++ b/bulrushlead/organisations/_quota_gate.py
@@ -9,6 +9,7 @@
 from bulrushlead.clock import Clock
 from bulrushlead.organisations._messages import UNLIMITED, QuotaState, UsageReport
 from bulrushlead.organisations._settings import OrganisationSettings
+from bulrushlead.organisations._shares import demand_ratio, owned_part
 from bulrushlead.organisations._usage import UsageCounter
 from bulrushlead.traffic import Organisation
 
@@ -19,34 +20,33 @@
 # an organisation moves without news must not take all of it each.
 MIN_DEMAND_RATIO = 0.25
 MIN_BETWEEN_NEWS = 3  # requests; callers may move to any host
-# Requests in a window that a host gets of an organisation from which on it owns half of
-# its part of the quota; with fewer, most of the quota is at the organisation's keeper,
-# since chance decides which hosts need it.
-OWN_HALF_REQUESTS = 4.0
-# Requests that a keeper gets, by the usual demand at all hosts, from which on it admits
-# none of the common part: an organisation that sends so much has used it up before.
+# Requests at a keeper, relative to the usual demand at all hosts, above which it hands
+# out nothing: hosts admitted so much in the last window that the quota is used up.
 MAX_KEEPER_RATIO = 1.2
-# Part of the requests between news that still counts after them: the leader may be lost
-# before it has limited an organisation that it knows to send more.
-CARRIED_SHARE = 0.75
+# Part of the requests before the last news that still counts after them: the leader may
+# be lost after it has heard of a rising demand and before it has limited it.
+CARRIED_PART = 0.75
 # Bounds of the retry delay of a request over the quota.
 MIN_RETRY_AFTER_MS = 250
 MAX_RETRY_AFTER_MS = 5_000
 
 
 @attrs.define(eq=False)
-class _Share:
-    """Part of an organisation's quota that one host uses."""
+class _Account:
+    """Requests of one organisation, and what the leader knows of them.
+
+    The fields with ``known`` are as of the last report that the leader has answered.
+    """
 
     usage: UsageCounter
     credit: float  # requests that may pass at the present fraction
-    usual_per_ms: float = 0.0  # as of the last news
-    admitted: int = 0  # as of the last news
-    carried: float = 0.0  # requests before them that still count
-    rounding: float | None = None  # of the share, while there is no news
+    known_usual_per_s: float = 0.0
+    known_admitted: int = 0
+    carried: float = 0.0  # requests admitted before that and still counted
+    rounding: float | None = None  # of the share without news
     reported: tuple[int, int] | None = None  # counts that the leader has
     sent: tuple[int, int] | None = None  # counts in the report on its way
-    sent_usual_per_ms: float = 0.0
+    sent_usual_per_s: float = 0.0
 
 
 class QuotaGate:
@@ -70,6 +70,8 @@
 
     Attributes
     ----------
+    settings : OrganisationSettings
+        Window and tolerance of the quotas; ``reload`` changes them.
     states : dict of str to QuotaState
         What the leader published last, by name of the organisation.
     is_keeper : callable
@@ -86,12 +88,18 @@
         self.states: dict[str, QuotaState] = {}
         self.is_keeper: Callable[[str], bool] = lambda name: False
         self.incarnation = rng.getrandbits(48)
-        self._shares: dict[str, _Share] = {}
+        self._accounts: dict[str, _Account] = {}
         self._started_ms: float | None = None  # of the first request
         self._confirmed_ms = -math.inf
         self._reported_epoch = ""
         self._states_epoch = ""
 
+    def reload(self, settings: OrganisationSettings) -> None:
+        """Apply changed settings; the counts of another window start from 0."""
+        if settings.window_ms != self.settings.window_ms:
+            self._accounts.clear()
+        self.settings = settings
+
     def age_ms(self) -> float:
         """Return the age of the leader's news, in milliseconds."""
         return self.clock.now_ms() - self._confirmed_ms
@@ -116,39 +124,38 @@
         if not organisation.rate_per_s:
             return None
         now_ms = self.clock.now_ms()
-        share = self._share(organisation.name)
-        is_admitted = self._passes(share, organisation, now_ms)
-        share.usage.record_offered(now_ms)
+        account = self._account(organisation.name)
+        is_admitted = self._passes(account, organisation, now_ms)
+        account.usage.record_offered(now_ms)
         if not is_admitted:
-            return self._retry_after_ms(share, organisation.name, now_ms)
-        share.usage.record_admitted(now_ms)
+            return self._retry_after_ms(account, organisation.name, now_ms)
+        account.usage.record_admitted(now_ms)
         return None
 
     def give_back(self, organisation: Organisation) -> None:
         """Withdraw an admitted request that no server has run."""
-        share = self._shares.get(organisation.name)
-        if share is not None and organisation.rate_per_s:
-            share.usage.record_admitted(self.clock.now_ms(), -1)
-            share.credit = min(1.0, share.credit + 1.0)
+        account = self._accounts.get(organisation.name)
+        if account is not None and organisation.rate_per_s:
+            account.usage.record_admitted(self.clock.now_ms(), -1)
+            account.credit = min(1.0, account.credit + 1.0)
 
     def retain(self, names: Collection[str]) -> None:
         """Forget the organisations that are not among some names."""
-        for name in self._shares.keys() - set(names):
-            del self._shares[name]
+        for name in self._accounts.keys() - set(names):
+            del self._accounts[name]
 
     def report(self) -> UsageReport:
         """Return the counts that the leader does not have yet."""
         now_ms = self.clock.now_ms()
         counts, history = {}, {}
-        for name, share in self._shares.items():
-            usage = share.usage
-            share.sent = (usage.offered, usage.admitted)
-            share.sent_usual_per_ms = usage.usual_per_ms(now_ms)
-            if share.sent != share.reported:
+        for name, account in self._accounts.items():
+            usage = account.usage
+            account.sent = (usage.offered, usage.admitted)
+            account.sent_usual_per_s = 1_000.0 * usage.usual_per_ms(now_ms)
+            if account.sent != account.reported:
                 recent_per_s = 1_000.0 * usage.recent_per_ms(now_ms)
-                usual_per_s = 1_000.0 * share.sent_usual_per_ms
-                counts[name] = (*share.sent, recent_per_s, usual_per_s)
-            if share.reported is None:
+                counts[name] = (*account.sent, recent_per_s, account.sent_usual_per_s)
+            if account.reported is None:
                 history[name] = usage.history(now_ms)
         return UsageReport(self.incarnation, counts, history)
 
@@ -174,105 +181,104 @@
             self._states_epoch = epoch
         is_first = epoch != self._reported_epoch
         self._reported_epoch = epoch
-        for share in self._shares.values():
+        for account in self._accounts.values():
             if is_first:
-                share.reported = None
-            elif share.sent is not None:
-                share.reported = share.sent
-        # A host that has just started has no use to go on with.
+                account.reported = None
+            elif account.sent is not None:
+                account.reported = account.sent
+        # A new leader without states does not count as news, except for a host that has
+        # just started: it has no demand on which a share could be based.
         if self._states_epoch in ("", epoch):
             self._confirmed_ms = asked_ms
-            for share in self._shares.values():
-                share.rounding = None
-                if share.sent is not None:
-                    share.usual_per_ms = share.sent_usual_per_ms
-                    since_news = share.sent[1] - share.admitted
-                    share.carried = CARRIED_SHARE * (share.carried + since_news)
-                    share.admitted = share.sent[1]
-
-    def _share(self, name: str) -> _Share:
-        share = self._shares.get(name)
-        if share is None:
+            for account in self._accounts.values():
+                _record_news(account)
+
+    def _account(self, name: str) -> _Account:
+        account = self._accounts.get(name)
+        if account is None:
             if self._started_ms is None:
                 self._started_ms = self.clock.now_ms()
             usage = UsageCounter(self.settings.window_ms, self._started_ms)
-            share = self._shares[name] = _Share(usage, self.rng.random())
-        return share
+            account = self._accounts[name] = _Account(usage, self.rng.random())
+        return account
 
-    def _passes(self, share: _Share, organisation: Organisation, now_ms: float) -> bool:
+    def _passes(
+        self, account: _Account, organisation: Organisation, now_ms: float
+    ) -> bool:
         if self.is_stale():
-            in_window = share.usage.admitted_in_window(now_ms)
-            return in_window + 1 <= self._stale_share(share, organisation)
-        if organisation.name not in self.states:
+            in_window = account.usage.admitted_in_window(now_ms)
+            return in_window + 1 <= self._share_without_news(account, organisation)
+        state = self.states.get(organisation.name)
+        if state is None:
             return True  # nobody knows what it usually sends
-        fraction = self.fraction(organisation.name)
-        since_news = share.usage.admitted - share.admitted
-        spare = self._spare(share, organisation) - share.carried
-        if since_news >= max(MIN_BETWEEN_NEWS, spare):
+        if self._exceeds_spare(account, organisation):
             return False
-        if fraction >= 1.0:
+        if state.fraction >= 1.0:
             return True
-        share.credit = min(1.0 + fraction, share.credit + fraction)
-        if share.credit < 1.0:
+        account.credit = min(1.0 + state.fraction, account.credit + state.fraction)
+        if account.credit < 1.0:
             return False
-        share.credit -= 1.0
+        account.credit -= 1.0
         return True
 
-    def _spare(self, share: _Share, organisation: Organisation) -> float:
-        """Return the requests that may be sent until the next news from the leader.
+    def _exceeds_spare(self, account: _Account, organisation: Organisation) -> bool:
+        """Return whether no more requests may be sent until the leader's next news.
 
         The leader may be lost at the moment at which an organisation sends many times
         its usual: what is left of a window's bound must last until this host notices.
         """
-        usual = self._demand_per_s(share, organisation) * self.settings.window_ms / 1e3
+        demand_per_s = self._demand_per_s(account, organisation)
+        usual = demand_per_s * self.settings.window_ms / 1_000.0
         spare = self.settings.intended_bound(organisation) - usual
-        return self._ratio(share, organisation) * spare
+        hosts = self.states[organisation.name].hosts
+        ratio = demand_ratio(account.known_usual_per_s, demand_per_s, hosts)
+        since_news = account.usage.admitted - account.known_admitted
+        return since_news >= max(MIN_BETWEEN_NEWS, ratio * spare - account.carried)
 
-    def _stale_share(self, share: _Share, organisation: Organisation) -> int:
+    def _share_without_news(self, account: _Account, organisation: Organisation) -> int:
         """Return the requests that may be sent in a window without news.
 
         The shares of all hosts add up to the quota. Most of them contain a fraction of
         a request; chance decides which hosts send it.
         """
-        if share.rounding is None:
-            share.rounding = self.rng.random()
-        demand_per_s = self._demand_per_s(share, organisation)
+        if account.rounding is None:
+            account.rounding = self.rng.random()
+        demand_per_s = self._demand_per_s(account, organisation)
         state = self.states.get(organisation.name, UNLIMITED)
-        window_s = self.settings.window_ms / 1_000.0
-        per_host = demand_per_s * window_s / max(1, state.hosts)
-        owned = per_host / (per_host + OWN_HALF_REQUESTS)
-        part = owned * 1_000.0 * share.usual_per_ms / demand_per_s
-        recent_per_s = 1_000.0 * share.usage.recent_per_ms(self.clock.now_ms())
-        has_spare = (
+        owned = owned_part(demand_per_s, self.settings.window_ms, state.hosts)
+        part = owned * account.known_usual_per_s / demand_per_s
+        recent_per_s = 1_000.0 * account.usage.recent_per_ms(self.clock.now_ms())
+        hands_out = (
             state.fraction >= 1.0 and recent_per_s < MAX_KEEPER_RATIO * demand_per_s
         )
-        if has_spare and self.is_keeper(organisation.name):
+        if hands_out and self.is_keeper(organisation.name):
             part += 1.0 - owned
-        rounding = share.rounding if share.usual_per_ms else 0.0
+        rounding = account.rounding if account.known_usual_per_s else 0.0
         return math.floor(part * self.settings.quota(organisation) + rounding)
 
-    def _ratio(self, share: _Share, organisation: Organisation) -> float:
-        """Return the share of this host in all demand.
-
-        One half is in proportion to its demand, one in equal parts: the demand of a
-        host with few requests is not known well.
-        """
-        usual_per_s = 1_000.0 * share.usual_per_ms
-        ratio = usual_per_s / self._demand_per_s(share, organisation)
-        hosts = self.states.get(organisation.name, UNLIMITED).hosts
-        return (ratio + 1.0 / hosts) / 2 if hosts else ratio
-
-    def _demand_per_s(self, share: _Share, organisation: Organisation) -> float:
+    def _demand_per_s(self, account: _Account, organisation: Organisation) -> float:
         """Return the demand at all hosts, over a longer time."""
         return max(
             self.states.get(organisation.name, UNLIMITED).demand_per_s,
-            1_000.0 * share.usual_per_ms,
+            account.known_usual_per_s,
             MIN_DEMAND_RATIO * organisation.rate_per_s,
         )
 
-    def _retry_after_ms(self, share: _Share, name: str, now_ms: float) -> float:
+    def _retry_after_ms(self, account: _Account, name: str, now_ms: float) -> float:
         """Return the mean time between two admissions here, spread by half of it."""
-        admitted_per_ms = self.fraction(name) * share.usage.recent_per_ms(now_ms)
+        admitted_per_ms = self.fraction(name) * account.usage.recent_per_ms(now_ms)
         wait_ms = 1.0 / admitted_per_ms if admitted_per_ms else MAX_RETRY_AFTER_MS
         wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
         return wait_ms * self.rng.uniform(0.5, 1.5)
+
+
+def _record_news(account: _Account) -> None:
+    """Note that the leader has answered the last report."""
+    account.rounding = None
+    if account.sent is None:
+        return
+    _, admitted = account.sent
+    since_news = admitted - account.known_admitted
+    account.carried = CARRIED_PART * (account.carried + since_news)
+    account.known_admitted = admitted
+    account.known_usual_per_s = account.sent_usual_per_s
--- a/bulrushlead/organisations/_quota_table.py
+++ b/bulrushlead/organisations/_quota_table.py
@@ -14,6 +14,7 @@
     UsageReport,
 )
 from bulrushlead.organisations._settings import OrganisationSettings
+from bulrushlead.organisations._shares import demand_ratio
 from bulrushlead.organisations._usage import BINS
 from bulrushlead.traffic import Organisation
 
@@ -25,11 +26,12 @@
 MIN_DEMAND_CHANGE = 0.05
 MIN_DEMAND_CHANGE_PER_S = 0.2
 DEMAND_INTERVAL_MS = 1_000.0
-# A host without reports is charged with its last use, since it may only be cut off.
+# A host without reports for this time may only be cut off. It is charged with what it
+# may send until it reports again, or is forgotten.
 SILENT_AFTER_MS = 1_300.0
 FORGET_AFTER_MS = 15_000.0
-# Part of a window in which such a host may have sent its share of the window's bound.
-MIN_SPEND_SHARE = 0.4
+# Part of a window in which it may have sent its share of the window's bound.
+MIN_SPEND_PART = 0.4
 # Longest time after an election until all hosts in touch have reported. Until then they
 # go on as without news.
 SETTLE_MS = 1_000.0
@@ -113,8 +115,7 @@
                 continue
             bucket = self._buckets.get(organisation.name)
             if bucket is None:
-                tokens = self._capacity(organisation)
-                bucket = _Bucket(organisation, tokens, now_ms)
+                bucket = self._new_bucket(organisation, now_ms)
             elif bucket.organisation != organisation:
                 self._refill(bucket, now_ms)
                 bucket.organisation = organisation
@@ -194,6 +195,15 @@
             keys,
         )
 
+    def _new_bucket(self, organisation: Organisation, now_ms: float) -> _Bucket:
+        bucket = _Bucket(organisation, self._capacity(organisation), now_ms)
+        # Hosts may know the organisation from an earlier plan, and go on counting.
+        for host in self._hosts.values():
+            if (use := host.uses.get(organisation.name)) is not None:
+                bucket.usual_per_s += use.usual_per_s
+                bucket.hosts += 1
+        return bucket
+
     def _charge(
         self,
         bucket: _Bucket,
@@ -206,9 +216,11 @@
         bucket.demand_ms = now_ms
         bucket.usual_per_s += use.usual_per_s
         if before is not None:
+            if use.offered < before.offered:  # the host counts from 0 again
+                before = attrs.evolve(before, offered=0, admitted=0)
             self._spend(bucket, [(now_ms, use.admitted - before.admitted)], now_ms)
             new_offered = use.offered - before.offered
-            bucket.demand_per_ms += 0.693 / DEMAND_HALF_LIFE_MS * new_offered
+            bucket.demand_per_ms += math.log(2) / DEMAND_HALF_LIFE_MS * new_offered
             bucket.usual_per_s -= before.usual_per_s
         else:
             bucket.hosts += 1
@@ -256,14 +268,15 @@
         It may have sent most of that before it knew that it has no news.
         """
         window_ms = self.settings.window_ms
-        bounded_ms = max(silent_ms, MIN_SPEND_SHARE * window_ms)
+        bounded_ms = max(silent_ms, MIN_SPEND_PART * window_ms)
         for name, use in host.uses.items():
             bucket = self._buckets.get(name)
             if bucket is None or not bucket.usual_per_s:
                 continue
             if not use.share:
-                ratio = min(1.0, use.usual_per_s / bucket.usual_per_s)
-                use.share = (ratio + 1.0 / max(1, bucket.hosts)) / 2
+                use.share = demand_ratio(
+                    use.usual_per_s, bucket.usual_per_s, bucket.hosts
+                )
             bound = self.settings.bound(bucket.organisation)
             charge = min(
                 use.recent_per_s * silent_ms / 1_000.0,
@@ -322,8 +335,11 @@
             Whether to leave out those that are limited already: their fractions change
             with each report, and hosts would ask again after each.
         """
-        if not self._settled and not self._settle(now_ms):
-            return
+        if not self._settled:
+            if not self._settle(now_ms):
+                return
+            # Hosts drop what an earlier leader published with the first states.
+            names, only_new = self._buckets, False
         changed = []
         may_send_demands = now_ms - self._demands_ms >= DEMAND_INTERVAL_MS
         for name in names:
--- a/bulrushlead/organisations/_usage.py
+++ b/bulrushlead/organisations/_usage.py
@@ -1,5 +1,7 @@
 """Counts of an organisation's requests on one host."""
 
+import math
+
 from bulrushlead.clock import decayed
 
 BINS = 10  # a count leaves the window at most a tenth of it late
@@ -37,8 +39,10 @@
         self.offered += 1
         age_ms = now_ms - self._rate_ms
         self._usual_per_ms = decayed(self._usual_per_ms, age_ms, USUAL_HALF_LIFE_MS)
-        self._usual_per_ms += 0.693 / USUAL_HALF_LIFE_MS
-        self._recent_per_ms = self.recent_per_ms(now_ms) + 0.693 / RECENT_HALF_LIFE_MS
+        self._usual_per_ms += math.log(2) / USUAL_HALF_LIFE_MS
+        self._recent_per_ms = (
+            self.recent_per_ms(now_ms) + math.log(2) / RECENT_HALF_LIFE_MS
+        )
         self._rate_ms = now_ms
 
     def record_admitted(self, now_ms: float, count: int = 1) -> None:
--- a/bulrushlead/organisations/tests/test_quota_table.py
+++ b/bulrushlead/organisations/tests/test_quota_table.py
@@ -118,6 +118,43 @@
     assert table.use(LABS) == before
 
 
+def test_an_organisation_that_returns_gets_no_credit_for_earlier_counts():
+    """Guards against hosts that count from 0 again once they know it again."""
+    table = new_table()
+    feed(table, 90.0, 8_000)
+    table.set_organisations([])
+    table.set_organisations([LABS])
+    for number in range(4):
+        table.record_report(f"e{number}", report(90, 90, 900.0, (90,) + (0,) * 10))
+    table.check()
+    assert fraction(table) < 0.2
+
+
+def test_hosts_that_missed_the_plan_without_an_organisation_still_count():
+    table = new_table()
+    feed(table, 90.0, 8_000)
+    table.set_organisations([])
+    table.set_organisations([LABS])
+    for number in range(1, 6):
+        table.clock.advance(400.0)
+        counts = (180 + 400 * number, 180 + 400 * number, 900.0, 90.0)
+        table.record_report("e1", UsageReport(1, {"labs": counts}))
+    table.check()
+    assert fraction(table) < 0.2
+    assert table.use(LABS).hosts == 4
+
+
+def test_all_states_are_published_when_a_new_leader_has_settled():
+    """Guards against an organisation without a limit until the next check."""
+    table = new_table(["e1", "e2"])
+    hot = report(900, 900, 800.0, (500,) + (0,) * 10)
+    for host in ("e1", "e2"):
+        table.record_report(host, UsageReport(1))
+    table.record_report("e1", hot)
+    table.record_report("e2", UsageReport(1))
+    assert table.published_since(0)["labs"].fraction < 0.5
+
+
 def test_a_lowered_quota_limits_at_once():
     table = new_table()
     feed(table, 90.0, 6_000)
