Log a request without a common region, and count it in no budget

The refusal was decided after the request had been counted for the retry budget, and answered past the place that writes request lines, so that an operator could not explain code 3404. Refusals before placement now go one way: one line, one answer.

--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -138,34 +138,37 @@
     async def answer(self, request: Request) -> Answer:
         """Return the answer to a caller's request."""
         if self._stopping:
-            return self._refuse(
-                request, ResultCode.STOPPING, STOPPING_RETRY_AFTER_MS, "stopping"
-            )
+            refusal = Refusal(ResultCode.STOPPING, STOPPING_RETRY_AFTER_MS, "stopping")
+            return self._refuse(request, refusal)
         if self._plan is None:
             age_ms = self.clock.now_ms() - self._started_ms
-            return self._refuse(
-                request,
+            refusal = Refusal(
                 ResultCode.NO_CONFIGURATION,
                 max(NO_PLAN_RETRY_AFTER_MS, FIRST_PLAN_MS - age_ms),
                 f"no plan received {age_ms:.0f} ms after the start",
             )
+            return self._refuse(request, refusal)
         route = self._plan.find_route(request.header(b"host") or b"", request.target)
         if route is None:
-            self._record_refusal(
-                header_text(request.header(self.dialect.request_id)),
-                ResultCode.NOT_FOUND,
-                f"no route in plan {self._plan.version}",
-            )
+            detail = f"no route in plan {self._plan.version}"
+            self._record_refusal(request, ResultCode.NOT_FOUND, detail)
             return Answer(404)
         caller = self.callers.identify(request, route)
-        if isinstance(caller, Caller):
-            return await self._forward(request, route, caller)
-        refused = self._refuse(
-            request, caller.code, caller.retry_after_ms, caller.detail
-        )
-        return Answer(401) if caller.code is ResultCode.UNKNOWN_KEY else refused
+        if isinstance(caller, Refusal):
+            return self._refuse(request, caller)
+        regions = common_regions(route.allowed_regions, caller)
+        if regions is None:
+            refusal = Refusal(
+                ResultCode.NO_COMMON_REGION,
+                NO_REGION_RETRY_AFTER_MS,
+                f"{caller.name} may not run in the regions of {route.name}",
+            )
+            return self._refuse(request, refusal)
+        return await self._forward(request, route, caller, regions)
 
-    async def _forward(self, request: Request, route: Route, caller: Caller) -> Answer:
+    async def _forward(
+        self, request: Request, route: Route, caller: Caller, regions: tuple[str, ...]
+    ) -> Answer:
         service = self._plan.next_service(route)
         request_id = request.header(self.dialect.request_id) or b""
         self.dispatcher.budget.record_request(service)
@@ -177,7 +180,6 @@
             request.received_ms + allowed_ms,
             caller=caller,
         )
-        regions = common_regions(route.allowed_regions, caller)
         key = request.header(self.dialect.affinity_key)
         work = Work(
             service=service,
@@ -187,15 +189,8 @@
             target_latency_ms=route.target_latency_ms,
             remaining_ms=state.deadline_ms - self.clock.now_ms(),
             urgent=self._plan.is_urgent(route, service, caller),
-            allowed_regions=regions or (),
+            allowed_regions=regions,
         )
-        if regions is None:
-            refusal = Refusal(
-                ResultCode.NO_COMMON_REGION,
-                NO_REGION_RETRY_AFTER_MS,
-                f"{caller.name} may not run in the regions of {route.name}",
-            )
-            return self._refusal_answer(state, refusal)
         return await self._handle(state, work)
 
     async def carry(
@@ -256,10 +251,7 @@
                 relayed = None
                 if self.callers.may_pass_on(refusal):
                     state.may_be_elsewhere = True
-                    keeper = self.relay and self.relay.carriers.keeper(
-                        state.caller.name
-                    )
-                    relayed = await self._relay(state, work, sent, keeper or "")
+                    relayed = await self._relay(state, work, sent, to_keeper=True)
                 return relayed or self._refusal_answer(state, refusal, 429)
             state.is_counted = True
         return await self._try_servers(state, work, sent)
@@ -340,11 +332,15 @@
         )
 
     async def _relay(
-        self, state: RequestState, work: Work, sent: int, preferred: str = ""
+        self, state: RequestState, work: Work, sent: int, to_keeper: bool = False
     ) -> Answer | None:
-        """Return the answer of another host, or None if none takes the request."""
+        """Return the answer of another host, or None if none takes the request.
+
+        With ``to_keeper``, the keeper of the caller's organisation is asked first.
+        """
         if self.relay is None or not self.observer.may_repeat(state.fingerprint):
             return None
+        preferred = self.relay.carriers.keeper(state.caller.name) if to_keeper else ""
         result = await self.relay.send(state, work, sent, preferred)
         return None if result is None else result.answer
 
@@ -365,18 +361,16 @@
     def _timeout_answer(self, state: RequestState) -> Answer:
         return Answer(504) if state.may_have_run else not_run_answer(MIN_ATTEMPT_MS)
 
-    def _refuse(
-        self, request: Request, code: ResultCode, retry_after_ms: float, detail: str
-    ) -> Answer:
-        self._record_refusal(
-            header_text(request.header(self.dialect.request_id)), code, detail
-        )
-        return not_run_answer(retry_after_ms)
+    def _refuse(self, request: Request, refusal: Refusal) -> Answer:
+        self._record_refusal(request, refusal.code, refusal.detail)
+        if refusal.code is ResultCode.UNKNOWN_KEY:
+            return Answer(401)  # another key is needed, not another time
+        return not_run_answer(refusal.retry_after_ms)
 
-    def _record_refusal(self, request_id: str, code: ResultCode, detail: str) -> None:
+    def _record_refusal(self, request: Request, code: ResultCode, detail: str) -> None:
         self.meters.count(Metric.REFUSALS_TOTAL, code=code.name)
         self._log.write(
             Event.REQUEST_REFUSED,
-            request_id=request_id,
+            request_id=header_text(request.header(self.dialect.request_id)),
             refusal=f"{code.value} {code.name}: {detail}",
         )
--- a/bulrushlead/gateway/tests/test_organisations.py
+++ b/bulrushlead/gateway/tests/test_organisations.py
@@ -10,6 +10,7 @@
 from bulrushlead.gateway.tests.host_fleet import HostFleet
 from bulrushlead.http1 import Request
 from bulrushlead.organisations import OrganisationSettings, QuotaState
+from bulrushlead.results import ResultCode
 from bulrushlead.traffic import Organisation, Route, TrafficPlan, key_digest
 
 LEASE_MS = 4_500.0
@@ -19,7 +20,10 @@
 SOUTH = Route(
     "south", "h", "/south/", fakes.SHARES, True, 3e3, 3e2, 2, allowed_regions=("south",)
 )
-ROUTES = (*fakes.ROUTES, OPEN, SOUTH)
+NARROW = attrs.evolve(
+    SOUTH, name="narrow", path_prefix="/narrow/", allowed_regions=("north",)
+)
+ROUTES = (*fakes.ROUTES, OPEN, SOUTH, NARROW)
 
 
 @pytest.fixture
@@ -183,6 +187,29 @@
     assert harness.requests_received() == 1
 
 
+@pytest.mark.parametrize(
+    "path, key, code",
+    [
+        (b"/south/1", b"k2", None),
+        (b"/read/1", b"k3", ResultCode.UNKNOWN_KEY),
+        (b"/narrow/1", b"k2", ResultCode.NO_COMMON_REGION),
+    ],
+)
+async def test_each_refusal_has_one_log_line(build, path, key, code):
+    """Guards against a refused request that an operator cannot explain."""
+    harness = await build(fakes.good)
+    with logbook.TestHandler() as handler:
+        await send(harness, path, (key,))
+    refusals = [
+        fields["refusal"]
+        for record in handler.records
+        if (fields := record.extra["fields"]).get("request_id") == "r1"
+    ]
+    assert len(refusals) == 1
+    if code is not None:
+        assert refusals[0].startswith(f"{code.value} {code.name}")
+
+
 async def test_without_organisations_headers_are_passed_on(build):
     harness = await build(fakes.good, organisations=())
     assert (await send(harness, extra=[(b"organisation", b"mine")])).status == 200
