Refuse tolerances of quotas that are no numbers of zero or more

A negative or non-finite quotaOvershoot or quotaSlack was taken over, and every request of each organisation was refused, or none. It is a numbered error now.

--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -235,8 +235,8 @@
         warmup_slack=int(reader.number("bounds.warmupSlack", 1)),
         key_lease_ms=_key_lease_ms(reader),
         quota_window_ms=_quota_window_ms(reader),
-        quota_overshoot=reader.number("bounds.quotaOvershoot", 0.1),
-        quota_slack=reader.number("bounds.quotaSlack", 20),
+        quota_overshoot=_tolerance(reader, "bounds.quotaOvershoot", 0.1),
+        quota_slack=_tolerance(reader, "bounds.quotaSlack", 20),
     )
     if reader.faults:
         raise FaultsError(ResultCode.SETTINGS_INVALID, path, reader.faults)
@@ -251,6 +251,13 @@
     return window_ms
 
 
+def _tolerance(reader: "_TableReader", path: str, default: float) -> float:
+    value = float(reader.number(path, default))
+    if not (math.isfinite(value) and value >= 0):
+        reader.faults.append(Fault(path, str(value), "a number of zero or more"))
+    return value
+
+
 def _key_lease_ms(reader: "_TableReader") -> float:
     if not reader.get("bounds.revokeStrict", bool, False):
         return math.inf
--- a/bulrushlead/platform/tests/test_organisations.py
+++ b/bulrushlead/platform/tests/test_organisations.py
@@ -147,6 +147,13 @@
     assert load(tmp_path, 'revoke = "4s"').key_lease_ms == math.inf
 
 
+@pytest.mark.parametrize("name", ["quotaOvershoot", "quotaSlack"])
+@pytest.mark.parametrize("value", ["-1", "nan", "inf"])
+def test_tolerances_of_quotas_are_numbers_of_zero_or_more(tmp_path, name, value):
+    with pytest.raises(BulrushleadError):
+        load(tmp_path, f"{name} = {value}")
+
+
 @pytest.mark.parametrize("window", ["0s", "-1s", "10ms"])
 def test_a_window_of_quotas_has_a_length(tmp_path, window):
     """Guards against a division by zero in each request."""
