--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs the soak from the command line.
 
-Example: ``python -m tests.soak --seeds 1-50 --seconds 20``.
+Examples: ``python -m tests.soak --seeds 1-50 --seconds 20``, and with hosts that change
+between two builds ``python -m tests.soak --seeds 1-30 --upgrade-from production``.
 """
 
 import argparse
@@ -9,6 +10,7 @@
 import time
 
 from tests.soak.harness import EDGES, Harness
+from tests.soak.upgrade import UpgradeHarness, production_commit
 
 
 def main():
@@ -26,12 +28,13 @@
     parser.add_argument(
         "--edges", type=int, default=EDGES, help="number of gateways, 200 at most"
     )
+    parser.add_argument(
+        "--upgrade-from", help="commit of an earlier build, or 'production'"
+    )
     arguments = parser.parse_args()
     failed = 0
     for seed in _seeds(arguments.seeds, arguments.count):
-        harness = Harness(
-            seed, arguments.seconds, arguments.logs, edges=arguments.edges
-        )
+        harness = _harness(seed, arguments)
         violations = asyncio.run(_run(harness))
         failed += bool(violations)
         print(
@@ -43,6 +46,16 @@
     sys.exit(1 if failed else 0)
 
 
+def _harness(seed, arguments):
+    options = {"logs": arguments.logs, "edges": arguments.edges}
+    commit = arguments.upgrade_from
+    if commit is None:
+        return Harness(seed, arguments.seconds, **options)
+    if commit == "production":
+        commit = production_commit()
+    return UpgradeHarness(seed, arguments.seconds, commit, **options)
+
+
 async def _run(harness):
     try:
         violations = await harness.run()
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -45,6 +45,7 @@
         self.bind_ip = harness.ip(group + 4, number) if kind == "core" else self.ip
         self.folder = harness.folder / self.name
         self.data = self.folder / "data"
+        self.source = ROOT  # of the build that the next start runs
         self.process = None
         self.paused = False
         # Two faults may start a host at the same time. Without the lock, the reference
@@ -93,7 +94,7 @@
         with (self.folder / f"log-{self.starts}.txt").open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *command,
-                cwd=ROOT,
+                cwd=self.source,
                 env={"BULRUSHLEAD_BOOT": str(settings), "PATH": os.environ["PATH"]},
                 stdout=log,
                 stderr=log,
