Use up less of a quota between news where many hosts get few requests

Cause, by the sums of each 0.2 s: each host admits three requests in any case until it notices that news are missing, 1 s after the last; with some hundred hosts that are more than what a window leaves. Ruled out: shares without news and the keeper (nothing is admitted from 1.2 s on). Now two while news are late (0.55 s), shares from 0.7 s on, and a tenth of what is left stays for uneven hosts.

--- a/bulrushlead/organisations/_quota_gate.py
+++ b/bulrushlead/organisations/_quota_gate.py
@@ -13,13 +13,19 @@
 from bulrushlead.organisations._usage import UsageCounter
 from bulrushlead.traffic import Organisation
 
-# News from the leader older than this may miss a change of the fleet's demand: it is
-# more than two sync intervals and round trips to the farthest region.
-STALE_AFTER_MS = 1_000.0
+# News from the leader older than this may miss a change of the fleet's demand. The
+# leader answers within a sync interval and a round trip; it may be loaded for a while.
+STALE_AFTER_MS = 700.0
+LATE_AFTER_MS = 550.0  # without news: probably the leader is lost
 # Least demand on which shares are based, as a part of the quota: several hosts to which
 # an organisation moves without news must not take all of it each.
 MIN_DEMAND_RATIO = 0.25
-MIN_BETWEEN_NEWS = 3  # requests; callers may move to any host
+# Least requests between two news, since callers may move to any host; and while news
+# are late. With many hosts they are more than the quota of most organisations.
+MIN_BETWEEN_NEWS, MIN_WHILE_LATE = 3, 2
+# Part of what a window's bound leaves that hosts may use between news: they get uneven
+# parts of the requests, and each rounds its share up.
+SPARE_PART = 0.9
 # Requests at a keeper, relative to the usual demand at all hosts, above which it hands
 # out nothing: hosts admitted so much in the last window that the quota is used up.
 MAX_KEEPER_RATIO = 1.2
@@ -229,11 +235,13 @@
         """
         demand_per_s = self._demand_per_s(account, organisation)
         usual = demand_per_s * self.settings.window_ms / 1_000.0
-        spare = self.settings.intended_bound(organisation) - usual
+        spare = SPARE_PART * (self.settings.intended_bound(organisation) - usual)
         hosts = self.states[organisation.name].hosts
         ratio = demand_ratio(account.known_usual_per_s, demand_per_s, hosts)
         since_news = account.usage.admitted - account.known_admitted
-        return since_news >= max(MIN_BETWEEN_NEWS, ratio * spare - account.carried)
+        is_late = self.age_ms() > LATE_AFTER_MS
+        least = MIN_WHILE_LATE if is_late else MIN_BETWEEN_NEWS
+        return since_news >= max(least, ratio * spare - account.carried)
 
     def _share_without_news(self, account: _Account, organisation: Organisation) -> int:
         """Return the requests that may be sent in a window without news.
--- a/bulrushlead/organisations/tests/test_large_fleet.py
+++ b/bulrushlead/organisations/tests/test_large_fleet.py
@@ -132,11 +132,11 @@
     load.check_refusals()
 
 
-def play_lost_leader(delay_ms, seed):
+def play_lost_leader(delay_ms, seed, hosts=78, rank=3):
     """Lose the leader some time after an organisation turns hot, or before."""
-    load = Load(78, seed)
+    load = Load(hosts, seed)
     load.fleet.run(8_000)
-    name = load.largest(3)
+    name = load.largest(rank)
     if delay_ms < 0:
         load.fleet.lose_leader()
         load.fleet.run(-delay_ms)
@@ -155,6 +155,27 @@
     play_lost_leader(delay_ms, seed).check_bound()
 
 
+@pytest.mark.parametrize(
+    ("hosts", "rank", "seed", "delay_ms"),
+    [
+        (184, 3, 2, 400),
+        (184, 5, 1, 400),
+        (184, 5, 2, 400),
+        (78, 5, 2, 1_200),
+        (78, 15, 1, 400),
+    ],
+)
+def test_bounds_hold_where_each_host_gets_few_requests(hosts, rank, seed, delay_ms):
+    """Guards against hosts that all admit their least number before they notice.
+
+    Up to 49 requests in a window were over the bound, for organisations whose quota is
+    less than what so many hosts admit between two news.
+    """
+    load = play_lost_leader(delay_ms, seed, hosts, rank)
+    load.check_bound()
+    load.check_refusals()
+
+
 @pytest.mark.parametrize("delay_ms", [-400, 0, 400, 1_200])
 @pytest.mark.parametrize("seed", [1, 2])
 def test_no_usual_demand_is_refused_while_the_leader_is_lost(delay_ms, seed):
