--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -35,6 +36,10 @@
 CALL_TIMEOUT_S = 1.0  # a caller of ``control`` moves on after a second
 START_TIMEOUT_S = 30.0
 NAME = "feed.example"
+# To ask the kernel which process has opened a connection.
+NETLINK_SOCK_DIAG = 4
+SOCK_DIAG_BY_FAMILY = 20
+NLM_F_REQUEST = 1
 BOUNDS = """
 seedLag = "3s"
 reuseAfter = "2s"
@@ -244,14 +249,19 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def is_cut(self, source, target):
-        return self.cut_off is not None and (
-            (self.cut_off is source and target in self.deployment.cores)
-            or (self.cut_off is target and source in self.deployment.cores)
-        )
+        return self.cut_off is not None and self.cut_off in (source, target)
+
+    def _source(self, port, target):
+        """Return the coordinator that has opened a connection, or None."""
+        inode = socket_inode(port, target.ip, self.deployment.peer_port)
+        for core in self.deployment.cores:
+            if inode and core.alive and has_socket(core.process.pid, inode):
+                return core
+        return None
 
     async def _accept(self, target, reader, writer):
         self._tasks.add(asyncio.current_task())
-        source = self._owner(writer.get_extra_info("peername")[1])
+        source = self._source(writer.get_extra_info("peername")[1], target)
         other = None
         try:
             while self.is_cut(source, target):
@@ -286,13 +296,14 @@
 
         task = asyncio.create_task(receive())
         try:
-            while data := await held.get():
+            while True:
+                data = await held.get()
                 while self.is_cut(source, target):
                     await asyncio.sleep(0.02)
+                if not data:
+                    break
                 writer.write(data)
                 await writer.drain()
-            while self.is_cut(source, target):
-                await asyncio.sleep(0.02)
             if writer.can_write_eof():
                 writer.write_eof()
         except OSError:
@@ -300,23 +311,38 @@
         finally:
             task.cancel()
 
-    def _owner(self, port):
-        """Return the machine whose process has a local port."""
-        inodes = set()
-        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            fields = line.split()
-            if int(fields[1].split(":")[1], 16) == port:
-                inodes.add(f"socket:[{fields[9]}]")
-        for machine in (*self.deployment.cores, *self.deployment.edges):
-            if not machine.alive:
-                continue
-            for path in Path(f"/proc/{machine.process.pid}/fd").iterdir():
-                try:
-                    if os.readlink(path) in inodes:
-                        return machine
-                except OSError:
-                    continue
-        return None
+
+def socket_inode(source_port, target_ip, target_port):
+    """Return the inode of the open connection between two loopback addresses, or 0."""
+    address = struct.pack(
+        "!HH4s12x4s12x",
+        source_port,
+        target_port,
+        socket.inet_aton("127.0.0.1"),
+        socket.inet_aton(target_ip),
+    )
+    request = struct.pack("=BBBxI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0xFFFFFFFF)
+    request += address + struct.pack("=III", 0, 0xFFFFFFFF, 0xFFFFFFFF)
+    header = struct.pack(
+        "=IHHII", 16 + len(request), SOCK_DIAG_BY_FAMILY, NLM_F_REQUEST, 1, 0
+    )
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, NETLINK_SOCK_DIAG) as diag:
+        diag.send(header + request)
+        reply = diag.recv(4096)
+    if struct.unpack_from("=H", reply, 4)[0] != SOCK_DIAG_BY_FAMILY:
+        return 0
+    return struct.unpack_from("=I", reply, 84)[0]
+
+
+def has_socket(pid, inode):
+    """Return whether a process has an open socket."""
+    for path in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            if os.readlink(path) == f"socket:[{inode}]":
+                return True
+        except OSError:
+            continue
+    return False
 
 
 class Instance:
