--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,8 +16,8 @@
 WORK_S = 3.0  # the site's certificates take 3.8 s on average
 DEADLINE_S = 20.0
 TIMEOUT_MS = 4000
-REQUESTS_PER_S = 14.0
-N_CLIENTS = 14
+REQUESTS_PER_S = 40.0
+N_CLIENTS = 40
 N_STOPS = 4
 STOP_GAP_S = 14.0
 LATE_STOP_S = 3.0  # requests sent until then may be cut off in the last sixth of grace
@@ -110,7 +110,7 @@
 
 async def play(deployment, trouble):
     deployment.instances = [
-        s.Instance(deployment, "certs", zone, n, slots=3)
+        s.Instance(deployment, "certs", zone, n, slots=9)
         for n, zone in enumerate(["casa-a", "casa-b"] * 8)
     ]
     for instance in deployment.instances:
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -502,6 +502,7 @@
             Machine(self, "edge", n, zone) for n, zone in enumerate(edge_zones)
         ]
         self.instances = []
+        self.removed = []  # machines that have been taken away
 
     async def start(self, document):
         """Start all machines and instances; return once requests are served."""
@@ -556,7 +557,7 @@
     async def close(self):
         for instance in self.instances:
             await instance.close()
-        for machine in (*self.cores, *self.edges):
+        for machine in (*self.cores, *self.removed, *self.edges):
             await machine.kill()
         if self.peers is not None:
             await self.peers.close()
