--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,8 +12,7 @@
 
 import stand_ins as s  # noqa: E402
 
-N_SEEDS = 3
-MAX_RESTARTS = 8  # of the leader, until one leads that is no seed
+N_LOSSES = 3
 DOWN_S = 1.0
 # Until the next disk is lost: the machine is back after 1 s and has had catchUp (4 s).
 GAP_S = 8.0
@@ -41,12 +40,16 @@
     ]
     await deployment.start(document(1))
     operator = s.Operator(deployment)
-    leader = await let_another_lead(deployment)
     await asyncio.sleep(SETTLE_S)
+    leader = await deployment.leader()
+    followers = [core for core in deployment.cores if core is not leader]
+    deployment.seeds = followers[:N_LOSSES]
+    record.say(
+        f"{leader.name} leads; settings files name "
+        f"{', '.join(core.name for core in deployment.seeds)} from now on"
+    )
     await operator.order("config.put", deployment.cores[:], document(2))
-    for core in deployment.cores[:N_SEEDS]:
-        if core is leader:
-            continue
+    for core in followers[:N_LOSSES]:
         started_s = record.now()
         if trouble:
             await lose_disk(deployment, core)
@@ -57,21 +60,6 @@
     return await read_back(deployment, 2)
 
 
-async def let_another_lead(deployment):
-    """Restart the leader's process until a machine leads that is no seed."""
-    for _ in range(MAX_RESTARTS):
-        leader = await deployment.leader()
-        if leader not in deployment.cores[:N_SEEDS]:
-            deployment.record.say(f"{leader.name} leads, which is no seed")
-            return leader
-        deployment.record.say(f"the process of {leader.name}, which leads, is killed")
-        await leader.kill()
-        await asyncio.sleep(DOWN_S)
-        await leader.start()
-        await asyncio.sleep(SETTLE_S)
-    raise s.CannotRunError("a seed leads after each restart")
-
-
 async def lose_disk(deployment, core):
     """Power a machine off, and start it again with an empty disk."""
     deployment.record.say(f"{core.name} loses power and its disk")
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -187,7 +187,7 @@
                 f'readinessAddr = "{self.ip}:{deployment.ready_port}"\n'
             )
         seeds = ", ".join(
-            f'"{core.ip}:{deployment.control_port}"' for core in deployment.cores[:3]
+            f'"{core.ip}:{deployment.control_port}"' for core in deployment.seeds
         )
         zones = "\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items())
         serves = '["control", "directory"]' if is_core else '["edge"]'
@@ -501,6 +501,7 @@
         self.edges = [
             Machine(self, "edge", n, zone) for n, zone in enumerate(edge_zones)
         ]
+        self.seeds = self.cores[:3]  # machines that the next settings file names
         self.instances = []
         self.removed = []  # machines that have been taken away
 
