Let a replica without a log join through members that do not lead

Cause: a replica with an empty log asked only the peers of its settings for admission, and only the leader admits. A reply named neither the leader nor the members, so that a replica whose settings do not name the leader stayed out, and its lost identity kept its vote.

A reply now names the members, which are asked as well. A replica also asks a leader whose message was meant for the identity that it had lost, since all its seeds may be down. Only the peers of the settings form a new cluster, and none is formed when any reply names one.

--- a/bulrushlead/replication/_follower.py
+++ b/bulrushlead/replication/_follower.py
@@ -48,6 +48,8 @@
     async def answer_append(self, request: AppendRequest) -> AppendReply:
         """Append entries and acknowledge them once they are on disk."""
         replica, journal = self.replica, self.replica.journal
+        if request.target_id != replica.replica_id:
+            replica.sender_address = request.sender_address
         replica.check_addressee(request.target_id, request.cluster_id)
         if request.term < replica.term:
             return AppendReply(replica.term)
--- a/bulrushlead/replication/_joining.py
+++ b/bulrushlead/replication/_joining.py
@@ -21,6 +21,7 @@
     from bulrushlead.replication._replica import Replica
 
 ID_BITS = 64
+MAX_LEARNED_ADDRESSES = 64  # far more than a cluster has members
 JOIN_INTERVAL_HEARTBEATS = 2
 LOST_CONTACT_TIMEOUTS = 3  # election timeouts without a leader before joining again
 FIRST_TERM = 1
@@ -29,6 +30,9 @@
 class Joining:
     """Sends join requests while this replica is not a voter or has lost contact.
 
+    Only the leader admits a replica, and it may be none of the peers in the settings.
+    The requests therefore also go to the members that other replicas name.
+
     Parameters
     ----------
     replica : Replica
@@ -37,6 +41,7 @@
 
     def __init__(self, replica: "Replica"):
         self.replica = replica
+        self._learned_addresses: set[str] = set()
         self._last_blocking_reason = ""
 
     async def run(self) -> None:
@@ -79,8 +84,8 @@
         replica, journal = self.replica, self.replica.journal
         voters = [Member(replica.replica_id, replica.settings.address)]
         voters += [
-            Member(reply.replica_id, address)
-            for address, reply in sorted(replies.items())
+            Member(replies[address].replica_id, address)
+            for address in sorted(replica.settings.peers)
         ]
         state = journal.vote_state
         cluster_id = f"{replica.rng.getrandbits(ID_BITS):016x}"
@@ -101,28 +106,41 @@
         founders = tuple(sorted((settings.address, *settings.peers)))
         if founders[0] != settings.address:
             return f"the cluster is formed by {founders[0]}, the lowest address"
+        for address, reply in sorted(replies.items()):
+            if reply.cluster_id:
+                return (
+                    f"{address} belongs to cluster {reply.cluster_id}; "
+                    "waiting to join it"
+                )
         for peer in settings.peers:
             reply = replies.get(peer)
             if reply is None:
                 return (
                     f"{peer} does not answer; every peer must answer on the first start"
                 )
-            if reply.cluster_id:
-                return (
-                    f"{peer} belongs to cluster {reply.cluster_id}; waiting to join it"
-                )
             if reply.founders != founders:
                 return f"{peer} is configured with {reply.founders}, not {founders}"
         return ""
 
     async def _request_join_from_all(self) -> dict[str, JoinReply]:
+        """Ask all replicas that this one knows of, then those that the replies name."""
         replica, settings = self.replica, self.replica.settings
-        addresses = {m.address for m in replica.journal.members.members}
-        addresses = sorted((addresses | set(settings.peers)) - {settings.address})
-        replies = await asyncio.gather(*(self._request_join(a) for a in addresses))
+        known = {m.address for m in replica.journal.members.members}
+        known |= {*settings.peers, *self._learned_addresses, replica.sender_address}
+        known -= {settings.address, ""}
+        replies = await self._request_join_from(known)
+        named = {a for reply in replies.values() for a in reply.members}
+        named = set(sorted(named - {settings.address})[:MAX_LEARNED_ADDRESSES])
+        if named:
+            self._learned_addresses = named
+        return replies | await self._request_join_from(named - known)
+
+    async def _request_join_from(self, addresses: set[str]) -> dict[str, JoinReply]:
+        ordered = sorted(addresses)
+        replies = await asyncio.gather(*(self._request_join(a) for a in ordered))
         return {
             address: reply
-            for address, reply in zip(addresses, replies, strict=True)
+            for address, reply in zip(ordered, replies, strict=True)
             if reply is not None
         }
 
--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -133,7 +133,13 @@
             await self._admit(request)
         cluster_id = replica.cluster_id if replica.journal.last_index else ""
         founders = (replica.settings.address, *replica.settings.peers)
-        return JoinReply(replica.replica_id, cluster_id, tuple(sorted(founders)))
+        members = replica.journal.members.members
+        return JoinReply(
+            replica.replica_id,
+            cluster_id,
+            tuple(sorted(founders)),
+            tuple(sorted({member.address for member in members})),
+        )
 
     def require_leadership(self) -> Leadership:
         """Return the current leadership.
--- a/bulrushlead/replication/_messages.py
+++ b/bulrushlead/replication/_messages.py
@@ -339,8 +339,12 @@
     founders : tuple of str
         Addresses of the replicas that form the cluster according to its settings,
         its own included.
+    members : tuple of str
+        Addresses of the members in its log. The sender asks these too, since its
+        settings may not name the leader.
     """
 
     replica_id: str
     cluster_id: str = ""
     founders: tuple[str, ...] = ()
+    members: tuple[str, ...] = ()
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -42,6 +42,9 @@
         Set while this replica is the leader.
     leader_address : str or None
         Address of the last known leader of the current term.
+    sender_address : str
+        Address of the last leader whose message was meant for an earlier replica at
+        this address; empty if there was none.
     last_contact_ms : float
         When this replica last received a message of a leader, granted a vote or
         started, in milliseconds of the local clock.
@@ -68,6 +71,7 @@
         self.rng = rng
         self.leadership: Leadership | None = None
         self.leader_address: str | None = None
+        self.sender_address = ""
         self.last_contact_ms = clock.now_ms()
         self.is_running = False
         self.commit_index = 0
--- a/bulrushlead/replication/tests/test_newcomers.py
+++ b/bulrushlead/replication/tests/test_newcomers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bulrushlead.replication import MemberRole
 from bulrushlead.replication.tests.cluster import Cluster, Node
 from bulrushlead.results import BulrushleadError
 
@@ -30,6 +31,15 @@
     }
 
 
+def is_voter(cluster, node):
+    """Return whether the leader's log has the present identity of a node as a voter."""
+    return any(
+        member.replica_id == node.log.replica_id and member.role is MemberRole.VOTER
+        for leader in cluster.leaders
+        for member in leader.log.members
+    )
+
+
 async def test_unknown_replica_becomes_a_voter(cluster):
     await cluster.start()
     await cluster.propose(b"a")
@@ -90,6 +100,35 @@
     assert len(voter_addresses(cluster)) == 3
 
 
+async def test_lost_disk_joins_again_through_replicas_that_do_not_lead(cluster):
+    """Guards against a replica that stays out because no seed of its settings leads."""
+    leader = await cluster.start()
+    await add_node(cluster, 4)
+    await add_node(cluster, 5)
+    await cluster.wait_converged()
+    leader = cluster.leaders[0]
+    wiped, *others = cluster.others(leader)
+    wiped.wipe()
+    seeds = [node.address for node in others]
+    await cluster.result(wiped.start(peers=seeds, bootstrap=False))
+    await cluster.wait_converged()
+    assert cluster.leaders == [leader]
+
+
+async def test_lost_disk_joins_again_while_its_seeds_are_down(cluster):
+    """Guards against a replica that stays out although the leader sends to it."""
+    await cluster.start()
+    for number in (4, 5):
+        await add_node(cluster, number)
+    await cluster.wait_converged()
+    leader = cluster.leaders[0]
+    wiped, seed, *_ = cluster.others(leader)
+    wiped.wipe()
+    seed.crash()
+    await cluster.result(wiped.start(peers=[seed.address], bootstrap=False))
+    await cluster.run_until(lambda: is_voter(cluster, wiped))
+
+
 async def test_read_barrier_needs_a_quorum_in_addition_to_the_lease(cluster):
     leader = await cluster.start()
     await cluster.propose(b"a")
