Count the silence of a member on over changes of leader

One of its causes: a voter that is gone is known by its silence only, and each new leader counted that from its own election, so that a leader lost every few seconds put off the retirement for good.

The leader now tells the others which members have missed an election timeout, and since when; the next leader counts on from there, once each member had an election timeout to answer it. A vote and any answer end a silence.

test_silence_counts_on_over_changes_of_leader failed before: the lost voter still counted after six changes of leader in 21 s, with 10 s to retire it.

--- a/bulrushlead/replication/_follower.py
+++ b/bulrushlead/replication/_follower.py
@@ -54,6 +54,7 @@
         if request.term < replica.term:
             return AppendReply(replica.term)
         self._accept_leader(request)
+        replica.record_silences(request.sender_id, request.silences_ms)
         if not self._has_previous_entry(request):
             return AppendReply(replica.term, match_index=self._match_hint(request))
         self._append_new_entries(request.entries)
--- a/bulrushlead/replication/_leadership.py
+++ b/bulrushlead/replication/_leadership.py
@@ -94,6 +94,35 @@
         peer = self._peers.get(replica_id)
         return None if peer is None else peer.replicator.progress
 
+    def silence_ms(self, replica_id: str) -> float:
+        """Return how long a member has not answered, in milliseconds.
+
+        A silence that the previous leaders saw counts too, once the member had an
+        election timeout to answer this one.
+        """
+        now_ms = self.replica.clock.now_ms()
+        progress = self.progress_of(replica_id)
+        if progress is None:
+            return 0.0
+        silence_ms = now_ms - progress.last_contact_ms()
+        if now_ms - self.started_ms < self.replica.settings.election_max_ms:
+            return min(silence_ms, now_ms - self.started_ms)
+        return silence_ms
+
+    def silences_ms(self) -> dict[str, float]:
+        """Return the silences of the members that missed an election timeout, in ms."""
+        now_ms = self.replica.clock.now_ms()
+        silences_ms = {
+            replica_id: now_ms - peer.replicator.progress.last_contact_ms()
+            for replica_id, peer in self._peers.items()
+        }
+        limit_ms = self.replica.settings.election_max_ms
+        return {
+            replica_id: silence_ms
+            for replica_id, silence_ms in silences_ms.items()
+            if silence_ms > limit_ms
+        }
+
     def oldest_transfer_index(self) -> float:
         """Return the index of the oldest snapshot that is being sent to a peer.
 
@@ -198,12 +227,16 @@
         }
         for replica_id in [peer_id for peer_id in self._peers if peer_id not in wanted]:
             self._peers.pop(replica_id).task.cancel()
+        now_ms = self.replica.clock.now_ms()
+        # An identity that is added later may have been a member before.
+        silent_since_ms = {} if self.first_index else self.replica.silent_since_ms
         for replica_id, member in wanted.items():
             if replica_id not in self._peers:
                 progress = Progress(
                     next_index=journal.last_index,  # the entry just appended
                     # A vote counts as an acknowledged message.
                     acknowledged_sent_ms=self.vote_times_ms.get(replica_id, -math.inf),
+                    expected_since_ms=silent_since_ms.get(replica_id, now_ms),
                 )
                 replicator = PeerReplicator(self.replica, self, member, progress)
                 task = asyncio.create_task(replicator.run())
--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -271,11 +271,7 @@
     def _silence_ms(self, leadership: Leadership, voter: Member) -> float:
         if voter.replica_id == self.replica.replica_id:
             return 0.0
-        progress = leadership.progress_of(voter.replica_id)
-        last_contact_ms = leadership.started_ms
-        if progress is not None:
-            last_contact_ms = max(last_contact_ms, progress.acknowledged_sent_ms)
-        return self.replica.clock.now_ms() - last_contact_ms
+        return leadership.silence_ms(voter.replica_id)
 
     async def _with_replacement(
         self,
--- a/bulrushlead/replication/_messages.py
+++ b/bulrushlead/replication/_messages.py
@@ -2,6 +2,8 @@
 
 from enum import Enum
 
+import attrs
+
 from bulrushlead.wire import message
 
 
@@ -230,6 +232,10 @@
         Index of the last committed entry.
     entries : tuple of LogEntry
         New entries, empty for a heartbeat.
+    silences_ms : dict of str to float
+        How long members have not answered the leader, by identity, in milliseconds;
+        only those that missed an election timeout. The next leader counts on from
+        there.
     """
 
     cluster_id: str
@@ -241,6 +247,7 @@
     previous_term: int
     commit_index: int
     entries: tuple[LogEntry, ...] = ()
+    silences_ms: dict[str, float] = attrs.field(factory=dict)
 
 
 @message("log.append_reply")
--- a/bulrushlead/replication/_peer.py
+++ b/bulrushlead/replication/_peer.py
@@ -37,11 +37,19 @@
         Index of the last entry known to be on the peer's disk.
     acknowledged_sent_ms : float
         When the last message that the peer acknowledged was sent, in milliseconds.
+    expected_since_ms : float
+        Since when the peer counts as silent if it acknowledges nothing, in
+        milliseconds.
     """
 
     next_index: int
     match_index: int = 0
     acknowledged_sent_ms: float = -math.inf
+    expected_since_ms: float = -math.inf
+
+    def last_contact_ms(self) -> float:
+        """Return since when the peer has been silent, in milliseconds."""
+        return max(self.acknowledged_sent_ms, self.expected_since_ms)
 
 
 class PeerReplicator:
@@ -142,6 +150,7 @@
                 self.replica.settings.append_bytes,
                 MAX_ENTRIES_PER_APPEND,
             ),
+            silences_ms=self.leadership.silences_ms(),
         )
 
     def _next_chunk(self) -> SnapshotChunk:
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -1,6 +1,7 @@
 """State of one replica that its components share."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -48,6 +49,9 @@
     last_contact_ms : float
         When this replica last received a message of a leader, granted a vote or
         started, in milliseconds of the local clock.
+    silent_since_ms : dict of str to float
+        Since when members have been silent, by identity, in milliseconds of the local
+        clock: as the last leader reported it, and the leader since its last message.
     is_running : bool
         Whether the data folder is loaded and the replica is not closing.
     commit_index, last_applied : int
@@ -73,6 +77,7 @@
         self.leader_address: str | None = None
         self.sender_address = ""
         self.last_contact_ms = clock.now_ms()
+        self.silent_since_ms: dict[str, float] = {}
         self.is_running = False
         self.commit_index = 0
         self.last_applied = 0
@@ -171,6 +176,16 @@
         self.leader_address = leader_address
         self.last_contact_ms = self.clock.now_ms()
 
+    def record_silences(self, leader_id: str, silences_ms: dict[str, float]) -> None:
+        """Record which members are silent, from a message of the leader."""
+        now_ms = self.clock.now_ms()
+        self.silent_since_ms = {
+            replica_id: now_ms - max(0.0, silence_ms)
+            for replica_id, silence_ms in silences_ms.items()
+            if math.isfinite(silence_ms)
+        }
+        self.silent_since_ms[leader_id] = now_ms
+
     def become_leader(self, leadership: Leadership) -> None:
         """Become the leader of the current term."""
         self.leadership = leadership
--- a/bulrushlead/replication/tests/cluster.py
+++ b/bulrushlead/replication/tests/cluster.py
@@ -104,8 +104,8 @@
     async def _deliver(self, request, future):
         network = self.cluster.network
         await network.delay()
-        node = self.cluster.nodes[self.target]
-        if network.loses(self.source, self.target) or not node.alive:
+        node = self.cluster.nodes.get(self.target)
+        if node is None or network.loses(self.source, self.target) or not node.alive:
             return
         network.on_message(self.source, self.target, request)
         if not node.alive:
--- /dev/null
+++ b/bulrushlead/replication/tests/test_turnover.py
@@ -0,0 +1,98 @@
+"""Members that are replaced, retired and removed while leaders change."""
+
+import pytest
+
+from bulrushlead.replication import MemberRole
+from bulrushlead.replication.tests.cluster import Cluster, Node
+
+RETIRE_MS = 10_000
+CATCH_UP_MS = 4_000  # after the start of a newcomer
+RETIRE_CALL_MS = 250
+
+
+@pytest.fixture
+async def cluster():
+    cluster = Cluster(5, admit_newcomers=True, retire_silent_ms=RETIRE_MS)
+    yield cluster
+    await cluster.close()
+
+
+async def add_node(cluster, number):
+    """Start a replica at a new address; its settings name three replicas that run."""
+    address = f"10.0.0.{number}:7000"
+    seeds = [node.address for node in cluster.alive][:3]
+    node = cluster.nodes[address] = Node(cluster, address)
+    await cluster.result(node.start(peers=seeds, bootstrap=False))
+    return node
+
+
+def remove_node(cluster, node):
+    """End a host for good."""
+    node.crash()
+    cluster.isolate(node)
+    del cluster.nodes[node.address]
+
+
+async def run_retiring(cluster, duration_ms, until=lambda: False):
+    """Run, and let the leader retire silent voters as the coordinator does."""
+    end_ms = cluster.clock.now_ms() + duration_ms
+    while cluster.clock.now_ms() < end_ms and not until():
+        await cluster.run_for(RETIRE_CALL_MS)
+        for leader in cluster.leaders:
+            cluster.spawn(retire(leader))
+
+
+async def retire(leader):
+    try:
+        await leader.log.retire_silent_voter(500)
+    except Exception as error:
+        return error
+
+
+def voter_ids(cluster):
+    return {
+        m.replica_id
+        for m in cluster.leaders[0].log.members
+        if m.role is MemberRole.VOTER
+    }
+
+
+def ids_of(nodes):
+    return {node.log.replica_id for node in nodes}
+
+
+async def test_newcomer_joins_a_set_whose_voters_all_answer(cluster):
+    await cluster.start()
+    await add_node(cluster, 6)
+    await cluster.wait_converged()
+
+
+async def test_silence_counts_on_over_changes_of_leader(cluster):
+    """Guards against a retirement that each change of leader puts off."""
+    leader = await cluster.start()
+    silent = cluster.others(leader)[0]
+    silent_id = silent.log.replica_id
+    silent.crash()
+    for _ in range(6):
+        leader = await cluster.wait_leader()
+        leader.crash()
+        await cluster.run_for(2_000)
+        await cluster.result(leader.start())
+        await run_retiring(cluster, 1_500)
+    await cluster.wait_leader()
+    assert silent_id not in voter_ids(cluster)
+
+
+async def test_no_voter_is_retired_while_another_may_be_gone(cluster):
+    leader = await cluster.start()
+    first, second, *_ = cluster.others(leader)
+    first.crash()
+    await cluster.run_for(2 * RETIRE_MS)
+    second.crash()
+    await cluster.run_for(1_000)
+    (leader,) = cluster.leaders
+    assert await cluster.result(leader.log.retire_silent_voter(500)) is None
+
+
+def members(cluster):
+    return cluster.leaders[0].log.members
