Admit a newcomer in the place of an absent voter

Cause: a newcomer took the place of a voter only after 10 s of silence and became a further voter otherwise. Every replacement left one voter that no longer exists, until a quorum of them was needed. The place was also chosen when the newcomer was added as a learner, when the silence was shortest.

The place is chosen at the promotion. While a voter does not answer, the newcomer waits as a learner for at most replace_silent_ms, then takes its place; with all voters reachable it is a further voter, as before. The voter that is replaced is removed first, so that no step needs a larger quorum than before. One that was only cut off is admitted again when it returns.

--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -184,7 +184,7 @@
                 timeout_ms = self.replica.settings.call_timeout_ms
                 newcomer = members.find(request.replica_id)
                 if newcomer is None:
-                    changed = self._with_new_learner(leadership, members, request)
+                    changed = self._with_new_learner(members, request)
                 elif newcomer.role is MemberRole.LEARNER and self._has_caught_up(
                     leadership, newcomer.replica_id
                 ):
@@ -207,20 +207,47 @@
     ) -> Members | None:
         """Return the set with a caught-up learner as a voter, or None.
 
-        None means that the voter to be replaced answers again, or that the settings
-        admit no newcomers.
+        A learner at a new address takes the place of an absent voter: the host of a
+        replaced replica never returns, and its vote would raise the quorum until it
+        is retired. A voter that does return is admitted in the same way.
+
+        None means that the voter to be replaced answers again, that a voter does not
+        answer but may still return, or that the settings admit no newcomers.
         """
-        if newcomer.replaces:
+        replaces = newcomer.replaces
+        if not replaces:
+            if not self.replica.settings.admit_newcomers:
+                return None
+            absent = self._absent_voters(leadership, members)
+            if absent:
+                longest_ms, replaces = max(absent)
+                if longest_ms < self.replica.settings.replace_silent_ms:
+                    return None
+        if replaces:
             return await self._with_replacement(
-                leadership, members, newcomer, timeout_ms
+                leadership, members, newcomer, replaces, timeout_ms
             )
-        if self.replica.settings.admit_newcomers:
-            voter = Member(newcomer.replica_id, newcomer.address)
-            return members.replaced(newcomer.replica_id, voter)
-        return None
+        voter = Member(newcomer.replica_id, newcomer.address)
+        return members.replaced(newcomer.replica_id, voter)
+
+    def _absent_voters(
+        self, leadership: Leadership, members: Members
+    ) -> list[tuple[float, str]]:
+        """Return the silence and the identity of each voter that does not answer.
+
+        Voters that a learner at the same address replaces are left out.
+        """
+        being_replaced = {member.replaces for member in members.members}
+        return [
+            (self._silence_ms(leadership, voter), voter.replica_id)
+            for voter in members.voters()
+            if voter.replica_id not in being_replaced
+            and voter.replica_id != self.replica.replica_id
+            and not self._is_reachable(leadership, voter.replica_id)
+        ]
 
     def _with_new_learner(
-        self, leadership: Leadership, members: Members, request: JoinRequest
+        self, members: Members, request: JoinRequest
     ) -> Members | None:
         """Return the set with the sender as a learner, or None.
 
@@ -231,7 +258,10 @@
         if request.address == self.replica.settings.address:
             return None
         if not same_address:
-            return self._with_unknown_address(leadership, members, request)
+            if not self.replica.settings.admit_newcomers:
+                return None
+            learner = Member(request.replica_id, request.address, MemberRole.LEARNER)
+            return Members((*members.members, learner))
         voters = [m for m in same_address if m.role is MemberRole.VOTER]
         replaces = voters[0].replica_id if voters else same_address[0].replaces
         newcomer = Member(
@@ -240,34 +270,6 @@
         others = [m for m in members.members if m not in same_address or m in voters]
         return Members((*others, newcomer))
 
-    def _with_unknown_address(
-        self, leadership: Leadership, members: Members, request: JoinRequest
-    ) -> Members | None:
-        """Return the set with a learner at an address that is not in the log.
-
-        The learner replaces a voter that has not answered for ``retire_silent_ms``,
-        if there is one. The voter of a replaced host would otherwise count towards
-        the quorum forever, although it never returns. A voter that does return is
-        admitted in the same way.
-        """
-        settings = self.replica.settings
-        if not settings.admit_newcomers:
-            return None
-        being_replaced = {member.replaces for member in members.members}
-        silent = [
-            voter.replica_id
-            for voter in members.voters()
-            if voter.replica_id not in being_replaced
-            and self._silence_ms(leadership, voter) > settings.retire_silent_ms
-        ]
-        learner = Member(
-            request.replica_id,
-            request.address,
-            MemberRole.LEARNER,
-            silent[0] if silent else "",
-        )
-        return Members((*members.members, learner))
-
     def _silence_ms(self, leadership: Leadership, voter: Member) -> float:
         if voter.replica_id == self.replica.replica_id:
             return 0.0
@@ -278,6 +280,7 @@
         leadership: Leadership,
         members: Members,
         newcomer: Member,
+        replaces: str,
         timeout_ms: float,
     ) -> Members | None:
         """Remove the replaced voter and return the set with the newcomer as a voter.
@@ -287,10 +290,10 @@
         Members or None
             None if the voter to be replaced answers again and therefore stays.
         """
-        if members.find(newcomer.replaces) is not None:
-            if self._is_reachable(leadership, newcomer.replaces):
+        if members.find(replaces) is not None:
+            if self._is_reachable(leadership, replaces):
                 return None
-            members = members.replaced(newcomer.replaces)
+            members = members.replaced(replaces)
             self._check_reachable_quorum(leadership, members)
             await self._change_members(leadership, members, timeout_ms)
         voter = Member(newcomer.replica_id, newcomer.address)
--- a/bulrushlead/replication/_settings.py
+++ b/bulrushlead/replication/_settings.py
@@ -87,10 +87,14 @@
     election_max_ms : float, default=1000
         Longest election timeout, in milliseconds.
     admit_newcomers : bool, default=False
-        Whether the leader admits a replica at an address that is not in the log, as
-        the replacement of a silent voter if there is one.
+        Whether the leader admits a replica at an address that is not in the log, in
+        the place of an absent voter if there is one.
+    replace_silent_ms : float, default=2000
+        Silence of a voter after which a newcomer takes its place, in milliseconds.
+        Shorter than ``retire_silent_ms``, since a replica at a new address suggests
+        that another one was replaced.
     retire_silent_ms : float, default=10000
-        Silence of a voter after which it may be replaced or removed, in milliseconds.
+        Silence of a voter after which it may be removed, in milliseconds.
     call_timeout_ms : float, default=300
         Time allowed for one call to a peer, in milliseconds.
     snapshot_threshold_entries : int, default=2000
@@ -123,6 +127,7 @@
     election_min_ms: float = attrs.field(default=600, validator=_at_least(1))
     election_max_ms: float = attrs.field(default=1000, validator=_at_least(1))
     admit_newcomers: bool = False
+    replace_silent_ms: float = attrs.field(default=2_000, validator=_at_least(1))
     retire_silent_ms: float = attrs.field(default=10_000, validator=_at_least(1))
     call_timeout_ms: float = attrs.field(default=300, validator=_at_least(1))
     snapshot_threshold_entries: int = attrs.field(default=2000, validator=_at_least(1))
--- a/bulrushlead/replication/tests/test_turnover.py
+++ b/bulrushlead/replication/tests/test_turnover.py
@@ -61,6 +61,29 @@
     return {node.log.replica_id for node in nodes}
 
 
+@pytest.mark.parametrize("gap_ms", (2_500, 8_000))
+async def test_replaced_leaders_leave_no_voter_behind(cluster, gap_ms):
+    """Guards against a quorum that grows by each leader that is gone for good."""
+    await cluster.start()
+    for number in range(6, 12):
+        remove_node(cluster, await cluster.wait_leader())
+        await cluster.run_for(1_000)
+        await add_node(cluster, number)
+        await run_retiring(cluster, gap_ms if number < 11 else CATCH_UP_MS)
+    await cluster.propose(b"a")
+    assert voter_ids(cluster) == ids_of(cluster.alive)
+
+
+async def test_newcomer_takes_the_place_of_a_voter_within_catch_up(cluster):
+    """Guards against a set that bears no region less while an old voter counts."""
+    leader = await cluster.start()
+    remove_node(cluster, cluster.others(leader)[0])
+    await cluster.run_for(1_000)
+    await add_node(cluster, 6)
+    await run_retiring(cluster, CATCH_UP_MS)
+    assert voter_ids(cluster) == ids_of(cluster.alive)
+
+
 async def test_newcomer_joins_a_set_whose_voters_all_answer(cluster):
     await cluster.start()
     await add_node(cluster, 6)
