Retire several silent voters, down to what the tolerance needs

Cause: a silent voter was retired only if it was the only one, so that two lost voters were never retired. The lower bound was three voters for every deployment: where two disks may be lost at once, a change on two of three voters is lost with them.

One voter at a time is retired, the one that is silent longest, as long as every other one answers or is silent as long too. faultTolerance.machines sets the lower bound, 2 n + 1 voters. From an even set a voter goes after replace_silent_ms, since that lowers the quorum by one: so a replica that was added beside all others does not leave a set that bears the loss of fewer.

A change that was accepted stays on a quorum of each set: every step is one entry that a quorum of the present set has stored. Voters that were cut off return as voters (test_voters_that_were_cut_off_return).

test_two_silent_voters_are_retired, test_voters_that_were_cut_off_return and test_retirement_keeps_the_voters_that_the_tolerance_needs failed before.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -51,6 +51,7 @@
 PROPOSE_TIMEOUT_MS = 850
 READ_TIMEOUT_MS = 800
 RETIRE_TIMEOUT_MS = 500
+MIN_VOTERS = 3  # fewer voters tolerate no further failure
 STORAGE_RETRY_MS = 500  # extra pause, since a full disk usually stays full for seconds
 # The fleet cache may lack newer servers: they announce themselves after a restart.
 SAVE_INTERVAL_MS = 2_000
@@ -292,6 +293,7 @@
             data_folder=settings.data_folder,
             bootstrap=self._may_bootstrap and is_seed,
             admit_newcomers=True,
+            min_voters=max(MIN_VOTERS, 2 * settings.tolerated_losses + 1),
             heartbeat_ms=REPLICA_HEARTBEAT_MS,
             lease_ms=LEADER_LEASE_MS,
             election_min_ms=ELECTION_MIN_MS,
--- a/bulrushlead/coordinator/_settings.py
+++ b/bulrushlead/coordinator/_settings.py
@@ -43,6 +43,8 @@
         Region of each availability zone; objects move between servers of one region.
     organisations : OrganisationSettings
         How exactly the quotas of organisations hold.
+    tolerated_losses : int
+        Coordinators that may lose their disks at once without the loss of a change.
     """
 
     host_id: str
@@ -56,3 +58,4 @@
     listen_ip: str = ""
     zone_regions: dict[str, str] = attrs.field(factory=dict)
     organisations: OrganisationSettings = OrganisationSettings()
+    tolerated_losses: int = 1
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -36,6 +36,7 @@
         "readiness_address",
         "control_address",
         "directory_address",
+        "tolerated_losses",
     }
 )
 
@@ -79,6 +80,8 @@
     peer_listen_ip : str
         Address to listen on for other hosts; empty to listen on the address that
         they connect to.
+    tolerated_losses : int
+        Hosts that may lose their disks at once.
     """
 
     host_id: str
@@ -109,6 +112,7 @@
     quota_overshoot: float = 0.1
     quota_slack: float = 20.0
     peer_listen_ip: str = ""
+    tolerated_losses: int = 1
 
     @property
     def peer_address(self) -> str:
@@ -170,6 +174,7 @@
             listen_ip=self.peer_listen_ip,
             zone_regions=self.zone_regions,
             organisations=self.for_organisations(),
+            tolerated_losses=self.tolerated_losses,
         )
 
 
@@ -237,6 +242,7 @@
         quota_window_ms=_quota_window_ms(reader),
         quota_overshoot=_tolerance(reader, "bounds.quotaOvershoot", 0.1),
         quota_slack=_tolerance(reader, "bounds.quotaSlack", 20),
+        tolerated_losses=int(reader.number("faultTolerance.machines", 1)),
     )
     if reader.faults:
         raise FaultsError(ResultCode.SETTINGS_INVALID, path, reader.faults)
--- a/bulrushlead/platform/tests/test_decoding.py
+++ b/bulrushlead/platform/tests/test_decoding.py
@@ -76,6 +76,15 @@
     assert {fault.key for fault in caught.value.faults} == {"heartbeat", "zone"}
 
 
+def test_losses_that_the_platform_allows_set_the_size_of_the_quorum(tmp_path):
+    """Guards against too few voters where several disks may be lost at once."""
+    path = tmp_path / "boot.toml"
+    for text, expected in (("", 1), ("[faultTolerance]\nmachines = 2\n", 2)):
+        path.write_text(SETTINGS + text)
+        settings = load_host_settings(str(path))
+        assert settings.for_coordinator().tolerated_losses == expected
+
+
 def test_missing_settings_file_raises(tmp_path):
     with pytest.raises(BulrushleadError, match="SETTINGS_UNREADABLE"):
         load_host_settings(str(tmp_path / "none.toml"))
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -253,9 +253,10 @@
         await self._membership.remove(replica_id, timeout_ms)
 
     async def retire_silent_voter(self, timeout_ms: float) -> str | None:
-        """Remove a voter that has not answered for ``retire_silent_ms``.
+        """Remove a voter that is gone, according to its silence.
 
-        A voter is removed only if all others answer and at least three remain.
+        A voter is removed only if every other one either answers or is silent as long
+        too, and ``min_voters`` remain.
 
         Returns
         -------
--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -20,9 +20,6 @@
     from bulrushlead.replication._replica import Replica
 
 
-MIN_VOTERS_AFTER_RETIREMENT = 3  # fewer voters tolerate no further failure
-
-
 class Membership:
     """Adds, promotes, removes and replaces members of the cluster.
 
@@ -90,10 +87,11 @@
             await self._change_members(leadership, remaining, timeout_ms)
 
     async def retire_silent_voter(self, timeout_ms: float) -> str | None:
-        """Remove a voter that has not answered for ``retire_silent_ms``.
+        """Remove a voter that is gone, according to its silence.
 
-        A voter is removed only if all others are reachable and at least
-        ``MIN_VOTERS_AFTER_RETIREMENT`` remain.
+        A voter is removed only if every other one either answers or is silent as long
+        too, and ``min_voters`` remain. From an even number of voters one is removed
+        sooner, since that lowers the quorum by one.
 
         Returns
         -------
@@ -102,26 +100,32 @@
             it returns.
         """
         leadership = self.require_leadership()
+        settings = self.replica.settings
         async with self._lock:
             members = self._committed_members(leadership)
-            retire_ms = self.replica.settings.retire_silent_ms
             voters = members.voters()
-            silent = [v for v in voters if self._silence_ms(leadership, v) > retire_ms]
+            is_even = len(voters) % 2 == 0
+            limit_ms = (
+                settings.replace_silent_ms if is_even else settings.retire_silent_ms
+            )
+            silences = {v.replica_id: self._silence_ms(leadership, v) for v in voters}
+            silent = [i for i in silences if silences[i] > limit_ms]
             reachable = [
-                v
-                for v in voters
-                if v.replica_id == self.replica.replica_id
-                or self._is_reachable(leadership, v.replica_id)
+                i
+                for i in silences
+                if i == self.replica.replica_id or self._is_reachable(leadership, i)
             ]
             if (
-                len(silent) != 1
-                or len(reachable) != len(voters) - 1
-                or len(reachable) < MIN_VOTERS_AFTER_RETIREMENT
+                not silent
+                or len(reachable) + len(silent) < len(voters)
+                or len(voters) <= settings.min_voters
             ):
                 return None
-            remaining = members.replaced(silent[0].replica_id)
-            await self._change_members(leadership, remaining, timeout_ms)
-            return silent[0].replica_id
+            longest = max(silent, key=silences.get)
+            await self._change_members(
+                leadership, members.replaced(longest), timeout_ms
+            )
+            return longest
 
     async def answer_join(self, request: JoinRequest) -> JoinReply:
         """Return the cluster of this replica; the leader also admits the sender."""
--- a/bulrushlead/replication/_settings.py
+++ b/bulrushlead/replication/_settings.py
@@ -95,6 +95,9 @@
         that another one was replaced.
     retire_silent_ms : float, default=10000
         Silence of a voter after which it may be removed, in milliseconds.
+    min_voters : int, default=3
+        Number of voters below which none is removed for its silence. With fewer than
+        ``2 n + 1`` voters an accepted change may be on only ``n`` disks.
     call_timeout_ms : float, default=300
         Time allowed for one call to a peer, in milliseconds.
     snapshot_threshold_entries : int, default=2000
@@ -129,6 +132,7 @@
     admit_newcomers: bool = False
     replace_silent_ms: float = attrs.field(default=2_000, validator=_at_least(1))
     retire_silent_ms: float = attrs.field(default=10_000, validator=_at_least(1))
+    min_voters: int = attrs.field(default=3, validator=_at_least(3))
     call_timeout_ms: float = attrs.field(default=300, validator=_at_least(1))
     snapshot_threshold_entries: int = attrs.field(default=2000, validator=_at_least(1))
     snapshot_threshold_bytes: int = attrs.field(
--- a/bulrushlead/replication/tests/test_turnover.py
+++ b/bulrushlead/replication/tests/test_turnover.py
@@ -106,6 +106,26 @@
     assert silent_id not in voter_ids(cluster)
 
 
+async def test_two_silent_voters_are_retired(cluster):
+    """Guards against lost voters that count for ever because there are two."""
+    leader = await cluster.start()
+    for node in cluster.others(leader)[:2]:
+        node.crash()
+    await run_retiring(cluster, 2 * RETIRE_MS)
+    assert voter_ids(cluster) == ids_of(cluster.alive)
+
+
+async def test_voters_that_were_cut_off_return(cluster):
+    leader = await cluster.start()
+    cut_off = cluster.others(leader)[:2]
+    for node in cut_off:
+        cluster.isolate(node)
+    await run_retiring(cluster, 2 * RETIRE_MS)
+    assert len(voter_ids(cluster)) == 3
+    cluster.network.blocked.clear()
+    await cluster.wait_converged()
+
+
 async def test_no_voter_is_retired_while_another_may_be_gone(cluster):
     leader = await cluster.start()
     first, second, *_ = cluster.others(leader)
@@ -117,5 +137,18 @@
     assert await cluster.result(leader.log.retire_silent_voter(500)) is None
 
 
+async def test_retirement_keeps_the_voters_that_the_tolerance_needs():
+    """Guards against a set that two disks lost at once leave without a change."""
+    cluster = Cluster(7, admit_newcomers=True, retire_silent_ms=RETIRE_MS, min_voters=5)
+    try:
+        leader = await cluster.start()
+        for node in cluster.others(leader)[:3]:
+            node.crash()
+        await run_retiring(cluster, 3 * RETIRE_MS)
+        assert len(voter_ids(cluster)) == 5
+    finally:
+        await cluster.close()
+
+
 def members(cluster):
     return cluster.leaders[0].log.members
