Remove learners that no longer answer

What callers would see: nothing at first. Learners at addresses that are gone were never removed: each costs the leader a connection and an attempt every heartbeat, for ever, and a join request that was held up adds one for an identity that no longer exists.

A learner that is silent for retire_silent_ms is removed; it counts towards no quorum, and joins again if it returns. A late request never makes a voter: only a learner that answers and has caught up is promoted.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -397,8 +397,9 @@
         self.publisher.check_silence()
         try:
             await self.log.retire_silent_voter(RETIRE_TIMEOUT_MS)
+            await self.log.remove_silent_learner(RETIRE_TIMEOUT_MS)
         except BulrushleadError as error:
-            # This event also reports that a silent voter could not be removed.
+            # This event also reports that a silent member could not be removed.
             self._events.write(
                 Event.REPLICA_STALLED, code=error.code.value, error=error.detail
             )
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -265,6 +265,16 @@
         """
         return await self._membership.retire_silent_voter(timeout_ms)
 
+    async def remove_silent_learner(self, timeout_ms: float) -> str | None:
+        """Remove a learner that has not answered for ``retire_silent_ms``.
+
+        Returns
+        -------
+        str or None
+            Identity of the removed learner, or None if none was removed.
+        """
+        return await self._membership.remove_silent_learner(timeout_ms)
+
     @property
     def term(self) -> int:
         """Highest term that this replica has seen."""
--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -127,6 +127,31 @@
             )
             return longest
 
+    async def remove_silent_learner(self, timeout_ms: float) -> str | None:
+        """Remove a learner that has not answered for ``retire_silent_ms``.
+
+        Learners count towards no quorum, but each costs the leader a connection.
+
+        Returns
+        -------
+        str or None
+            Identity of the removed learner, or None. It is admitted again if it
+            returns.
+        """
+        leadership = self.require_leadership()
+        async with self._lock:
+            members = self._committed_members(leadership)
+            for member in members.members:
+                silence_ms = self._silence_ms(leadership, member)
+                if (
+                    member.role is MemberRole.LEARNER
+                    and silence_ms > self.replica.settings.retire_silent_ms
+                ):
+                    remaining = members.replaced(member.replica_id)
+                    await self._change_members(leadership, remaining, timeout_ms)
+                    return member.replica_id
+        return None
+
     async def answer_join(self, request: JoinRequest) -> JoinReply:
         """Return the cluster of this replica; the leader also admits the sender."""
         replica = self.replica
@@ -274,10 +299,10 @@
         others = [m for m in members.members if m not in same_address or m in voters]
         return Members((*others, newcomer))
 
-    def _silence_ms(self, leadership: Leadership, voter: Member) -> float:
-        if voter.replica_id == self.replica.replica_id:
+    def _silence_ms(self, leadership: Leadership, member: Member) -> float:
+        if member.replica_id == self.replica.replica_id:
             return 0.0
-        return leadership.silence_ms(voter.replica_id)
+        return leadership.silence_ms(member.replica_id)
 
     async def _with_replacement(
         self,
--- a/bulrushlead/replication/tests/test_turnover.py
+++ b/bulrushlead/replication/tests/test_turnover.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bulrushlead.replication import MemberRole
+from bulrushlead.replication._membership import JoinRequest
 from bulrushlead.replication.tests.cluster import Cluster, Node
 
 RETIRE_MS = 10_000
@@ -45,6 +46,7 @@
 async def retire(leader):
     try:
         await leader.log.retire_silent_voter(500)
+        await leader.log.remove_silent_learner(500)
     except Exception as error:
         return error
 
@@ -150,5 +152,36 @@
         await cluster.close()
 
 
+async def test_learner_that_is_gone_is_removed(cluster):
+    """Guards against learners of identities that no longer exist, without a bound."""
+    await cluster.start()
+    for number in range(6, 9):
+        node = await add_node(cluster, number)
+        await cluster.run_until(
+            lambda node=node: (
+                cluster.leaders
+                and node.log.replica_id in {m.replica_id for m in members(cluster)}
+            )
+        )
+        remove_node(cluster, node)
+    await run_retiring(cluster, 2 * RETIRE_MS)
+    assert {m.replica_id for m in members(cluster)} == ids_of(cluster.alive)
+
+
+async def test_late_join_request_admits_no_voter(cluster):
+    """Guards against a held-up request that admits an identity that is gone."""
+    leader = await cluster.start()
+    node = cluster.others(leader)[0]
+    gone = JoinRequest("0123456789abcdef", node.address)
+    elsewhere = JoinRequest("fedcba9876543210", "10.0.0.9:7000")
+    before = voter_ids(cluster)
+    for request in (gone, elsewhere):
+        await cluster.result(leader.handlers[JoinRequest](request))
+    await run_retiring(cluster, CATCH_UP_MS)
+    assert voter_ids(cluster) == before
+    await run_retiring(cluster, 2 * RETIRE_MS)
+    assert {m.replica_id for m in members(cluster)} == before
+
+
 def members(cluster):
     return cluster.leaders[0].log.members
