Play replaced hosts and retired voters in the seeded schedules of the log

The schedules knew neither newcomers at new addresses nor retirement, so that a rule of membership that loses a change would have passed. TurnoverSchedule replaces hosts, names few seeds in their settings, retires as the coordinator does, and asks at the end that exactly the hosts that run are voters.

--- a/bulrushlead/replication/tests/schedule.py
+++ b/bulrushlead/replication/tests/schedule.py
@@ -13,22 +13,22 @@
 class Schedule:
     """Run of a cluster under random faults."""
 
-    def __init__(self, seed):
+    sizes = SIZES
+    faults_ms = FAULTS_MS
+
+    def __init__(self, seed, **settings):
         self.rng = random.Random(seed)
         self.cluster = Cluster(
-            self.rng.choice(SIZES),
+            self.rng.choice(self.sizes),
             seed,
             snapshot_threshold_entries=self.rng.choice((5, 20, 100)),
             snapshot_trailing_entries=self.rng.choice((0, 2, 10)),
             snapshot_chunk_bytes=1024,
+            **settings,
         )
         self.nodes = list(self.cluster.nodes.values())
         for node in self.nodes:
-            rate = 1 + self.rng.uniform(-MAX_DRIFT, MAX_DRIFT)
-            offset_ms = self.rng.uniform(0, 10_000)
-            node.clock = DriftingClock(self.cluster.clock, rate, offset_ms)
-            node.storage.before_run = self.wait_for_disk
-            node.storage.before_step = self.power_loss_hook(node)
+            self.prepare(node)
         self.fault_share = self.rng.choice((0.0, 0.002, 0.02))
         self.power_losses = False
         self.term_leaders = {}
@@ -36,13 +36,20 @@
         self.accepted = []
         self.proposed = 0
 
+    def prepare(self, node):
+        rate = 1 + self.rng.uniform(-MAX_DRIFT, MAX_DRIFT)
+        offset_ms = self.rng.uniform(0, 10_000)
+        node.clock = DriftingClock(self.cluster.clock, rate, offset_ms)
+        node.storage.before_run = self.wait_for_disk
+        node.storage.before_step = self.power_loss_hook(node)
+
     async def run(self):
         cluster = self.cluster
         await cluster.start()
         await cluster.wait_converged()
         self.power_losses = True
         self.degrade_network()
-        end_ms = cluster.clock.now_ms() + FAULTS_MS
+        end_ms = cluster.clock.now_ms() + self.faults_ms
         while cluster.clock.now_ms() < end_ms:
             await self.run_random_action()
             await self.run_checked(self.rng.uniform(1, 60))
@@ -73,8 +80,8 @@
 
         return lose_power
 
-    async def run_random_action(self):
-        actions = [
+    def actions(self):
+        return [
             (self.propose, 10),
             (self.read, 4),
             (self.partition, 2),
@@ -83,6 +90,9 @@
             (self.wipe, 1),
             (self.restart, 6),
         ]
+
+    async def run_random_action(self):
+        actions = self.actions()
         weights = [weight for _, weight in actions]
         (action, _) = self.rng.choices(actions, weights)[0]
         await action()
--- a/bulrushlead/replication/tests/test_schedules.py
+++ b/bulrushlead/replication/tests/test_schedules.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from bulrushlead.replication.tests.schedule import Schedule
+from bulrushlead.replication.tests.turnover_schedule import TurnoverSchedule
 
 GROUPS = 10
 SCHEDULES = int(os.environ.get("BULRUSHLEAD_SCHEDULES", "200"))
@@ -18,8 +19,8 @@
 FIRST_SEED = int(os.environ.get("BULRUSHLEAD_FIRST_SEED", "0"))
 
 
-async def run_schedule(seed):
-    schedule = Schedule(seed)
+async def run_schedule(seed, kind=Schedule):
+    schedule = kind(seed)
     try:
         await schedule.run()
     except Exception as error:
@@ -36,6 +37,15 @@
             runner.run(run_schedule(seed))
 
 
+@pytest.mark.timeout(max(120, SCHEDULES))
+@pytest.mark.parametrize("group", range(GROUPS))
+def test_replaced_hosts_preserve_safety_and_leave(group):
+    """Guards against rules of membership that lose a change or keep a lost voter."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        for seed in range(FIRST_SEED + group, FIRST_SEED + SCHEDULES // 2, GROUPS):
+            runner.run(run_schedule(seed, TurnoverSchedule))
+
+
 @pytest.mark.parametrize("seed", REGRESSION_SEEDS)
 def test_seed_that_exposed_a_fault(seed):
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
