Give an evacuation order no effect after one that its sender had not seen

A coordinator was cut off while the operator ended an evacuation and started it again at others; when the cut healed, the leader carried out the end that the cut-off coordinator had given up.

Cause: a command names neither the evacuation that it ends nor what its sender knew, so that the leader cannot tell a late copy from a new command.

Starts and ends now carry the log index up to which their coordinator knew the commands. The state machine gives one no effect after a later command of the same zone, also after one that changed nothing, since that was acknowledged. It needs no clock, and all replicas decide alike.

Configurations have their version and departures the start of the server, so that late copies of these change nothing.

--- a/bulrushlead/coordinator/_messages.py
+++ b/bulrushlead/coordinator/_messages.py
@@ -75,6 +75,10 @@
     ----------
     changed : bool
         Whether the command changed the state; always True for heartbeats.
+    overtaken_by : int
+        Log index of a later command that the sender had not seen, because of which
+        this one has no effect; 0 if there is none.
     """
 
     changed: bool
+    overtaken_by: int = 0
--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -14,7 +14,11 @@
     OrderRequest,
     PlanReply,
     PlanRequest,
-    StatusReply,
+)
+from bulrushlead.coordinator._orders import (
+    LEADER_CALL_TIMEOUT_MS,
+    UNKNOWN_BORN_MS,
+    OrderCalls,
 )
 from bulrushlead.coordinator._publisher import FleetPublisher
 from bulrushlead.coordinator._settings import CoordinatorSettings
@@ -24,7 +28,6 @@
     OrderState,
     RecordDeparture,
     StartEvacuation,
-    command_subject,
 )
 from bulrushlead.fleet import (
     Announcement,
@@ -43,12 +46,10 @@
 )
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.traffic import TrafficPlan, check_plan
-from bulrushlead.wire import LinkFactory, MessageServer, codec
+from bulrushlead.wire import LinkFactory, MessageServer
 
 CHECK_INTERVAL_MS = 250
 FORWARD_INTERVAL_MS = 100  # heartbeats are collected this long and sent in one message
-LEADER_CALL_TIMEOUT_MS = 900  # operators give up a call after a second
-PROPOSE_TIMEOUT_MS = 850
 READ_TIMEOUT_MS = 800
 RETIRE_TIMEOUT_MS = 500
 MIN_VOTERS = 3  # fewer voters tolerate no further failure
@@ -66,7 +67,6 @@
 LEADER_LEASE_MS = 400  # at most 0.9 of ELECTION_MIN_MS; see ReplicaSettings
 ELECTION_MIN_MS = 450
 ELECTION_MAX_MS = 750
-UNKNOWN_BORN_MS = -1  # the leader replaces it by the registered time
 
 
 class Coordinator:
@@ -112,6 +112,7 @@
         self.view = FleetView(clock)
         self.cache = FleetCache(os.path.join(settings.data_folder, "fleet"))
         self.publisher = FleetPublisher(settings, clock, self.view, self.meters)
+        self.orders = OrderCalls(clock, self.publisher, self.meters)
         self._may_bootstrap = settings.bootstrap
         self.state, self.log = self._build_log()
         self._log_started = False
@@ -124,6 +125,7 @@
             self.publisher.apply_published,
             rng,
         )
+        self.orders.session = self.session
         host, _, port = settings.peer_address.rpartition(":")
         self.messages = MessageServer(settings.listen_ip or host, int(port))
         # Newest heartbeat of each server, with the time of its receipt.
@@ -140,7 +142,7 @@
     async def start(self) -> None:
         """Listen for other hosts and start the replica of the log."""
         self.publisher.register(self.messages)
-        self.messages.register_handler(OrderRequest, self._handle_order)
+        self.messages.register_handler(OrderRequest, self.orders.handle)
         self.messages.register_handler(PlanRequest, self._handle_plan_request)
         self.view.restore(self.cache.load())
         await self.messages.start()
@@ -179,6 +181,7 @@
             self.rng,
         )
         self.publisher.attach(log, state)
+        self.orders.attach(log, state)
         return state, log
 
     async def _start_log(self) -> None:
@@ -224,15 +227,15 @@
             no leader accepted it.
         """
         check_plan(plan, self.settings.zone_regions.values())
-        return await self._submit(AcceptPlan(plan, document))
+        return await self.orders.submit(AcceptPlan(plan, document))
 
     async def start_evacuation(self, zone: str) -> bool:
         """Stop new work on the servers of a zone; return whether this is a change."""
-        return await self._submit(StartEvacuation(zone))
+        return await self.orders.submit_guarded(StartEvacuation(zone))
 
     async def end_evacuation(self, zone: str) -> bool:
         """Allow new work in an availability zone; return whether this is a change."""
-        return await self._submit(EndEvacuation(zone))
+        return await self.orders.submit_guarded(EndEvacuation(zone))
 
     async def read_plan(self) -> PlanReply:
         """Return the newest plan, confirmed by a quorum after the start of the call."""
@@ -252,7 +255,9 @@
         if is_draining and not self.state.has_departed(
             heartbeat.server_id, heartbeat.born_ms
         ):
-            await self._submit(RecordDeparture(heartbeat.server_id, heartbeat.born_ms))
+            await self.orders.submit(
+                RecordDeparture(heartbeat.server_id, heartbeat.born_ms)
+            )
         newest = self._pending_heartbeats.get(heartbeat.server_id)
         if newest is None or (newest[0].born_ms, newest[0].sequence) < (
             heartbeat.born_ms,
@@ -277,7 +282,7 @@
         if born_ms is None:
             newest = self._pending_heartbeats.get(server_id)
             born_ms = newest[0].born_ms if newest else UNKNOWN_BORN_MS
-        await self._submit(RecordDeparture(server_id, born_ms))
+        await self.orders.submit(RecordDeparture(server_id, born_ms))
 
     def _build_report(self) -> HostReport:
         settings = self.settings
@@ -300,45 +305,6 @@
             election_max_ms=ELECTION_MAX_MS,
         )
 
-    async def _submit(self, command) -> bool:
-        name = type(command).__name__
-        request = OrderRequest(codec.encode(command))
-        try:
-            if self.log.is_leader():
-                reply = await self._handle_order(request)
-            else:
-                reply = await self.session.call_leader(request, LEADER_CALL_TIMEOUT_MS)
-        except BulrushleadError as error:
-            self.meters.count(Metric.ORDERS_TOTAL, order=name, outcome=error.code.name)
-            raise
-        self.meters.count(Metric.ORDERS_TOTAL, order=name, outcome="accepted")
-        self._events.write(
-            Event.ORDER_ACCEPTED,
-            order=name,
-            subject=command_subject(command),
-            changed=reply.changed,
-            leader=self.log.leader_hint,
-        )
-        return reply.changed
-
-    async def _handle_order(self, request: OrderRequest) -> StatusReply:
-        self.publisher.require_leader()
-        command = self._with_born_ms(codec.decode(request.command))
-        reply = await self.log.propose(codec.encode(command), PROPOSE_TIMEOUT_MS)
-        return codec.decode(reply)
-
-    def _with_born_ms(self, command):
-        """Add the registered ``born_ms`` to a departure without one."""
-        if getattr(command, "born_ms", None) != UNKNOWN_BORN_MS:
-            return command
-        born_ms = self.publisher.registry.born_ms_of(command.server_id)
-        if born_ms is None:
-            raise BulrushleadError(
-                ResultCode.CONTROL_UNREACHABLE,
-                f"no incarnation of {command.server_id!r:.60} is known yet; try again",
-            )
-        return attrs.evolve(command, born_ms=born_ms)
-
     async def _handle_plan_request(self, request: PlanRequest) -> PlanReply:
         await self.log.read_barrier(READ_TIMEOUT_MS)
         plan = self.state.plan
--- a/bulrushlead/coordinator/_state.py
+++ b/bulrushlead/coordinator/_state.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from bulrushlead.coordinator._messages import StatusReply
 from bulrushlead.results import BulrushleadError
 from bulrushlead.traffic import TrafficPlan
 from bulrushlead.wire import codec, message
 
+UNGUARDED = -1  # seen_index of commands of builds without this field
 MAX_DEPARTURES = 2_000  # about 150 KB; beyond it the oldest are dropped
 
 
@@ -34,9 +37,13 @@
     ----------
     zone : str
         Name of the availability zone.
+    seen_index : int
+        Log index up to which the sender knew the commands of the zone. A command that
+        was held up has no effect after a later one.
     """
 
     zone: str
+    seen_index: int = UNGUARDED
 
 
 @message("orders.end_evacuation")
@@ -47,9 +54,13 @@
     ----------
     zone : str
         Name of the availability zone.
+    seen_index : int
+        Log index up to which the sender knew the commands of the zone. A command that
+        was held up has no effect after a later one.
     """
 
     zone: str
+    seen_index: int = UNGUARDED
 
 
 @message("orders.departure")
@@ -75,6 +86,7 @@
     evacuated_zones: tuple[str, ...]
     departures: dict[str, int]
     order_index: int
+    zone_indexes: dict[str, int] = attrs.field(factory=dict)
 
 
 class OrderState:
@@ -99,6 +111,9 @@
         server may still run.
     order_index : int
         Log index of the last change.
+    zone_indexes : dict of str to int
+        Log index of the last evacuation that was started or ended, by availability
+        zone; also of one that changed nothing, since it was acknowledged.
     on_change : callable
         Called after each change.
     on_departure : callable
@@ -113,17 +128,32 @@
         self.evacuated_zones: set[str] = set()
         self.departures: dict[str, int] = {}
         self.order_index = 0
+        self.zone_indexes: dict[str, int] = {}
         self.on_change = lambda: None
         self.on_departure = lambda server_id, born_ms: None
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a committed command; return the encoded ``StatusReply``."""
-        changed = self._apply(codec.decode(command))
+        command = codec.decode(command)
+        overtaken_by = self.overtaking_index(command)
+        if overtaken_by:
+            return codec.encode(StatusReply(False, overtaken_by))
+        if isinstance(command, StartEvacuation | EndEvacuation):
+            self.zone_indexes[command.zone] = index
+        changed = self._apply(command)
         if changed:
             self.order_index = index
             self.on_change()
         return codec.encode(StatusReply(changed))
 
+    def overtaking_index(self, command) -> int:
+        """Return the index of a later command that its sender had not seen, or 0."""
+        if not isinstance(command, StartEvacuation | EndEvacuation):
+            return 0  # versions of plans and of servers order the other commands
+        last_index = self.zone_indexes.get(command.zone, 0)
+        is_overtaken = UNGUARDED < command.seen_index < last_index
+        return last_index if is_overtaken else 0
+
     def snapshot(self) -> bytes:
         """Return the encoded state."""
         return codec.encode(
@@ -133,6 +163,7 @@
                 tuple(sorted(self.evacuated_zones)),
                 self.departures,
                 self.order_index,
+                self.zone_indexes,
             )
         )
 
@@ -144,6 +175,7 @@
         self.evacuated_zones = set(snapshot.evacuated_zones)
         self.departures = dict(snapshot.departures)
         self.order_index = snapshot.order_index
+        self.zone_indexes = dict(snapshot.zone_indexes)
         self.on_change()
 
     def has_departed(self, server_id: str, born_ms: int) -> bool:
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -9,7 +9,7 @@
 from bulrushlead.coordinator import Coordinator, CoordinatorSettings
 from bulrushlead.fleet import FleetView, HostReport, LeaderSession, ServerState
 from bulrushlead.fleet.tests.samples import draining, heartbeat
-from bulrushlead.results import BulrushleadError
+from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.traffic import Route, ServiceShare, TrafficPlan
 from bulrushlead.wire import MessageClient
 
@@ -138,6 +138,58 @@
     await wait_until(lambda: not host.evacuated_zones)
 
 
+async def test_an_order_that_was_held_up_undoes_no_later_one(coordinators, host):
+    """Guards against an old order that withdraws an acknowledged evacuation.
+
+    The link of one coordinator to the leader delivers an order after the cut that its
+    sender has given up.
+    """
+    leader = next(c for c in coordinators if c.log.is_leader())
+    cut_off, other, *_ = followers(coordinators)
+    await other.start_evacuation("a")
+    await wait_until(lambda: cut_off.state.evacuated_zones == {"a"})
+    held_up = []
+
+    async def hold_up(request, timeout_ms):
+        held_up.append(request)
+        raise BulrushleadError(ResultCode.PEER_TIMEOUT, "cut off")
+
+    cut_off.session.call_leader = hold_up
+    with pytest.raises(BulrushleadError):
+        await cut_off.end_evacuation("a")
+    await other.end_evacuation("a")
+    await other.start_evacuation("a")
+    for request in held_up:
+        await link_to(leader.settings.peer_address).call(request, 1_000)
+    assert leader.state.evacuated_zones == {"a"}
+    await asyncio.sleep(0.3)
+    assert host.evacuated_zones == {"a"}
+    del cut_off.session.call_leader
+    assert await cut_off.end_evacuation("a")
+
+
+async def test_an_order_through_a_host_that_lags_is_accepted(coordinators, host):
+    """Guards against a refusal of a current order by a host that knows less."""
+    follower = followers(coordinators)[0]
+    await follower.start_evacuation("a")
+    lagging = followers(coordinators)[1]
+    lagging.orders.attach(LaggingLog(lagging.log), lagging.state)
+    assert await lagging.end_evacuation("a")
+    await wait_until(lambda: not host.evacuated_zones)
+
+
+class LaggingLog:
+    """Log of a replica that has applied nothing yet."""
+
+    last_applied = 0
+
+    def __init__(self, log):
+        self._log = log
+
+    def __getattr__(self, name):
+        return getattr(self._log, name)
+
+
 async def test_a_new_leader_has_the_servers_and_plan_of_the_former_one(
     coordinators, host
 ):
--- a/bulrushlead/coordinator/tests/test_state.py
+++ b/bulrushlead/coordinator/tests/test_state.py
@@ -45,6 +45,50 @@
     assert harness.state.document == b"first"
 
 
+def test_a_command_that_was_held_up_undoes_no_later_one(harness):
+    """Guards against an old order that withdraws an acknowledged evacuation."""
+    assert harness.apply(StartEvacuation("a", 0))
+    held_up = EndEvacuation("a", harness.index)
+    assert harness.apply(EndEvacuation("a", harness.index))
+    assert harness.apply(StartEvacuation("a", harness.index))
+    assert not harness.apply(held_up)
+    assert harness.state.evacuated_zones == {"a"}
+    restored = StateHarness()
+    restored.state.restore(harness.state.snapshot())
+    restored.index = harness.index
+    assert not restored.apply(held_up)
+    assert restored.apply(EndEvacuation("a", harness.index))
+
+
+def test_a_held_up_command_undoes_no_acknowledgement_without_a_change(harness):
+    """Guards against an old end of an evacuation after a start that changed nothing."""
+    harness.apply(StartEvacuation("a", 0))
+    held_up = EndEvacuation("a", harness.index)
+    assert not harness.apply(StartEvacuation("a", harness.index))
+    assert not harness.apply(held_up)
+    assert harness.state.evacuated_zones == {"a"}
+
+
+def test_a_held_up_start_does_not_evacuate_again(harness):
+    held_up = StartEvacuation("a", 0)
+    harness.apply(StartEvacuation("a", 0))
+    harness.apply(EndEvacuation("a", harness.index))
+    assert not harness.apply(held_up)
+    assert harness.state.evacuated_zones == set()
+
+
+def test_commands_of_other_zones_overtake_nothing(harness):
+    early = EndEvacuation("a", 1)
+    harness.apply(StartEvacuation("a", 0))
+    harness.apply(StartEvacuation("b", 1))
+    assert harness.apply(early)
+
+
+def test_commands_of_earlier_builds_are_applied_as_before(harness):
+    assert harness.apply(StartEvacuation("a"))
+    assert harness.apply(EndEvacuation("a"))
+
+
 def read_document(document):
     if document == b"later":
         raise BulrushleadError(ResultCode.DECLARATION_INVALID, "unknown")
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -35,6 +35,7 @@
     ORDER_ACCEPTED = 320
     ORDER_REFUSED = 321
     HEARTBEATS_DELAYED = 322
+    ORDER_OVERTAKEN = 323
 
     # Replicated log.
     LEADER_ELECTED = 400
@@ -143,6 +144,9 @@
     _E.SESSION_OPENED: EventInfo("INFO", "A session with a control host was opened."),
     _E.SESSION_LOST: EventInfo("WARNING", "The session with a control host was lost."),
     _E.ORDER_ACCEPTED: EventInfo("INFO", "A command is stored on a quorum."),
+    _E.ORDER_OVERTAKEN: EventInfo(
+        "INFO", "A command had no effect, as a later one was not known to its sender."
+    ),
     _E.ORDER_REFUSED: EventInfo(
         "WARNING", "A command was refused or its outcome is unknown."
     ),
