Send on no request during a planned stop that may outlast it

A caller that may not repeat its request cannot know whether it ran.

Cause: a stopping gateway took requests for a share of the drain time, whatever time each may take. With a grace of 10 s the span in which it takes such requests grows.

From the SIGTERM on a request is sent on only if its time, the shorter one of its deadline and the timeout of its route, ends before the host breaks off what is in progress. All others are refused whole, as not run, and may go to another host at once. The check stands before the first send, so that it covers bodies that arrived late and requests that waited; a host that carries for another one declines, so that the next carrier is asked. Nothing depends on the length of the grace.

--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -1,5 +1,6 @@
 """Handles one request: route, placement, attempts, answer."""
 
+import math
 import random
 
 import attrs
@@ -14,9 +15,11 @@
 from bulrushlead.gateway._quarantine_gate import QuarantineGate
 from bulrushlead.gateway._refusals import (
     CUT_OFF,
+    ENDS_FIRST,
     LOCAL_REFUSALS,
     REFUSED,
     SHED,
+    STOPPING,
     not_run_answer,
 )
 from bulrushlead.gateway._relaying import (
@@ -54,7 +57,6 @@
 FIRST_PLAN_MS = 1_500
 # The same after FIRST_PLAN_MS: one round of the search for a leader.
 NO_PLAN_RETRY_AFTER_MS = 400
-STOPPING_RETRY_AFTER_MS = 20  # another host can accept the request immediately
 
 
 class RequestForwarder:
@@ -119,6 +121,7 @@
         self._attempts = HedgedAttempts(clock, dispatcher, self.observer, self._runner)
         self._started_ms = clock.now_ms()
         self._stopping = False
+        self._ends_ms = math.inf
         self._plan: ActivePlan | None = None
         self._log = EventLogger("gateway")
 
@@ -127,6 +130,17 @@
         self._plan = ActivePlan(plan)
         self.callers.set_plan(plan)
 
+    def begin_stop(self, ends_ms: float) -> None:
+        """Send on only requests whose time ends before that of this host.
+
+        Parameters
+        ----------
+        ends_ms : float
+            When the requests in progress are broken off, in milliseconds of this
+            host's clock.
+        """
+        self._ends_ms = ends_ms
+
     def stop(self) -> None:
         """Refuse all later requests."""
         self._stopping = True
@@ -138,8 +152,7 @@
     async def answer(self, request: Request) -> Answer:
         """Return the answer to a caller's request."""
         if self._stopping:
-            refusal = Refusal(ResultCode.STOPPING, STOPPING_RETRY_AFTER_MS, "stopping")
-            return self._refuse(request, refusal)
+            return self._refuse(request, STOPPING)
         if self._plan is None:
             age_ms = self.clock.now_ms() - self._started_ms
             refusal = Refusal(
@@ -274,6 +287,8 @@
             withdrawn = self.callers.refusal(state.caller)
             if withdrawn is not None:
                 return last or self._refusal_answer(state, withdrawn)
+            if not sent and state.deadline_ms > self._ends_ms:
+                return last or self._refusal_answer(state, ENDS_FIRST)
             if self._suspects_links(unreachable, started_ms):
                 relayed = await self._relay(state, work, sent)
                 if relayed is not None:
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -43,6 +43,7 @@
 # Longer than a request of a connected caller travels or waits to be read.
 CLOSE_IDLE_AFTER_MS = 150
 ACCEPT_SHARE = 0.55  # of the drain time; the rest is for requests in progress
+ANSWER_MARGIN_MS = 100  # for the answer to a request whose time ends
 
 
 class Gateway:
@@ -178,8 +179,9 @@
         """Stop accepting requests and wait for those in progress.
 
         Callers use this host until their lookups expire, so it accepts requests for a
-        share of the drain time. Later requests are refused; accepted ones have the
-        rest of the time to finish.
+        share of the drain time, if the time of each ends within it. All others are
+        refused: a caller can repeat a request that has not run, but may not repeat
+        one that is broken off.
         """
         servers = [self.front]
         if self.peer_server is not None:
@@ -189,6 +191,7 @@
         now_ms = self.clock.now_ms()
         accept_until_ms = now_ms + self.settings.drain_ms * ACCEPT_SHARE
         deadline_ms = now_ms + self.settings.drain_ms
+        self.forwarder.begin_stop(deadline_ms - ANSWER_MARGIN_MS)
         await self.clock.sleep_ms(accept_until_ms - now_ms)
         for server in servers:
             await server.stop_listening()
--- a/bulrushlead/gateway/_refusals.py
+++ b/bulrushlead/gateway/_refusals.py
@@ -4,6 +4,14 @@
 from bulrushlead.http1 import Answer
 from bulrushlead.results import ResultCode
 
+STOPPING_RETRY_AFTER_MS = 20  # another host can accept the request immediately
+
+STOPPING = Refusal(ResultCode.STOPPING, STOPPING_RETRY_AFTER_MS, "stopping")
+ENDS_FIRST = Refusal(
+    ResultCode.STOPPING,
+    STOPPING_RETRY_AFTER_MS,
+    "this host stops before the time of the request ends",
+)
 REFUSED = Refusal(
     ResultCode.BACKEND_REFUSED,
     retry_after_ms=300,  # about the time in which a full server frees a slot
@@ -26,6 +34,7 @@
         ResultCode.CONNECT_FAILED,
         ResultCode.NO_BACKEND_SERVER,
         ResultCode.KEYS_UNCONFIRMED,
+        ResultCode.STOPPING,
     }
 )
 
--- a/bulrushlead/gateway/tests/test_planned_stop.py
+++ b/bulrushlead/gateway/tests/test_planned_stop.py
@@ -1,15 +1,19 @@
 """Requests that arrive while a gateway stops as planned, under load."""
 
 import asyncio
+import itertools
 
 import attrs
 import pytest
 
 from bulrushlead.gateway.tests import harness as fakes
 from bulrushlead.gateway.tests.host_fleet import HostFleet
+from bulrushlead.traffic import Route
 
 REQUEST = b"GET /read/x HTTP/1.1\r\nhost: h\r\nid: r1\r\nkey: %d\r\n\r\n"
 CALLERS = 60
+SLOW_S = 0.5
+SLOW_ROUTE = Route("read", "h", "/read/", fakes.SHARES, True, 700.0, 300.0, 2)
 
 
 @pytest.fixture
@@ -22,9 +26,9 @@
     await fleet.close()
 
 
-async def call_until_refused(gateway, number, outcomes):
+async def call_until_refused(gateway, number, outcomes, once=False):
     """Open a connection for each request until none is accepted any more."""
-    while True:
+    for _ in range(1) if once else itertools.count():
         try:
             reader, writer = await asyncio.open_connection(
                 "127.0.0.1", gateway.front.port
@@ -54,3 +58,55 @@
     await asyncio.gather(*callers)
     assert len(outcomes) > CALLERS
     assert set(outcomes) <= {"200", "503"}
+
+
+async def slow(server, head, writer):
+    await asyncio.sleep(SLOW_S)
+    return fakes.answer()
+
+
+@pytest.mark.parametrize("drain_ms", (400.0, 600.0, 1_000.0, 2_000.0))
+async def test_a_stop_breaks_off_no_request_that_came_after_it(drain_ms):
+    """Guards against taking requests late in a stop that last longer than it.
+
+    A caller that may not repeat its request cannot know whether it ran.
+    """
+    fleet = HostFleet("a", [slow] * 12, (SLOW_ROUTE,))
+    await fleet.start()
+    (gateway,) = fleet.gateways
+    gateway.settings = attrs.evolve(gateway.settings, drain_ms=drain_ms)
+    outcomes = []
+    try:
+        stop = asyncio.create_task(stop_gateway(gateway))
+        await asyncio.sleep(0)
+        callers = []
+        while not stop.done():
+            caller = call_until_refused(gateway, len(callers), outcomes, once=True)
+            callers.append(asyncio.create_task(caller))
+            await asyncio.sleep(0.02)
+        await asyncio.gather(stop, *callers)
+    finally:
+        await fleet.close()
+    assert set(outcomes) <= {"200", "503"}
+    # The time of each request that comes in the first half ends within 2 s.
+    assert ("503" in outcomes) == (drain_ms < 2_000.0)
+    assert ("200" in outcomes) == (drain_ms > SLOW_ROUTE.timeout_ms)
+
+
+async def stop_gateway(gateway):
+    await gateway.drain()
+    await gateway.close()
+
+
+async def test_a_stopping_host_carries_no_request_that_it_cannot_end():
+    """Guards against a carried request that the stop of its carrier breaks off."""
+    fleet = HostFleet("aa", [slow] * 2, (SLOW_ROUTE,))
+    await fleet.start()
+    try:
+        fleet.cut([0], new="refused")
+        fleet.gateways[1].forwarder.begin_stop(fleet.gateways[1].clock.now_ms() + 100)
+        result = await fleet.send(0)
+        assert result.status == 503
+        assert not any(server.heads for server in fleet.servers)
+    finally:
+        await fleet.close()
