Leave time at the end of a planned stop to close and to end

Cause: 4 % of the grace were left, 240 ms of 6 s, and the session with the coordinator was closed first, which waits up to 500 ms for one that does not answer; the callers' connections were open meanwhile.

The stop now keeps 600 ms for its end (15 % of a shorter grace, so that what is broken off is at work in its last sixth), closes the callers' connections first and the rest together.

test_a_planned_stop_leaves_time_to_close_connections and test_connections_of_callers_close_before_the_session failed before.

--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -1,5 +1,6 @@
 """The gateway program: connects its components."""
 
+import asyncio
 import random
 
 from bulrushlead.clock import Clock
@@ -203,14 +204,18 @@
 
     async def close(self) -> None:
         """Close all connections without waiting for requests in progress."""
-        await self.session.close()
-        await self.prober.close()
-        await self.forwarder.close()
-        await self.evidence_link.close()
-        await self.front.close()
+        servers = [self.front, self.readiness]
         if self.peer_server is not None:
-            await self.peer_server.close()
-        await self.readiness.close()
+            servers.append(self.peer_server)
+        for server in servers:
+            await server.close()
+        # Together, since a coordinator that does not answer delays the session's end.
+        await asyncio.gather(
+            self.session.close(),
+            self.prober.close(),
+            self.forwarder.close(),
+            self.evidence_link.close(),
+        )
         self.relay_client.close_idle()
         self.pool.close()
 
--- a/bulrushlead/gateway/tests/test_planned_stop.py
+++ b/bulrushlead/gateway/tests/test_planned_stop.py
@@ -110,3 +110,25 @@
         assert not any(server.heads for server in fleet.servers)
     finally:
         await fleet.close()
+
+
+async def test_connections_of_callers_close_before_the_session(gateway):
+    """Guards against a stop that a silent coordinator holds up beyond its grace."""
+    closed = asyncio.Event()
+    callers_left = []
+
+    async def close_slowly():
+        callers_left.extend(gateway.front.connections)
+        await closed.wait()
+
+    gateway.session.close = close_slowly
+    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.front.port)
+    stop = asyncio.create_task(gateway.close())
+    try:
+        assert await reader.read() == b""
+        assert not stop.done()
+    finally:
+        closed.set()
+        writer.close()
+        await stop
+    assert not callers_left
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -15,7 +15,10 @@
     from bulrushlead.gateway import GatewaySettings
     from bulrushlead.organisations import OrganisationSettings
 
-DRAIN_FRACTION = 0.96  # of grace_ms; the rest is for closing connections
+# Of a planned stop, for closing connections and ending the process. A coordinator that
+# does not answer holds up the end of its connection for half a second.
+CLOSE_RESERVE_MS = 600.0
+MIN_DRAIN_FRACTION = 0.85  # of grace_ms, which leaves a short one mostly to requests
 # Of the time after which no host may use a withdrawn key; the rest is for clocks that
 # run at different speeds.
 KEY_LEASE_FRACTION = 0.9
@@ -144,7 +147,9 @@
             readiness_address=self.readiness_address,
             seeds=self.seeds,
             peer_address=self.peer_address,
-            drain_ms=self.grace_ms * DRAIN_FRACTION,
+            drain_ms=max(
+                self.grace_ms - CLOSE_RESERVE_MS, self.grace_ms * MIN_DRAIN_FRACTION
+            ),
             organisations=self.for_organisations(),
             dispatch=DispatchSettings(
                 host_id=self.host_id,
--- a/bulrushlead/platform/tests/test_decoding.py
+++ b/bulrushlead/platform/tests/test_decoding.py
@@ -49,6 +49,18 @@
     assert 5_000 < gateway.drain_ms < 6_000
 
 
+@pytest.mark.parametrize("grace_s", (2, 4, 6, 10, 20))
+def test_a_planned_stop_leaves_time_to_close_connections(tmp_path, grace_s):
+    """Guards against a process that outlives its grace and is killed."""
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS.replace('grace = "6s"', f'grace = "{grace_s}s"'))
+    drain_ms = load_host_settings(str(path)).for_gateway().drain_ms
+    grace_ms = grace_s * 1_000
+    assert drain_ms <= grace_ms - min(600, 0.15 * grace_ms)
+    # What is broken off is at work in the last sixth of the grace.
+    assert drain_ms > grace_ms * 5 / 6
+
+
 def test_changed_fields_are_listed(tmp_path):
     path = tmp_path / "boot.toml"
     path.write_text(SETTINGS)
