Play the schedules of replaced hosts in episodes

Losses in the middle of faults exceed what any rule of membership could bear, so that they were left out by a condition on the replicas' own sets of voters, which a wrong rule could have satisfied.

--- a/bulrushlead/replication/tests/schedule.py
+++ b/bulrushlead/replication/tests/schedule.py
@@ -167,11 +167,14 @@
         except BulrushleadError:
             node.crash(self.rng)
 
-    async def heal_and_check(self):
+    def heal_network(self):
         network = self.cluster.network
         network.blocked.clear()
         network.drop_share = network.duplicate_share = 0.0
         network.delay_ms = (1, 2)
+
+    async def heal_and_check(self):
+        self.heal_network()
         for node in self.nodes:
             if not node.alive or node.log.failure:
                 await self.start(node)
--- a/bulrushlead/replication/tests/turnover_schedule.py
+++ b/bulrushlead/replication/tests/turnover_schedule.py
@@ -6,16 +6,19 @@
 
 N_SEEDS = 3  # addresses of other replicas that the settings of a replica name
 RETIRE_TIMEOUT_MS = 500
+CATCH_UP_MS = 4_000  # after which a host that returned counts as recovered
+EPISODES = 3
 
 
 class TurnoverSchedule(Schedule):
     """Run of a cluster that admits newcomers and retires silent voters.
 
-    Settings name few replicas, as on the platform: a replica may know none that leads.
+    Each episode has random cuts and crashes, a time in which all hosts recover, and
+    the loss of as many disks at once as the settings tolerate. Settings name few
+    replicas, as on the platform: a replica may know none that leads.
     """
 
     sizes = (4, 5, 5, 7)
-    faults_ms = 6_000
 
     def __init__(self, seed):
         super().__init__(
@@ -25,37 +28,62 @@
         self.cluster.settings["min_voters"] = 2 * self.tolerated_losses + 1
         self.next_number = len(self.nodes) + 1
 
-    def may_wipe(self, node):
-        """Return whether no more disks are lost at once than the settings tolerate.
-
-        A lost disk counts until its identity has left each set of voters.
-        """
-        stored_ids = set().union(*(n.stored_ids for n in self.nodes if n is not node))
-        return super().may_wipe(node) and all(
-            sum(voter not in stored_ids for voter in n.known_voter_ids())
-            <= self.tolerated_losses
-            for n in self.nodes
-        )
+    async def run(self):
+        cluster = self.cluster
+        await cluster.start()
+        await cluster.wait_converged()
+        for _ in range(EPISODES):
+            self.power_losses = True
+            self.degrade_network()
+            await self.run_faults()
+            self.power_losses = False
+            await self.recover()
+            await self.lose_disks()
+        await self.heal_and_check()
+
+    async def run_faults(self):
+        clock = self.cluster.clock
+        end_ms = clock.now_ms() + self.rng.choice((300, 1_000, 4_000))
+        while clock.now_ms() < end_ms:
+            await self.run_random_action()
+            await self.run_checked(self.rng.uniform(1, 60))
 
     def actions(self):
-        return [*super().actions(), (self.replace, 1), (self.retire, 8)]
-
-    async def replace(self):
-        """End a host for good, and start an empty one at another address."""
-        node = self.rng.choice(self.nodes)
-        if not self.may_wipe(node):
-            return
-        node.wipe()
-        self.cluster.isolate(node)
+        kept = [a for a in super().actions() if a[0] != self.wipe]
+        return [*kept, (self.retire, 8)]
+
+    async def recover(self):
+        self.heal_network()
+        for node in self.nodes:
+            if not node.alive or node.log.failure:
+                await self.start(node)
+        end_ms = self.cluster.clock.now_ms() + CATCH_UP_MS
+        while self.cluster.clock.now_ms() < end_ms:
+            await self.retire()
+            await self.propose()
+            await self.run_checked(100)
+
+    async def lose_disks(self):
+        """Lose disks at once, of hosts that return and of hosts that are replaced."""
+        lost = self.rng.sample(self.nodes, self.tolerated_losses)
+        for node in lost:
+            node.wipe()
+        await self.run_checked(self.rng.uniform(0, 1_000))
+        for node in lost:
+            if self.rng.random() < 0.5:
+                node = self.replace(node)
+            await self.start(node)
+
+    def replace(self, node):
+        """End a host for good, and return an empty one at another address."""
         self.nodes.remove(node)
         del self.cluster.nodes[node.address]
-        await self.run_checked(self.rng.uniform(0, 300))
         address = f"10.0.0.{self.next_number}:7000"
         self.next_number += 1
         successor = self.cluster.nodes[address] = Node(self.cluster, address)
         self.prepare(successor)
         self.nodes.append(successor)
-        await self.start(successor)
+        return successor
 
     async def retire(self):
         for leader in self.cluster.leaders:
