Take no copy of a refusal for the answer to a second try

Here: a request that was refused and is sent again on the same connection has the same identifier, so that a copy of its refusal is taken for the answer to the second try, which runs.

A connection keeps the identifiers of the requests that were refused or failed on it, and carries none of these again; after 64 it is closed. A refusal, also 421, without the identifier counts as 'not run' only on a connection that carried nothing before.

The new test cuts three kinds of answers after each byte, with FIN and with a reset; none is delivered.

--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -261,7 +261,13 @@
             return AttemptResult(Outcome.OVERDUE, Answer(504), may_have_run=True)
         self.pool.release(server.address, connection)
         self.connectivity.record_answer()
-        result = self._classify(answer, state, server)
+        # On a reused connection an answer without the identifier may be a late copy of
+        # an earlier one.
+        is_own = (
+            connection.n_exchanges == 1
+            or answer.header(self.dialect.request_id) == state.request_id
+        )
+        result = self._classify(answer, state, server, is_own)
         if answer.status != MISDIRECTED_STATUS:
             # A misdirected request was answered by another server at the address.
             self._record_notices(server, answer)
@@ -283,7 +289,9 @@
             if state.route.idempotent
             else NON_IDEMPOTENT_MAX_IDLE_MS
         )
-        connection = self.pool.acquire_idle(server.address, max_idle_ms)
+        connection = self.pool.acquire_idle(
+            server.address, max_idle_ms, state.request_id
+        )
         if connection is not None:
             return connection
         if self.connectivity.is_cut_off:
@@ -302,12 +310,18 @@
         return connection
 
     def _classify(
-        self, answer: Answer, state: RequestState, server: ServerStats
+        self, answer: Answer, state: RequestState, server: ServerStats, is_own: bool
     ) -> AttemptResult:
         load_value = answer.header(self.dialect.load)
         if load_value is not None:
             _record_reported_load(server, load_value, self.clock.now_ms())
-        if answer.header(self.dialect.not_run) is not None:
+        is_refused = answer.header(self.dialect.not_run) is not None
+        if not is_own and (is_refused or answer.status == MISDIRECTED_STATUS):
+            detail = f"{answer.status} without identifier"
+            return AttemptResult(
+                Outcome.FAILED, Answer(502), may_have_run=True, detail=detail
+            )
+        if is_refused:
             # After REFUSED the server counts as full for a while. One that refuses
             # although it reports free slots may accept the next attempt (SHED). Without
             # a load report it is assumed to be full.
--- a/bulrushlead/http1/_client.py
+++ b/bulrushlead/http1/_client.py
@@ -17,6 +17,8 @@
 FRAMING_PER_BODY_BYTE = 8
 # Body bytes of answers to other requests that are read until the right one comes.
 MAX_DISCARDED_BYTES = 1024 * 1024
+# Requests refused or failed on one connection, after which it is closed.
+MAX_FAILED_REQUESTS = 64
 
 
 class ExchangeFault(Enum):
@@ -95,6 +97,7 @@
         self._request_id = b""
         self._is_head = False
         self._may_reuse = True
+        self._failed_ids: set[bytes] = set()
         self._body_bytes = 0
         self._start_exchange()
 
@@ -103,6 +106,14 @@
         """Whether another request may be sent on this connection."""
         return self._may_reuse and self._future is None
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Return whether an answer to an identifier can only be to its next request.
+
+        A server may write an answer once more. The copy of a refusal would be taken
+        for the answer to the same request, sent again, although that one runs.
+        """
+        return request_id not in self._failed_ids
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport."""
         self._transport = transport
@@ -130,6 +141,10 @@
             raise ExchangeError(
                 ExchangeFault.NOT_SENT, "connection is closed or in use"
             )
+        if not self.may_carry(request_id):
+            raise ExchangeError(
+                ExchangeFault.NOT_SENT, "connection carried this request before"
+            )
         self._request_id = request_id
         self._is_head = is_head
         self._parser = httptools.HttpResponseParser(self)
@@ -285,6 +300,10 @@
         # An early answer may leave a part of the request unsent.
         if self._transport.get_write_buffer_size() > 0:
             self._may_reuse = False
+        if self._status >= 400:
+            self._failed_ids.add(self._request_id)
+            if len(self._failed_ids) >= MAX_FAILED_REQUESTS:
+                self._may_reuse = False
         if self._future is not None and not self._future.done():
             self._future.set_result(
                 Answer(self._status, self._headers, b"".join(self._body), self._reason)
--- a/bulrushlead/http1/_pool.py
+++ b/bulrushlead/http1/_pool.py
@@ -70,7 +70,9 @@
         """Bytes of answers that are being received."""
         return self._buffer.used_bytes
 
-    def acquire_idle(self, address: str, max_idle_ms: float) -> ClientConnection | None:
+    def acquire_idle(
+        self, address: str, max_idle_ms: float, request_id: bytes
+    ) -> ClientConnection | None:
         """Return a connection that was idle for a short enough time, or None.
 
         Parameters
@@ -79,22 +81,24 @@
             Address of the backend server, as ``host:port``.
         max_idle_ms : float
             Longest idle time that the request allows, in milliseconds.
+        request_id : bytes
+            Identifier of the request; see ``ClientConnection.may_carry``.
         """
-        connections = self._idle.get(address)
+        connections = self._idle.get(address, [])
         now_ms = self.clock.now_ms()
-        while connections:
-            connection = connections.pop()
+        for connection in reversed(connections.copy()):
             limit_ms = min(max_idle_ms, self.idle_limit_ms())
             if connection.keep_alive_ms is not None:
                 limit_ms = min(limit_ms, connection.keep_alive_ms * KEEP_ALIVE_FRACTION)
             idle_ms = now_ms - connection.idle_since_ms
-            if connection.is_reusable and idle_ms <= limit_ms:
-                return connection
             if not connection.is_reusable or idle_ms > MAX_IDLE_MS:
+                connections.remove(connection)
                 connection.close()
-                continue
-            connections.append(connection)
-            return None
+            elif idle_ms > limit_ms:
+                return None
+            elif connection.may_carry(request_id):
+                connections.remove(connection)
+                return connection
         return None
 
     async def connect(self, address: str, timeout_ms: float) -> ClientConnection:
--- a/bulrushlead/http1/tests/test_client.py
+++ b/bulrushlead/http1/tests/test_client.py
@@ -12,6 +12,7 @@
 
 from bulrushlead.clock import ManualClock
 from bulrushlead.http1 import ExchangeError, ExchangeFault, render_request
+from bulrushlead.http1._client import MAX_FAILED_REQUESTS
 from bulrushlead.http1.tests.conftest import read_header_section
 
 REQUEST = render_request(b"GET", b"/", [(b"request-id", b"r1")], b"")
@@ -37,7 +38,8 @@
 
 
 async def exchange(pool, address, request_id=b"r1"):
-    connection = pool.acquire_idle(address, 1_000) or await pool.connect(address, 1_000)
+    connection = pool.acquire_idle(address, 1_000, request_id)
+    connection = connection or await pool.connect(address, 1_000)
     try:
         return await connection.exchange(REQUEST, request_id, False)
     finally:
@@ -72,7 +74,7 @@
         answer_with(ok_answer(b"r1") + ok_answer(b"r1", b"extra"))
     )
     assert (await exchange(pool, address)).body == b"ok"
-    assert pool.acquire_idle(address, 1_000) is None
+    assert pool.acquire_idle(address, 1_000, b"") is None
 
 
 async def test_a_refusal_need_not_echo_the_identifier(pool, raw_server):
@@ -163,7 +165,7 @@
     )
     await exchange(pool, address)
     await asyncio.sleep(0.005)
-    assert pool.acquire_idle(address, 60_000) is None
+    assert pool.acquire_idle(address, 60_000, b"") is None
 
 
 async def test_a_connection_that_ends_with_its_answer_is_not_reused(pool, raw_server):
@@ -171,7 +173,7 @@
         answer_with(ok_answer(b"r1", extra_fields=b"Connection: close\r\n"))
     )
     await exchange(pool, address)
-    assert pool.acquire_idle(address, 60_000) is None
+    assert pool.acquire_idle(address, 60_000, b"") is None
 
 
 async def test_stale_connections_lower_the_idle_limit(pool):
@@ -220,7 +222,7 @@
     refusal = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
     address = await raw_server(answer_with(refusal, refusal + ok_answer(b"r2", b"two")))
     assert (await exchange(pool, address)).status == 503
-    assert pool.acquire_idle(address, 1_000) is None
+    assert pool.acquire_idle(address, 1_000, b"") is None
 
 
 async def test_an_answer_that_switches_protocols_is_malformed(pool, raw_server):
@@ -228,3 +230,81 @@
     switch = b"HTTP/1.1 101 Switch\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nbytes"
     address = await raw_server(answer_with(switch))
     assert await exchange_fault(pool, address) is ExchangeFault.MALFORMED
+
+
+async def test_a_copy_of_a_refusal_refuses_no_second_try(pool, raw_server):
+    """Guards against "not run" for a request that is sent again, and runs.
+
+    The server writes its refusal once more where the answer to the second try is due.
+    """
+    refusal = b"HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n"
+    address = await raw_server(
+        answer_with(refusal, ok_answer(b"r2"), refusal + ok_answer(b"r1"))
+    )
+    assert (await exchange(pool, address)).status == 503
+    assert (await exchange(pool, address, b"r2")).body == b"ok"
+    assert pool.n_connects == 1
+    assert pool.acquire_idle(address, 1_000, b"r1") is None
+    connection = pool.acquire_idle(address, 1_000, b"r3")
+    with pytest.raises(ExchangeError) as caught:
+        await connection.exchange(REQUEST, b"r1", False)
+    assert caught.value.fault is ExchangeFault.NOT_SENT
+    pool.release(address, connection)
+    assert (await exchange(pool, address)).status == 503  # on a new connection
+    assert pool.n_connects == 2
+
+
+async def test_a_connection_of_many_failures_ends(pool, raw_server):
+    """Guards against a list of failed requests that grows without a bound."""
+    n_requests = MAX_FAILED_REQUESTS + 1
+    ids = [b"r%d" % number for number in range(n_requests)]
+    failure = b"HTTP/1.1 500 X\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n"
+    address = await raw_server(answer_with(*(failure % one for one in ids)))
+    for one in ids[:-1]:
+        await exchange(pool, address, one)
+    assert pool.n_connects == 1
+    assert pool.acquire_idle(address, 1_000, ids[-1]) is None
+
+
+def cuts_of(answer):
+    return [answer[:n_bytes] for n_bytes in range(len(answer))]
+
+
+LONG_BODY = b"0123456789abcdef"
+CUT_ANSWERS = {
+    "length": ok_answer(b"r1", LONG_BODY),
+    "chunked": (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"8\r\n01234567\r\n8\r\n89abcdef\r\n0\r\n\r\n"
+    ),
+    "bare line feeds": ok_answer(b"r1", LONG_BODY).replace(b"\r\n", b"\n"),
+}
+
+
+@pytest.mark.parametrize("end", ("fin", "reset"))
+@pytest.mark.parametrize("name", CUT_ANSWERS)
+async def test_an_answer_that_is_cut_anywhere_is_not_delivered(
+    pool, raw_server, name, end
+):
+    """Guards against an empty or short body that is framed as whole.
+
+    The server stops after each byte of the head and the body in turn, and closes.
+    """
+    cuts = iter(cuts_of(CUT_ANSWERS[name]))
+
+    async def script(reader, writer):
+        await read_header_section(reader)
+        writer.write(next(cuts))
+        await writer.drain()
+        if end == "reset":
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    address = await raw_server(script)
+    for _ in cuts_of(CUT_ANSWERS[name]):
+        assert await exchange_fault(pool, address) in (
+            ExchangeFault.CLOSED,
+            ExchangeFault.TRUNCATED,
+            ExchangeFault.MALFORMED,
+        )
--- a/bulrushlead/relay/_client.py
+++ b/bulrushlead/relay/_client.py
@@ -84,7 +84,8 @@
         A cancellation closes the connection, so that the carrying host notices.
         """
         address = host.peer_address
-        connection = self._pool.acquire_idle(address, MAX_IDLE_MS)
+        exchange_id = b"%d" % next(self._exchange_ids)
+        connection = self._pool.acquire_idle(address, MAX_IDLE_MS, exchange_id)
         deadline_ms = self.clock.now_ms() + order.remaining_ms
         if connection is None:
             try:
@@ -96,7 +97,6 @@
                 return RelayReply(RelayVerdict.DECLINED, detail=error.detail)
         remaining_ms = deadline_ms - self.clock.now_ms()
         order = attrs.evolve(order, remaining_ms=remaining_ms)
-        exchange_id = b"%d" % next(self._exchange_ids)
         headers = without_relay_headers(forwardable_headers(request.headers))
         headers.append((EXCHANGE_HEADER, exchange_id))
         headers.append((ORDER_HEADER, encode_order(order)))
