--- a/bulrushlead/replication/tests/turnover_schedule.py
+++ b/bulrushlead/replication/tests/turnover_schedule.py
@@ -32,9 +32,9 @@
         cluster = self.cluster
         await cluster.start()
         await cluster.wait_converged()
+        self.degrade_network()
         for _ in range(EPISODES):
             self.power_losses = True
-            self.degrade_network()
             await self.run_faults()
             self.power_losses = False
             await self.recover()
@@ -64,7 +64,16 @@
             await self.run_checked(100)
 
     async def lose_disks(self):
-        """Lose disks at once, of hosts that return and of hosts that are replaced."""
+        """Lose disks at once, of hosts that return and of hosts that are replaced.
+
+        Changes are accepted until then, while links fail.
+        """
+        self.degrade_network()
+        end_ms = self.cluster.clock.now_ms() + self.rng.uniform(50, 500)
+        while self.cluster.clock.now_ms() < end_ms:
+            action = self.rng.choice((self.propose, self.propose, self.partition))
+            await action()
+            await self.run_checked(self.rng.uniform(1, 30))
         lost = self.rng.sample(self.nodes, self.tolerated_losses)
         for node in lost:
             node.wipe()
