Treat an address that is none as a host that cannot be reached

Report of another operator: one odd entry among those of the instances, deeply nested, with a number too large or a port out of range, ended the machines that read the list again and again.

Here: entries of servers are refused or taken, as before. It could happen with entries of our own hosts. A connection to an address with a port out of range raised a ValueError that no caller expects: a leader steps down when replication to a member raises one, so that one odd member ends each leader; a replica that joins stops; a request that is passed on to such a host gets 502. Nobody checked the address in a join request either. Deeply nested settings ended a process without a numbered error.

The message client and the connection pool report such an address like a host that cannot be reached, a join request with one is refused, learned ones are dropped, and nested settings get 1001. Deeply nested messages, stored records, heartbeats and configurations were refused before; tests now show it, with a MB each.

--- a/bulrushlead/http1/_pool.py
+++ b/bulrushlead/http1/_pool.py
@@ -109,10 +109,10 @@
         ExchangeError
             With ``NOT_SENT`` if no connection is established in time.
         """
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.n_connects += 1
         try:
+            host, _, port = address.rpartition(":")
             transport, connection = await self.clock.wait_for(
                 loop.create_connection(
                     lambda: ClientConnection(
@@ -126,7 +126,7 @@
         except TimeoutError as error:
             detail = f"{address} did not accept a connection within {timeout_ms:.0f} ms"
             raise ExchangeError(ExchangeFault.NOT_SENT, detail) from error
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
             detail = f"{address}: {error}"
             raise ExchangeError(ExchangeFault.NOT_SENT, detail) from error
         _set_options(transport)
--- a/bulrushlead/http1/tests/test_client.py
+++ b/bulrushlead/http1/tests/test_client.py
@@ -15,6 +15,7 @@
 from bulrushlead.http1._client import MAX_FAILED_REQUESTS
 from bulrushlead.http1.tests.conftest import read_header_section
 
+ODD_ADDRESSES = ("127.0.0.1:99999", "127.0.0.1:x", "", "127.0.0.1:" + "9" * 5_000)
 REQUEST = render_request(b"GET", b"/", [(b"request-id", b"r1")], b"")
 
 
@@ -308,3 +309,11 @@
             ExchangeFault.TRUNCATED,
             ExchangeFault.MALFORMED,
         )
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+async def test_an_address_that_is_none_is_not_connected_to(pool, address):
+    """Guards against one odd entry in a list that fails requests to others."""
+    with pytest.raises(ExchangeError) as caught:
+        await pool.connect(address, 1_000)
+    assert caught.value.fault is ExchangeFault.NOT_SENT
--- a/bulrushlead/platform/_settings.py
+++ b/bulrushlead/platform/_settings.py
@@ -209,7 +209,12 @@
     """
     try:
         table = tomllib.loads(Path(path).read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (
+        OSError,
+        UnicodeDecodeError,
+        tomllib.TOMLDecodeError,
+        RecursionError,
+    ) as error:
         raise BulrushleadError(
             ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}"
         ) from error
--- a/bulrushlead/platform/tests/test_hostile_input.py
+++ b/bulrushlead/platform/tests/test_hostile_input.py
@@ -86,6 +86,33 @@
     assert 0.5 / heartbeat.slots > 0
 
 
+NESTED = [b"[" * 1_000_000, b'{"a":' * 200_000, b'{"address":' + b"[" * 1_000_000]
+
+
+@pytest.mark.parametrize("body", NESTED, ids=("lists", "objects", "field"))
+def test_deeply_nested_entries_are_refused(body):
+    """Guards against one entry that ends each process that reads it."""
+    with pytest.raises(BulrushleadError):
+        decode_heartbeat("i-1", body, ZONES)
+    with pytest.raises(BulrushleadError):
+        decode_plan(body)
+    assert decode_born_ms(body) is None
+
+
+@pytest.mark.parametrize("data", (b"\x81" * 1_000_000, b"\xa1\x00" * 500_000))
+def test_deeply_nested_messages_are_refused(data):
+    """Guards against one message or stored record that ends each host that reads it."""
+    with pytest.raises(BulrushleadError):
+        codec.decode(data)
+
+
+def test_deeply_nested_settings_are_refused_with_a_number(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS + "\nx = " + "[" * 100_000)
+    with pytest.raises(BulrushleadError, match="SETTINGS_UNREADABLE"):
+        load_host_settings(str(path))
+
+
 @given(ODD_VALUES)
 def test_any_start_time_in_a_deregistration_can_be_recorded(value):
     born_ms = decode_born_ms(encode_json({"born": value}))
--- a/bulrushlead/replication/_joining.py
+++ b/bulrushlead/replication/_joining.py
@@ -14,6 +14,7 @@
     Member,
     Members,
 )
+from bulrushlead.replication._settings import is_address
 from bulrushlead.results import BulrushleadError
 from bulrushlead.wire import codec
 
@@ -129,7 +130,7 @@
         known |= {*settings.peers, *self._learned_addresses, replica.sender_address}
         known -= {settings.address, ""}
         replies = await self._request_join_from(known)
-        named = {a for reply in replies.values() for a in reply.members}
+        named = {a for r in replies.values() for a in r.members if is_address(a)}
         named = set(sorted(named - {settings.address})[:MAX_LEARNED_ADDRESSES])
         if named:
             self._learned_addresses = named
--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -13,6 +13,7 @@
     MemberRole,
     Members,
 )
+from bulrushlead.replication._settings import is_address
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire import codec
 
@@ -158,6 +159,8 @@
         # Until the folder is read, this replica does not know its own cluster and
         # could answer that it has none.
         replica.check_running()
+        if not is_address(request.address):
+            raise _refused(f"{request.address!r:.60} is no address of a replica")
         if replica.leadership is not None and not self._lock.locked():
             await self._admit(request)
         cluster_id = replica.cluster_id if replica.journal.last_index else ""
--- a/bulrushlead/replication/_settings.py
+++ b/bulrushlead/replication/_settings.py
@@ -5,6 +5,7 @@
 from bulrushlead.results import BulrushleadError, ResultCode
 
 MAX_PEERS = 15
+MAX_PORT_DIGITS = 5
 MAX_LEASE_SHARE = 0.9  # of election_min_ms; the rest is a margin for clock drift
 MIN_HEARTBEATS_PER_LEASE = 3
 # Limit of the command or snapshot bytes in one message; a whole message is limited to
@@ -37,13 +38,13 @@
 
 
 def _check_address(instance, attribute, value):
-    if not _is_address(value):
+    if not is_address(value):
         raise _invalid(attribute.name, value, "host:port by IP number")
 
 
 def _check_peers(instance, attribute, value):
     for peer in value:
-        if not _is_address(peer):
+        if not is_address(peer):
             raise _invalid(attribute.name, peer, "host:port by IP number")
     if instance.address in value:
         raise _invalid(attribute.name, value, "the other replicas only")
@@ -51,11 +52,13 @@
         raise _invalid(attribute.name, value, f"at most {MAX_PEERS} distinct addresses")
 
 
-def _is_address(value: object) -> bool:
+def is_address(value: object) -> bool:
+    """Return whether a value is ``host:port`` with a port that exists."""
     if not isinstance(value, str):
         return False
     host, _, port = value.rpartition(":")
-    return bool(host) and port.isdecimal() and 0 < int(port) < 65536
+    is_number = port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    return bool(host) and is_number and 0 < int(port) < 65536
 
 
 @attrs.frozen
--- a/bulrushlead/replication/tests/test_newcomers.py
+++ b/bulrushlead/replication/tests/test_newcomers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bulrushlead.replication import MemberRole
+from bulrushlead.replication._messages import JoinRequest
 from bulrushlead.replication.tests.cluster import Cluster, Node
 from bulrushlead.results import BulrushleadError
 
@@ -129,6 +130,21 @@
     await cluster.run_until(lambda: is_voter(cluster, wiped))
 
 
+@pytest.mark.parametrize(
+    "address", ("10.0.0.9:99999", "10.0.0.9:-1", "10.0.0.9", "", "x:" + "9" * 5_000)
+)
+async def test_replica_without_an_address_is_not_admitted(cluster, address):
+    """Guards against one odd member that ends each leader that sends to it."""
+    leader = await cluster.start()
+    before = leader.log.members
+    with pytest.raises(BulrushleadError):
+        request = JoinRequest("0123456789abcdef", address)
+        await cluster.result(leader.handlers[JoinRequest](request))
+    await cluster.run_for(1_000)
+    assert cluster.leaders == [leader]
+    assert leader.log.members == before
+
+
 async def test_read_barrier_needs_a_quorum_in_addition_to_the_lease(cluster):
     leader = await cluster.start()
     await cluster.propose(b"a")
--- a/bulrushlead/replication/tests/test_turnover.py
+++ b/bulrushlead/replication/tests/test_turnover.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bulrushlead.replication import MemberRole
-from bulrushlead.replication._membership import JoinRequest
+from bulrushlead.replication._messages import JoinRequest
 from bulrushlead.replication.tests.cluster import Cluster, Node
 
 RETIRE_MS = 10_000
--- a/bulrushlead/settings/_load.py
+++ b/bulrushlead/settings/_load.py
@@ -48,7 +48,7 @@
     """Return the settings in a TOML text; see ``load_settings``."""
     try:
         table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise BulrushleadError(
             ResultCode.SETTINGS_UNREADABLE, f"{source}: not TOML: {error}"
         ) from error
--- a/bulrushlead/wire/_client.py
+++ b/bulrushlead/wire/_client.py
@@ -158,7 +158,9 @@
                     ),
                     min(timeout_ms, CONNECT_TIMEOUT_MS),
                 )
-            except (TimeoutError, OSError, WebSocketException) as error:
+            # ValueError: the address is none. One odd entry in a list of hosts must not
+            # end the loop that goes through it.
+            except (TimeoutError, OSError, ValueError, WebSocketException) as error:
                 raise BulrushleadError(
                     ResultCode.PEER_UNREACHABLE,
                     f"cannot connect to {self.address}: {error or 'timed out'}",
--- a/bulrushlead/wire/tests/test_wire.py
+++ b/bulrushlead/wire/tests/test_wire.py
@@ -214,3 +214,18 @@
     with pytest.raises(BulrushleadError) as caught:
         unpack_frame(frame[:cut])
     assert caught.value.code is ResultCode.MESSAGE_MALFORMED
+
+
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:99999", "127.0.0.1:x", "[::1:80", "\ud800:80", "x" * 300, ""]
+)
+async def test_an_address_that_is_none_is_unreachable(address):
+    """Guards against one odd host that ends the loops that go through a list of them.
+
+    A leader would step down, and a replica that joins would stop.
+    """
+    client = MessageClient(address, MonotonicClock())
+    with pytest.raises(BulrushleadError) as caught:
+        await client.call(Echo("a"), 1_000)
+    assert caught.value.code is ResultCode.PEER_UNREACHABLE
+    await client.close()
