Take the incarnation of a departing server from the host that it tells

What callers would see: a server that started again under its identity gets no more requests.

The host that is told names the incarnation that it knows; only without one the leader fills it in, as before.

test_a_departure_that_was_held_up_spares_the_next_incarnation failed before.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -276,12 +276,18 @@
         server_id : str
             Identity of the server.
         born_ms : int or None
-            Incarnation of the server. If None, that of its pending heartbeat or else
-            the one registered by the leader.
+            Incarnation of the server. If None, that of its pending heartbeat, or the
+            one that this host knows, or else the one registered by the leader.
         """
         if born_ms is None:
             newest = self._pending_heartbeats.get(server_id)
-            born_ms = newest[0].born_ms if newest else UNKNOWN_BORN_MS
+            known = self.view.servers.get(server_id)
+            if newest is not None:
+                born_ms = newest[0].born_ms
+            else:
+                # Taken here, since a call that is held up may reach the leader after
+                # the server has started again.
+                born_ms = known.record.born_ms if known else UNKNOWN_BORN_MS
         await self.orders.submit(RecordDeparture(server_id, born_ms))
 
     def _build_report(self) -> HostReport:
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -168,6 +168,33 @@
     assert await cut_off.end_evacuation("a")
 
 
+async def test_a_departure_that_was_held_up_spares_the_next_incarnation(
+    coordinators, host
+):
+    """Guards against the loss of a server that has started again under its identity."""
+    leader = next(c for c in coordinators if c.log.is_leader())
+    cut_off = followers(coordinators)[0]
+    await leader.announce(heartbeat())
+    await wait_until(lambda: "b1" in host.servers and "b1" in cut_off.view.servers)
+    held_up = []
+
+    async def hold_up(request, timeout_ms):
+        held_up.append(request)
+        raise BulrushleadError(ResultCode.PEER_TIMEOUT, "cut off")
+
+    cut_off.session.call_leader = hold_up
+    with pytest.raises(BulrushleadError):
+        await cut_off.deregister("b1", None)
+    again = attrs.evolve(heartbeat(), born_ms=heartbeat().born_ms + 5_000)
+    await leader.announce(again)
+    await wait_until(lambda: host.servers["b1"].record.born_ms == again.born_ms)
+    for request in held_up:
+        await link_to(leader.settings.peer_address).call(request, 1_000)
+    await asyncio.sleep(0.3)
+    assert host.servers["b1"].record.state is ServerState.READY
+    assert not leader.state.has_departed("b1", again.born_ms)
+
+
 async def test_an_order_through_a_host_that_lags_is_accepted(coordinators, host):
     """Guards against a refusal of a current order by a host that knows less."""
     follower = followers(coordinators)[0]
