Decline to carry or to pass on what the stop of this host may break off

The check of a planned stop stood before the first send of this host only: a request that another host had tried before, or that goes to the keeper of its organisation, passed it. It now stands before all of these, and a carrier declines, so that the host that received the request asks another one.

--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -217,6 +217,8 @@
             return Answer(503), RelayVerdict.DECLINED
         state = carried_state(request, order, caller)
         state.request_id = request.header(self.dialect.request_id) or b""
+        if self._ends_first(state):
+            return Answer(503), RelayVerdict.DECLINED
         work = carried_work(order)
         if not order.previous_attempts:
             self.dispatcher.budget.record_request(work.service)
@@ -255,6 +257,8 @@
 
     async def _admit(self, state: RequestState, work: Work, sent: int) -> Answer:
         """Count a request against its quota and send it, or let another host do so."""
+        if self._ends_first(state):
+            return self._refusal_answer(state, ENDS_FIRST)
         if (refusal := self.callers.refusal(state.caller)) is not None:
             relayed = await self._relay(state, work, sent)
             return relayed or self._refusal_answer(state, refusal)
@@ -287,7 +291,7 @@
             withdrawn = self.callers.refusal(state.caller)
             if withdrawn is not None:
                 return last or self._refusal_answer(state, withdrawn)
-            if not sent and state.deadline_ms > self._ends_ms:
+            if not sent and self._ends_first(state):
                 return last or self._refusal_answer(state, ENDS_FIRST)
             if self._suspects_links(unreachable, started_ms):
                 relayed = await self._relay(state, work, sent)
@@ -331,6 +335,10 @@
                     relayed or last or self._refusal_answer(state, refusal or REFUSED)
                 )
 
+    def _ends_first(self, state: RequestState) -> bool:
+        """Return whether this host may stop before a request has its answer."""
+        return state.deadline_ms > self._ends_ms
+
     def _suspects_links(self, unreachable: int, started_ms: float) -> bool:
         """Return whether this host, and not the servers, seems to be cut off."""
         return self.connectivity.is_cut_off or (
