Cut the hosts in two at random in the schedules of replaced hosts

A rule that removes several voters, or swaps two, in one step shows only where both halves believe in another set; single cuts seldom bring that about.

--- a/bulrushlead/replication/tests/turnover_schedule.py
+++ b/bulrushlead/replication/tests/turnover_schedule.py
@@ -50,7 +50,16 @@
 
     def actions(self):
         kept = [a for a in super().actions() if a[0] != self.wipe]
-        return [*kept, (self.retire, 8)]
+        return [*kept, (self.split, 2), (self.retire, 8)]
+
+    async def split(self):
+        """Cut the hosts in two, in the place of all other cuts."""
+        network = self.cluster.network
+        network.blocked.clear()
+        part = self.rng.sample(self.nodes, self.rng.randrange(len(self.nodes)))
+        others = [n.address for n in self.nodes if n not in part]
+        for node in part:
+            network.block(node.address, others)
 
     async def recover(self):
         self.heal_network()
