--- a/bulrushlead/coordinator/_orders.py
+++ b/bulrushlead/coordinator/_orders.py
@@ -103,11 +103,20 @@
         self.publisher.require_leader()
         command = self._with_born_ms(codec.decode(request.command))
         # Replicas of an earlier build would apply an overtaken command.
-        overtaken_by = self._state.overtaking_index(command)
-        if overtaken_by:
-            return StatusReply(False, overtaken_by)
-        reply = await self._log.propose(codec.encode(command), PROPOSE_TIMEOUT_MS)
-        return codec.decode(reply)
+        reply = StatusReply(False, self._state.overtaking_index(command))
+        if not reply.overtaken_by:
+            result = await self._log.propose(codec.encode(command), PROPOSE_TIMEOUT_MS)
+            reply = codec.decode(result)
+        if reply.overtaken_by:
+            # Logged here, since the sender of a late command has given it up.
+            self._events.write(
+                Event.ORDER_OVERTAKEN,
+                order=type(command).__name__,
+                subject=command_subject(command),
+                seen_index=command.seen_index,
+                overtaken_by=reply.overtaken_by,
+            )
+        return reply
 
     async def _send(self, command) -> StatusReply:
         name = type(command).__name__
@@ -122,15 +131,14 @@
             raise
         outcome = "overtaken" if reply.overtaken_by else "accepted"
         self.meters.count(Metric.ORDERS_TOTAL, order=name, outcome=outcome)
-        self._events.write(
-            Event.ORDER_OVERTAKEN if reply.overtaken_by else Event.ORDER_ACCEPTED,
-            order=name,
-            subject=command_subject(command),
-            changed=reply.changed,
-            seen_index=getattr(command, "seen_index", None),
-            overtaken_by=reply.overtaken_by,
-            leader=self._log.leader_hint,
-        )
+        if not reply.overtaken_by:
+            self._events.write(
+                Event.ORDER_ACCEPTED,
+                order=name,
+                subject=command_subject(command),
+                changed=reply.changed,
+                leader=self._log.leader_hint,
+            )
         return reply
 
     def _with_born_ms(self, command):
