--- a/bulrushlead/replication/tests/turnover_schedule.py
+++ b/bulrushlead/replication/tests/turnover_schedule.py
@@ -1,5 +1,7 @@
 """Seeded random schedules in which hosts are replaced at new addresses."""
 
+import itertools
+
 from bulrushlead.replication.tests.cluster import Node
 from bulrushlead.replication.tests.schedule import Schedule
 from bulrushlead.results import BulrushleadError
@@ -41,6 +43,30 @@
             await self.lose_disks()
         await self.heal_and_check()
 
+    def check(self):
+        super().check()
+        for node in self.cluster.alive:
+            self.check_members(node.log._replica)
+
+    def check_members(self, replica):
+        """Check that sets follow each other by steps whose quorums always meet."""
+        history = replica.journal._member_history._history
+        for before, after in itertools.pairwise(history):
+            old = {voter.replica_id for voter in before.members.voters()}
+            new = {voter.replica_id for voter in after.members.voters()}
+            if not old:
+                continue  # the first set
+            entry = f"entry {after.index}"
+            self.check_that(len(old ^ new) <= 1, f"{entry} changes several voters")
+            members = {member.replica_id for member in before.members.members}
+            self.check_that(new <= members, f"{entry} adds a voter that was no learner")
+        if replica.leadership is None:
+            return
+        # A new leader may not know yet that the changes of others are committed.
+        pending = [v.index for v in history if v.index > replica.commit_index]
+        if pending and replica.journal.term_at(pending[-1]) == replica.term:
+            self.check_that(len(pending) == 1, f"changes {pending} are pending at once")
+
     async def run_faults(self):
         clock = self.cluster.clock
         end_ms = clock.now_ms() + self.rng.choice((300, 1_000, 4_000))
