Test that a late refusal without an identifier is no proof at the gateway

The request that reuses the connection gets 502 instead of 'not run'; on a new connection a refusal without an identifier is believed, as before.

--- a/bulrushlead/gateway/tests/test_forwarding.py
+++ b/bulrushlead/gateway/tests/test_forwarding.py
@@ -301,3 +301,29 @@
     started_ms = fakes.CLOCK.now_ms()
     assert (await harness.send_request(b"/read/1")).status == 502
     assert fakes.CLOCK.now_ms() - started_ms < 100
+
+
+async def test_refusal_without_an_identifier_on_a_reused_connection_is_no_proof(build):
+    """Guards against "not run" by a late copy of an earlier refusal."""
+    answers = iter(
+        (
+            fakes.answer(),
+            b"HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n",
+        )
+    )
+
+    async def script(server, head, writer):
+        return next(answers)
+
+    harness = await build(script)
+    assert (await harness.send_request(b"/order/1", method=b"POST")).status == 200
+    assert (await harness.send_request(b"/order/2", method=b"POST")).status == 502
+    assert harness.pool.n_connects == 1
+
+
+async def test_refusal_without_an_identifier_on_a_new_connection_is_believed(build):
+    async def script(server, head, writer):
+        return b"HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+
+    harness = await build(script)
+    assert (await harness.send_request(b"/order/1", method=b"POST")).status == 503
