Reopen the log of a control host whose disk was full

The coordinator builds a new log then; the control host never did, and its process didn't end either, so that nothing restarted it.

Change: the control host replaces a log that isn't open, and its state, by new ones every 500 ms until the folder can be written. Listeners move to the new state. A read takes the state that belongs to the log whose barrier it waited for, here and in the coordinator.

--- a/bulrushlead/control/_program.py
+++ b/bulrushlead/control/_program.py
@@ -52,6 +52,7 @@
 
 PROPOSE_TIMEOUT_MS = 1_500  # also for read barriers
 TICK_INTERVAL_MS = 200  # also the delay before a retry of ``BeginTerm``
+STORAGE_RETRY_MS = 500  # a full disk usually stays full for seconds
 
 _KEY_COMMANDS = (
     ClaimKey,
@@ -99,18 +100,12 @@
         self.ssl_context_client = ssl_context_client
         self.meters = Meters()
         self.byte_meter = ByteMeter()
+        self.link_factory = link_factory or self._link_to
         self.state = ControlState()
-        self.log = ReplicatedLog(
-            self._replica_settings(),
-            clock,
-            FileStorage(settings.data_folder),
-            link_factory or self._link_to,
-            self.state,
-            rng,
-        )
+        self.log = self._build_log()
         self.publisher = Publisher(
             clock,
-            self.log.is_leader,
+            lambda: self.log.is_leader(),
             LeaseSettings(lease_ms=settings.lease_ms),
             settings.announcement_timeout_ms,
             self._on_entry_restart,
@@ -125,6 +120,7 @@
         )
         self._metrics_runner: web.AppRunner | None = None
         self._tick_task: asyncio.Task | None = None
+        self._storage_task: asyncio.Task | None = None
         self._term_task: asyncio.Task | None = None
         self._abandon_tasks: set[asyncio.Task] = set()
         self._log = EventLogger("control")
@@ -132,13 +128,14 @@
     async def start(self) -> None:
         """Load the data folder, start the replica and serve calls."""
         self.state.configuration.add_listener(self._on_accepted)
-        self.log.watch_leadership(self._on_leadership)
         self._register_handlers()
         await self.messages.start()
         await self.log.start()
         await self.operators.start()
         await self._start_metrics()
         self._tick_task = asyncio.create_task(self._run_checks())
+        # A task of its own, since a disk that does not answer delays these checks.
+        self._storage_task = asyncio.create_task(self._run_storage_checks())
         self._log.write(
             Event.PROCESS_STARTED, program="control", name=self.settings.name
         )
@@ -148,7 +145,8 @@
         self._log.write(
             Event.PROCESS_STOPPING, program="control", name=self.settings.name
         )
-        for task in (self._tick_task, self._term_task, *self._abandon_tasks):
+        tasks = (self._tick_task, self._storage_task, self._term_task)
+        for task in (*tasks, *self._abandon_tasks):
             if task is not None:
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
@@ -182,6 +180,18 @@
             raise BulrushleadError(ResultCode(reply.code), reply.detail)
         return reply
 
+    def _build_log(self) -> ReplicatedLog:
+        log = ReplicatedLog(
+            self._replica_settings(),
+            self.clock,
+            FileStorage(self.settings.data_folder),
+            self.link_factory,
+            self.state,
+            self.rng,
+        )
+        log.watch_leadership(self._on_leadership)
+        return log
+
     def _replica_settings(self) -> ReplicaSettings:
         settings = self.settings
         return ReplicaSettings(
@@ -208,8 +218,9 @@
         return self.publisher.answer(request)
 
     async def _answer_key_query(self, query: ReadKey | ListUnknownKeys) -> Any:
+        state = self.state  # of this log; both are replaced after a storage failure
         await self.log.read_barrier(PROPOSE_TIMEOUT_MS)
-        return self.state.keys.read(query)
+        return state.keys.read(query)
 
     def _on_accepted(self, accepted: AcceptedConfiguration) -> None:
         self._log.write(Event.CONFIGURATION_ACCEPTED, revision=accepted.revision)
@@ -267,6 +278,32 @@
             if self.log.is_leader():
                 await self._start_due_drains()
 
+    async def _run_storage_checks(self) -> None:
+        while True:
+            await self.clock.sleep_ms(STORAGE_RETRY_MS)
+            if self.log.is_open:
+                continue
+            try:
+                await self._restart_log()
+            except Exception as error:
+                # Logged instead of raised: without this loop the replica would stay
+                # stopped until an operator restarts the process.
+                self._log.write(Event.UNEXPECTED_ERROR, error=repr(error))
+
+    async def _restart_log(self) -> None:
+        """Replace the log, whose storage failed, and its state by new ones."""
+        await self.log.close()
+        previous, self.state = self.state, ControlState()
+        self.state.configuration.copy_listeners(previous.configuration)
+        self.log = self._build_log()
+        self.log.register(self.messages)
+        try:
+            await self.log.start()
+        except BulrushleadError as error:
+            self._log.write(
+                Event.STORAGE_FAILED, code=error.code.value, error=error.detail
+            )
+
     async def _start_due_drains(self) -> None:
         declaration = self.state.configuration.current.declaration
         now = datetime.datetime.now(datetime.UTC)
--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -312,11 +312,11 @@
         )
 
     async def _handle_plan_request(self, request: PlanRequest) -> PlanReply:
+        state = self.state  # of this log; both are replaced after a storage failure
         await self.log.read_barrier(READ_TIMEOUT_MS)
-        plan = self.state.plan
-        if plan is None:
+        if state.plan is None:
             return PlanReply(-1)  # no plan yet
-        return PlanReply(plan.version, self.state.document)
+        return PlanReply(state.plan.version, state.document)
 
     async def _repeat(
         self, step: Callable[[], Awaitable[None]], interval_ms: float
--- a/bulrushlead/operators/_state.py
+++ b/bulrushlead/operators/_state.py
@@ -168,6 +168,10 @@
         """Call ``listener`` with each configuration that is accepted or restored."""
         self._listeners.append(listener)
 
+    def copy_listeners(self, other: "ConfigurationState") -> None:
+        """Call the listeners of another state too, which this one replaces."""
+        self._listeners += other._listeners
+
     def remove_listener(self, listener: Listener) -> None:
         """Stop calling ``listener``."""
         self._listeners.remove(listener)
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -308,6 +308,11 @@
         """Voters and learners in the latest membership entry."""
         return self._replica.journal.members.members
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the data folder is loaded and no write to it has failed."""
+        return self._replica.is_running and self.failure is None
+
     @property
     def failure(self) -> BulrushleadError | None:
         """Error that stopped this replica from acknowledging, or None."""
