Leave no part of the server list on a full disk

Cause: a save that failed left servers.new until a later one succeeded.

Change: it is removed when the save fails.

Before: the new test finds servers.new beside the list. After: only the list, which can still be loaded.

--- a/bulrushlead/coordinator/_cache.py
+++ b/bulrushlead/coordinator/_cache.py
@@ -1,6 +1,7 @@
 """File that preserves the list of servers across a restart of all hosts."""
 
 import asyncio
+import contextlib
 import os
 import time
 
@@ -75,6 +76,12 @@
             await asyncio.to_thread(self._replace, data)
         except OSError as error:
             self._log_unusable(str(error))
+            await asyncio.to_thread(self._remove_unfinished)
+
+    def _remove_unfinished(self) -> None:
+        """Free the room on a full disk for the journal beside this file."""
+        with contextlib.suppress(OSError):
+            os.remove(self._path(".new"))
 
     def _replace(self, data: bytes) -> None:
         os.makedirs(self.folder, exist_ok=True)
--- a/bulrushlead/coordinator/tests/test_cache.py
+++ b/bulrushlead/coordinator/tests/test_cache.py
@@ -1,3 +1,6 @@
+import errno
+import os
+
 import attrs
 import pytest
 
@@ -62,3 +65,16 @@
     cache = FleetCache(str(tmp_path / "fleet"))
     await cache.save(SERVERS)
     assert cache.load() == ()
+
+
+async def test_a_list_without_room_leaves_no_part_on_the_disk(cache, monkeypatch):
+    """Guards against a full disk whose last room the list keeps from the journal."""
+    await cache.save(SERVERS[:1])
+
+    def fail(descriptor):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(os, "fsync", fail)
+    await cache.save(SERVERS)
+    assert os.listdir(cache.folder) == [FILE_NAME]
+    assert cache.load() == tuple(SERVERS[:1])
