Keep running if damaged files can't be moved aside

Cause: the folder for the damaged files can't be created, and the OSError left start().

The move runs in a thread, since the disk may hang, and takes older journals first: a move that fails half-way must not leave an older one to be read in the place of the damaged one. The flag for "started" goes; the log knows whether it is open.

Before: the new test ends with the OSError of mkdir. After: the replica is open once the disk has room.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -115,7 +115,6 @@
         self.orders = OrderCalls(clock, self.publisher, self.meters)
         self._may_bootstrap = settings.bootstrap
         self.state, self.log = self._build_log()
-        self._log_started = False
         self.session = LeaderSession(
             clock,
             (settings.peer_address, *settings.seeds),
@@ -194,17 +193,29 @@
         try:
             await self.log.start()
         except BulrushleadError as error:
+            if error.code not in (
+                ResultCode.STORAGE_DAMAGED,
+                ResultCode.STORAGE_FAILED,
+            ):
+                raise
+            self._events.write(
+                Event.STORAGE_FAILED, code=error.code.value, error=error.detail
+            )
             if error.code is ResultCode.STORAGE_DAMAGED:
                 # The replica joins the existing cluster instead of forming a new one.
                 self._may_bootstrap = False
-                set_files_aside(self.settings.data_folder)
-            elif error.code is not ResultCode.STORAGE_FAILED:
-                raise
+                await self._set_files_aside()
+
+    async def _set_files_aside(self) -> None:
+        try:
+            await asyncio.to_thread(set_files_aside, self.settings.data_folder)
+        except OSError as error:
+            # The next attempt to start the log finds the same damage again.
             self._events.write(
-                Event.STORAGE_FAILED, code=error.code.value, error=error.detail
+                Event.STORAGE_FAILED,
+                code=ResultCode.STORAGE_FAILED.value,
+                error=f"damaged files are not moved aside: {error}",
             )
-            return
-        self._log_started = True
 
     async def _restart_log(self) -> None:
         """Replace the log, which failed or never started, by a new one.
@@ -213,7 +224,6 @@
         The new log therefore rewrites its journal when it starts.
         """
         await self.log.close()
-        self._log_started = False
         self.state, self.log = self._build_log()
         await self._start_log()
 
@@ -360,7 +370,7 @@
             await self.cache.save(self.view.records())
 
     async def _check(self) -> None:
-        if not self._log_started or self.log.failure is not None:
+        if not self.log.is_open:
             await self.clock.sleep_ms(STORAGE_RETRY_MS)
             await self._restart_log()
             return
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -1,4 +1,6 @@
 import asyncio
+import errno
+import os
 import random
 import socket
 
@@ -357,6 +359,38 @@
     assert (folder / "damaged-1" / journal.name).read_bytes() == bytes(data)
 
 
+async def test_a_damaged_journal_on_a_full_disk_ends_no_process(tmp_path, monkeypatch):
+    """Guards against a process that ends since it can't move damaged files aside."""
+    address = free_address()
+    settings = CoordinatorSettings(
+        host_id="core-1",
+        zone="a",
+        region="north",
+        peer_address=address,
+        seeds=(address,),
+        data_folder=str(tmp_path / "core-1"),
+        bootstrap=True,
+    )
+    (tmp_path / "core-1").mkdir()
+    (tmp_path / "core-1" / "journal-0000000000000001").write_bytes(bytes(100))
+    full = [True]
+    mkdir = os.mkdir
+
+    def make_folder(path, *arguments):
+        if full and "damaged-" in str(path):
+            raise OSError(errno.ENOSPC, "No space left on device")
+        mkdir(path, *arguments)
+
+    monkeypatch.setattr(os, "mkdir", make_folder)
+    coordinator = Coordinator(settings, CLOCK, link_to, random.Random(1))
+    await coordinator.start()
+    assert not coordinator.log.is_open
+    full.clear()
+    await wait_until(lambda: coordinator.log.is_open)
+    assert len(os.listdir(tmp_path / "core-1" / "damaged-1")) == 1
+    await coordinator.close()
+
+
 @pytest.mark.parametrize(
     "part, method",
     [("publisher", "check_silence"), ("publisher", "handle_heartbeats")],
--- a/bulrushlead/replication/_storage.py
+++ b/bulrushlead/replication/_storage.py
@@ -169,7 +169,8 @@
 def set_files_aside(folder: str) -> str:
     """Move the files of a data folder to a new folder inside it.
 
-    The lock file stays.
+    The lock file stays. The newest journal is moved after the older ones: if a move
+    fails half-way, its damage is found again, and an older one never takes its place.
 
     Returns
     -------
@@ -180,7 +181,7 @@
     while os.path.exists(target := os.path.join(folder, f"{DAMAGED_PREFIX}{number}")):
         number += 1
     os.mkdir(target, FOLDER_MODE)
-    for name in os.listdir(folder):
+    for name in sorted(os.listdir(folder)):
         path = os.path.join(folder, name)
         if name != LOCK_NAME and os.path.isfile(path):
             os.rename(path, os.path.join(target, name))
