--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -48,6 +48,7 @@
     # Storage.
     TAIL_REPAIRED = 450
     STORAGE_FAILED = 451
+    STORAGE_OPENED = 452
     FLEET_RECALLED = 460
     FLEET_CACHE_UNUSABLE = 461
 
@@ -163,6 +164,7 @@
     ),
     _E.TAIL_REPAIRED: EventInfo("WARNING", "An incomplete last record was removed."),
     _E.STORAGE_FAILED: EventInfo("ERROR", "A write or sync failed."),
+    _E.STORAGE_OPENED: EventInfo("INFO", "The data folder of a replica was opened."),
     _E.FLEET_RECALLED: EventInfo("INFO", "The cached server list was read from disk."),
     _E.FLEET_CACHE_UNUSABLE: EventInfo(
         "WARNING", "The cached server list is not used."
--- a/bulrushlead/replication/_generation.py
+++ b/bulrushlead/replication/_generation.py
@@ -117,6 +117,30 @@
     return generation
 
 
+def remove_leftovers(storage: Storage, generation: Generation) -> list[str]:
+    """Remove the files that a generation, which was just loaded, does not use.
+
+    A write that failed for lack of room leaves files behind; without this they would
+    take the room that the next journal needs.
+
+    Returns
+    -------
+    list of str
+        Names of the removed files.
+    """
+    names = [name for name in storage.list_names() if _is_replica_file(name)]
+    snapshot = generation.snapshot
+    used = {generation.journal_name, "" if snapshot is None else snapshot.name}
+    leftovers = [name for name in names if name not in used]
+    if leftovers:
+        # The name of the journal may not be durable yet, and then its predecessor is
+        # the one that a power failure leaves.
+        storage.sync_folder()
+    for name in leftovers:
+        storage.remove(name)
+    return leftovers
+
+
 def write_generation(storage: Storage, generation: Generation) -> int:
     """Write a journal and its snapshot durably, then remove the older files.
 
--- a/bulrushlead/replication/_journal.py
+++ b/bulrushlead/replication/_journal.py
@@ -10,6 +10,7 @@
     Generation,
     Snapshot,
     load_generation,
+    remove_leftovers,
     write_generation,
 )
 from bulrushlead.replication._member_history import MemberHistory
@@ -77,6 +78,7 @@
         self._pending: list[bytes] = []
         self._waiters: list[asyncio.Future] = []
         self._rewrite_needed = False
+        self._removed_names: list[str] = []  # of files left behind by failed writes
         self._number = 0  # of the journal file
         self._sequence = 0  # of the last synced record in the file
         self._in_flight_index = 0  # of the last entry in the write in progress
@@ -116,6 +118,15 @@
                 removed_bytes=generation.torn_bytes,
             )
         self._initialise_from(generation)
+        self._log.write(
+            Event.STORAGE_OPENED,
+            replica_id=self.replica_id,
+            journal=generation.journal_name,
+            last_index=self.last_index,
+            last_term=self.last_term,
+            snapshot_index=self.snapshot.header.index if self.snapshot else 0,
+            removed_files=self._removed_names,
+        )
         self._writer = asyncio.create_task(self._run_writer())
 
     async def close(self) -> None:
@@ -252,6 +263,7 @@
     def _recover(self, new_replica_id: str) -> Generation:
         self.storage.open()
         generation = load_generation(self.storage) or Generation(0, new_replica_id)
+        self._removed_names = remove_leftovers(self.storage, generation)
         generation.number += 1
         self._sequence = write_generation(self.storage, generation)
         return generation
