Write a line for each request that ends without an answer

Callers saw connections that ended without an answer, and no line said why: a request that the end of a stop broke off was logged like one whose caller left first, a request that waited behind another one not at all, and no line told how many requests a process had when it stopped.

216 names each request that was received whole and whose connection ended before its whole answer: identifier, age, whether it was sent on, whether an answer was being sent, cause. 101 and the new 105 have the connections and requests in progress when a stop begins, refuses all and closes; 102 has how long it took and how many it broke off.

--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -234,6 +234,7 @@
         headers = server_headers(self.dialect, state, server.server_id, remaining_ms)
         data = render_request(request.method, request.target, headers, request.body)
         sent_ms = self.clock.now_ms()
+        request.sent_on = True
         # None on a new connection, which cannot be stale.
         idle_time_ms = (
             sent_ms - connection.idle_since_ms if connection.n_exchanges else None
--- a/bulrushlead/gateway/_program.py
+++ b/bulrushlead/gateway/_program.py
@@ -115,8 +115,10 @@
                 settings.peer_address, self.relay_service.answer, clock
             )
         self.front = HttpServer.at(settings.front_address, self.forwarder.answer, clock)
+        self.front.unanswered.id_header = dialect.request_id
         if self.peer_server is not None:
             self.peer_server.bodies = self.front.bodies
+            self.peer_server.unanswered.id_header = dialect.request_id
         self.readiness = HttpServer.at(
             settings.readiness_address, self._answer_readiness, clock
         )
@@ -184,9 +186,7 @@
         refused: a caller can repeat a request that has not run, but may not repeat
         one that is broken off.
         """
-        servers = [self.front]
-        if self.peer_server is not None:
-            servers.append(self.peer_server)
+        servers = self.request_servers
         for server in servers:
             server.drain()
         now_ms = self.clock.now_ms()
@@ -194,20 +194,33 @@
         deadline_ms = now_ms + self.settings.drain_ms
         self.forwarder.begin_stop(deadline_ms - ANSWER_MARGIN_MS)
         await self.clock.sleep_ms(accept_until_ms - now_ms)
+        self._write_progress("refuses all", deadline_ms)
         for server in servers:
             await server.stop_listening()
         self.forwarder.stop()
         while sum(not server.close_idle(CLOSE_IDLE_AFTER_MS) for server in servers):
             if self.clock.now_ms() >= deadline_ms:
-                return
+                break
             await self.clock.sleep_ms(CLOSE_IDLE_INTERVAL_MS)
+        self._write_progress("closes", deadline_ms)
+
+    def _write_progress(self, step: str, deadline_ms: float) -> None:
+        self._log.write(
+            Event.STOP_PROGRESS,
+            step=step,
+            left_ms=round(deadline_ms - self.clock.now_ms()),
+            connections=sum(len(one.connections) for one in self.request_servers),
+            in_progress=sum(one.count_in_progress() for one in self.request_servers),
+        )
+
+    @property
+    def request_servers(self) -> list[HttpServer]:
+        """Servers of requests: of callers, and of hosts that pass theirs on."""
+        return [self.front, *([self.peer_server] if self.peer_server else [])]
 
     async def close(self) -> None:
         """Close all connections without waiting for requests in progress."""
-        servers = [self.front, self.readiness]
-        if self.peer_server is not None:
-            servers.append(self.peer_server)
-        for server in servers:
+        for server in [*self.request_servers, self.readiness]:
             await server.close()
         # Together, since a coordinator that does not answer delays the session's end.
         await asyncio.gather(
--- a/bulrushlead/http1/__init__.py
+++ b/bulrushlead/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connections to callers and backend servers, parsed by ``httptools``."""
 
 from bulrushlead.http1._client import ClientConnection, ExchangeError, ExchangeFault
+from bulrushlead.http1._http_server import HttpServer
 from bulrushlead.http1._limits import RequestLimits
 from bulrushlead.http1._messages import (
     Answer,
@@ -13,7 +14,7 @@
     render_request,
 )
 from bulrushlead.http1._pool import CONNECT_TIMEOUT_MS, ConnectionPool
-from bulrushlead.http1._server import HttpServer, ServerConnection
+from bulrushlead.http1._server import ServerConnection
 
 __all__ = [
     "CONNECT_TIMEOUT_MS",
--- a/bulrushlead/http1/_messages.py
+++ b/bulrushlead/http1/_messages.py
@@ -66,6 +66,8 @@
         When its first byte arrived, in milliseconds of the host's clock.
     body_digest : bytes
         Digest of the body; computed from the body if it is not given.
+    sent_on : bool
+        Whether it was sent to a backend server or passed on to another host.
     """
 
     method: bytes
@@ -78,6 +80,7 @@
             lambda request: BodyDigest(request.body).digest(), takes_self=True
         )
     )
+    sent_on: bool = False
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a field, by its lower-case name, or None."""
--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -1,15 +1,11 @@
-"""HTTP server: parses requests and passes them to a handler in order."""
+"""Connection of a caller: parses requests and passes them to a handler in order."""
 
 import asyncio
-import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 import httptools
 
-from bulrushlead.clock import Clock
-from bulrushlead.http1._budget import MAX_BODY_BYTES, ByteBudget
-from bulrushlead.http1._limits import RequestLimits
 from bulrushlead.http1._messages import (
     Answer,
     BodyDigest,
@@ -17,17 +13,17 @@
     find_header,
     render_answer,
 )
-from bulrushlead.logs import Event, EventLogger
+from bulrushlead.http1._unanswered import end_cause
+from bulrushlead.logs import Event
 from bulrushlead.results import ResultCode
 
-TIMEOUT_CHECK_MS = 500  # precision of the idle and header timeouts
-LISTEN_BACKLOG = 1024
+if TYPE_CHECKING:
+    from bulrushlead.http1._http_server import HttpServer
+
 BODY_RETRY_AFTER_S = 1  # about the time in which another large body is sent on
 DISCARD_S = 5.0  # longest time for the rest of a body that was refused
 MAX_PIPELINED_REQUESTS = 16  # more queued on one connection is treated as abuse
 
-Handler = Callable[[Request], Awaitable[Answer]]
-
 
 class ServerConnection(asyncio.Protocol):
     """One connection of a caller; a single task answers its requests in order.
@@ -46,6 +42,10 @@
         self._reserved_bytes = 0  # of the body that is being received
         self._discards = False
         self._task: asyncio.Task | None = None
+        self._current: Request | None = None
+        self._unsent: Request | None = None  # whose answer waits to be sent
+        self._is_paused = False
+        self._close_cause = ""
         self._closing = False
         self._idle_since_ms = server.clock.now_ms()
         self._first_byte_ms: float | None = None
@@ -59,6 +59,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in progress, since its answer cannot be delivered."""
         self.server.connections.discard(self)
+        cause = end_cause(self._close_cause, error)
+        for request in self.unanswered_requests():
+            self.server.unanswered.record(request, cause, request is self._unsent)
         self._closing = True
         self.server.bodies.release(
             self._reserved_bytes + sum(reserved for _, _, reserved in self._queued)
@@ -68,6 +71,21 @@
         if self._task is not None:
             self._task.cancel()
 
+    def pause_writing(self) -> None:
+        """Note that a part of an answer waits to be sent."""
+        self._is_paused = True
+
+    def resume_writing(self) -> None:
+        """Note that the answers have been sent."""
+        self._is_paused = False
+        self._unsent = None
+
+    def unanswered_requests(self) -> list[Request]:
+        """Return the requests that were received whole and have no whole answer."""
+        begun = [self._unsent, self._current]
+        queued = [request for request, _, _ in self._queued]
+        return [request for request in begun if request is not None] + queued
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser and enforce the header size limit."""
         if self._closing:
@@ -133,7 +151,7 @@
         if self._closing:
             return
         if self._discards:
-            self.close()
+            self.close("refused")
             return
         keep_alive = self._parser.should_keep_alive()
         request = Request(
@@ -175,8 +193,15 @@
         if self.server.clock.now_ms() - self._idle_since_ms >= idle_ms:
             self.close()
 
-    def close(self) -> None:
-        """Close the connection once buffered output has been sent."""
+    def close(self, cause: str = "") -> None:
+        """Close the connection once buffered output has been sent.
+
+        Parameters
+        ----------
+        cause : str, optional
+            Why requests in progress get no answer, for their log lines.
+        """
+        self._close_cause = self._close_cause or cause
         self._closing = True
         if self.transport is not None:
             self.transport.close()
@@ -194,6 +219,7 @@
     async def _serve(self) -> None:
         while self._queued and not self._closing:
             request, keep_alive, reserved_bytes = self._queued.popleft()
+            self._current = request
             try:
                 answer = await self.server.handler(request)
             except asyncio.CancelledError:
@@ -208,6 +234,9 @@
             keep_alive = keep_alive and not answer.close and not self.server.draining
             with_body = request.method != b"HEAD"
             self.transport.write(render_answer(answer, keep_alive, with_body))
+            self._current = None
+            if self._is_paused:
+                self._unsent = request
             if not keep_alive:
                 self.close()
                 return
@@ -239,158 +268,11 @@
         if self._task is None:
             answer = Answer(503, [(b"retry-after", b"%d" % BODY_RETRY_AFTER_S)])
             self.transport.write(render_answer(answer, keep_alive=False))
-        asyncio.get_running_loop().call_later(DISCARD_S, self.close)
+        asyncio.get_running_loop().call_later(DISCARD_S, self.close, "refused")
 
     def _refuse(self, status: int) -> None:
         if self._closing:
             return
         if self._task is None:
             self.transport.write(render_answer(Answer(status), keep_alive=False))
-        self.close()
-
-
-class HttpServer:
-    """HTTP server on one address.
-
-    Parameters
-    ----------
-    address, port : str, int
-        Address to listen on; with port 0 the operating system chooses a port.
-    handler : callable
-        Coroutine function from ``Request`` to ``Answer``; cancelled when the
-        caller closes its connection.
-    clock : Clock
-        Source of time.
-    limits : RequestLimits, optional
-        Limits on requests; may be replaced while the server runs.
-
-    Attributes
-    ----------
-    draining : bool
-        Whether the server closes each connection after its next answer.
-    bodies : ByteBudget
-        Bound on the bodies of all requests in progress; servers of one process may
-        share it.
-    """
-
-    def __init__(
-        self,
-        address: str,
-        port: int,
-        handler: Handler,
-        clock: Clock,
-        limits: RequestLimits | None = None,
-    ):
-        self.address = address
-        self.port = port
-        self.handler = handler
-        self.clock = clock
-        self.limits = limits or RequestLimits()
-        self.draining = False
-        self.connections: set[ServerConnection] = set()
-        self.bodies = ByteBudget(MAX_BODY_BYTES)
-        self.log = EventLogger("http1")
-        self._socket: socket.socket | None = None
-        self._server: asyncio.Server | None = None
-        self._timeout_task: asyncio.Task | None = None
-
-    @classmethod
-    def at(
-        cls,
-        address: str,
-        handler: Handler,
-        clock: Clock,
-        limits: RequestLimits | None = None,
-    ) -> "HttpServer":
-        """Return a server that will listen on ``host:port``."""
-        host, _, port = address.rpartition(":")
-        return cls(host, int(port), handler, clock, limits)
-
-    async def start(self) -> None:
-        """Listen for connections."""
-        loop = asyncio.get_running_loop()
-        self._socket = _bind(self.address, self.port)
-        self.port = self._socket.getsockname()[1]
-        self._server = await loop.create_server(
-            lambda: ServerConnection(self), sock=self._socket, backlog=LISTEN_BACKLOG
-        )
-        self._timeout_task = loop.create_task(self._check_timeouts())
-
-    def drain(self) -> None:
-        """Close each connection after its next answer; still accept new ones."""
-        self.draining = True
-
-    async def stop_listening(self) -> None:
-        """Stop accepting connections; open ones stay open.
-
-        Those that the kernel has accepted already are taken over, since closing the
-        listening socket would reset them with their requests.
-        """
-        if self._server is None:
-            return
-        listener = self._socket.dup()
-        self._close_listener()
-        accepted = []
-        try:
-            while True:
-                accepted.append(listener.accept()[0])
-        except OSError:
-            pass  # BlockingIOError: no connection is left
-        finally:
-            listener.close()
-        loop = asyncio.get_running_loop()
-        for sock in accepted:
-            sock.setblocking(False)
-            await loop.connect_accepted_socket(lambda: ServerConnection(self), sock)
-
-    def close_idle(self, idle_ms: float) -> bool:
-        """Close the connections on which nothing happened for a time.
-
-        Parameters
-        ----------
-        idle_ms : float
-            Milliseconds for which a connection has been open, or idle after its last
-            answer; on a shorter one a request may have arrived that is not read yet.
-
-        Returns
-        -------
-        bool
-            Whether all connections are closed.
-        """
-        for connection in list(self.connections):
-            connection.close_if_idle(idle_ms)
-        return not self.connections
-
-    async def close(self) -> None:
-        """Stop listening and close every connection."""
-        if self._timeout_task is not None:
-            self._timeout_task.cancel()
-            self._timeout_task = None
-        self._close_listener()
-        for connection in list(self.connections):
-            connection.close()
-        await asyncio.sleep(0)
-
-    def _close_listener(self) -> None:
-        if self._server is not None:
-            self._server.close()
-            self._server = self._socket = None
-
-    async def _check_timeouts(self) -> None:
-        while True:
-            await self.clock.sleep_ms(TIMEOUT_CHECK_MS)
-            now_ms = self.clock.now_ms()
-            for connection in list(self.connections):
-                connection.check_timeouts(now_ms)
-
-
-def _bind(address: str, port: int) -> socket.socket:
-    sock = socket.socket()
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((address, port))
-    except OSError:
-        sock.close()
-        raise
-    return sock
+        self.close(f"refused with {status} what came after it")
--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -14,6 +14,7 @@
     PROCESS_STOPPED = 102
     UNEXPECTED_ERROR = 103
     SETTINGS_RELOADED = 104
+    STOP_PROGRESS = 105
     LINES_DROPPED = 110
 
     # Look-ups, routing and placement.
@@ -25,6 +26,7 @@
     ATTEMPT_FAILED = 213
     RETRY_CHOSEN = 214
     REQUEST_FAILED = 215
+    REQUEST_UNANSWERED = 216
 
     # Configuration and distribution.
     CONFIGURATION_ACCEPTED = 300
@@ -120,6 +122,7 @@
     _E.PROCESS_STOPPING: EventInfo("INFO", "A graceful shutdown has started."),
     _E.PROCESS_STOPPED: EventInfo("INFO", "A process has stopped."),
     _E.UNEXPECTED_ERROR: EventInfo("ERROR", "An unexpected error was caught."),
+    _E.STOP_PROGRESS: EventInfo("INFO", "A graceful shutdown has reached a step."),
     _E.SETTINGS_RELOADED: EventInfo("INFO", "The settings were reloaded."),
     _E.LINES_DROPPED: EventInfo(
         "WARNING", "Log lines were dropped because their reader is too slow."
@@ -132,6 +135,9 @@
     _E.ATTEMPT_FAILED: EventInfo("WARNING", "An attempt at a request failed."),
     _E.RETRY_CHOSEN: EventInfo("INFO", "A request is retried on another server."),
     _E.REQUEST_FAILED: EventInfo("WARNING", "A request ended without success."),
+    _E.REQUEST_UNANSWERED: EventInfo(
+        "WARNING", "A connection ended before the whole answer to a request."
+    ),
     _E.CONFIGURATION_ACCEPTED: EventInfo(
         "INFO", "A configuration change was accepted."
     ),
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -87,6 +87,7 @@
         self._stop_requested = asyncio.Event()
         self._reload_requested = asyncio.Event()
         self._reload_callbacks: list[Callable[[HostSettings], None]] = []
+        self._servers: list[HttpServer] = []
         self._log = EventLogger("platform")
 
     async def run(self) -> None:
@@ -114,6 +115,7 @@
                 self._reload_callbacks.append(
                     lambda new: gateway.reload(new.for_gateway())
                 )
+                self._servers += gateway.request_servers
                 meters = gateway.meters
             if settings.serves_control or settings.serves_directory:
                 meters = await self._start_control(stack)
@@ -122,15 +124,36 @@
             watcher = asyncio.create_task(self._watch_settings())
             await self._stop_requested.wait()
             watcher.cancel()
-            self._log.write(Event.PROCESS_STOPPING, host_id=settings.host_id)
+            started_ms = self.clock.now_ms()
+            before = self._count_unanswered()
+            self._log.write(
+                Event.PROCESS_STOPPING,
+                host_id=settings.host_id,
+                grace_ms=round(settings.grace_ms),
+                connections=sum(len(one.connections) for one in self._servers),
+                in_progress=sum(one.count_in_progress() for one in self._servers),
+            )
             for gateway in gateways:
                 await gateway.drain()
-        self._log.write(Event.PROCESS_STOPPED, host_id=settings.host_id)
+        self._log.write(
+            Event.PROCESS_STOPPED,
+            host_id=settings.host_id,
+            took_ms=round(self.clock.now_ms() - started_ms),
+            unanswered=self._count_unanswered() - before,
+            in_progress=sum(one.count_in_progress() for one in self._servers),
+        )
+
+    def _count_unanswered(self) -> int:
+        return sum(one.unanswered.count for one in self._servers)
 
     async def _start_component(self, stack, component) -> None:
         await component.start()
         stack.push_async_callback(component.close)
 
+    async def _start_server(self, stack, server: HttpServer) -> None:
+        await self._start_component(stack, server)
+        self._servers.append(server)
+
     async def _start_control(self, stack) -> CompactMeters:
         # Imported here to save memory: a host loads only the program that it runs.
         from bulrushlead.coordinator import Coordinator
@@ -153,7 +176,7 @@
             interface = _control.ControlInterface(
                 coordinator, settings.zone_regions, clock
             )
-            await self._start_component(
+            await self._start_server(
                 stack,
                 HttpServer.at(
                     settings.control_address, interface.answer, clock, _control.LIMITS
@@ -166,7 +189,7 @@
                 settings.lookup_ttl_ms,
                 self.rng,
             )
-            await self._start_component(
+            await self._start_server(
                 stack,
                 HttpServer.at(
                     settings.directory_address,
--- a/bulrushlead/relay/_client.py
+++ b/bulrushlead/relay/_client.py
@@ -101,6 +101,7 @@
         headers.append((EXCHANGE_HEADER, exchange_id))
         headers.append((ORDER_HEADER, encode_order(order)))
         data = render_request(request.method, request.target, headers, request.body)
+        request.sent_on = True
         try:
             answer = await self.clock.wait_for(
                 connection.exchange(data, exchange_id, request.method == b"HEAD"),
