Answer a request whatever follows it on its connection

A caller whose connection carried more than the request in progress got no answer to it: bytes that are no request, more than 16 waiting requests, a head or body that is too large or finds no room, or a request after the last one closed the connection at once, and with it a request that a server was running. A host that stopped closed the connection after its next answer, and dropped the requests that had arrived behind it.

What cannot be served is now refused after the answers to what came before, and nothing more is read; while a host drains, the answer to the last request that has arrived ends the connection.

--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -41,6 +41,8 @@
         self._queued: deque[tuple[Request, bool, int]] = deque()
         self._reserved_bytes = 0  # of the body that is being received
         self._discards = False
+        self._is_refused = False  # what came last, so that no more is read
+        self._refusal: Answer | None = None  # of it, unless it is sent
         self._task: asyncio.Task | None = None
         self._current: Request | None = None
         self._unsent: Request | None = None  # whose answer waits to be sent
@@ -88,7 +90,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser and enforce the header size limit."""
-        if self._closing:
+        if self._closing or (self._is_refused and not self._discards):
             return
         if self._first_byte_ms is None:
             self._first_byte_ms = self.server.clock.now_ms()
@@ -123,6 +125,8 @@
     def on_headers_complete(self) -> None:
         """Check the size of the header fields; send ``100 Continue`` if expected."""
         self._in_header_section = False
+        if self._closing or self._is_refused:
+            return
         limits = self.server.limits
         size = sum(len(n) + len(v) + 4 for n, v in self._headers) + len(self._target)
         length = int(find_header(self._headers, b"content-length") or 0)
@@ -130,12 +134,12 @@
             self._refuse(431)
         elif length <= limits.max_body_bytes and not self._reserve(length):
             self._refuse_body()
-        elif self._expects_continue and not self._closing:
+        elif self._expects_continue:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        if self._closing or self._discards:
+        if self._closing or self._is_refused:
             return
         self._body_bytes += len(body)
         if self._body_bytes > self.server.limits.max_body_bytes:
@@ -148,10 +152,9 @@
 
     def on_message_complete(self) -> None:
         """Queue the request, and start the answering task unless it is running."""
-        if self._closing:
-            return
         if self._discards:
-            self.close("refused")
+            self._end_discard()
+        if self._closing or self._is_refused:
             return
         keep_alive = self._parser.should_keep_alive()
         request = Request(
@@ -231,7 +234,10 @@
                 self.server.bodies.release(reserved_bytes)
             if self._closing:
                 return
-            keep_alive = keep_alive and not answer.close and not self.server.draining
+            # While a server drains, the last request that has arrived ends the
+            # connection: the others were received as well.
+            is_last = self.server.draining and not self._queued
+            keep_alive = keep_alive and not answer.close and not is_last
             with_body = request.method != b"HEAD"
             self.transport.write(render_answer(answer, keep_alive, with_body))
             self._current = None
@@ -242,6 +248,8 @@
                 return
         self._idle_since_ms = self.server.clock.now_ms()
         self._task = None
+        if self._is_refused:
+            self._send_refusal()
 
     def _reserve(self, n_bytes: int) -> bool:
         """Reserve room for a part of the body; return whether there is enough."""
@@ -265,14 +273,29 @@
             Event.REQUEST_REFUSED,
             refusal=f"{ResultCode.OVERLOADED.value} OVERLOADED: too many large bodies",
         )
-        if self._task is None:
-            answer = Answer(503, [(b"retry-after", b"%d" % BODY_RETRY_AFTER_S)])
-            self.transport.write(render_answer(answer, keep_alive=False))
-        asyncio.get_running_loop().call_later(DISCARD_S, self.close, "refused")
+        self._is_refused = True
+        self._refusal = Answer(503, [(b"retry-after", b"%d" % BODY_RETRY_AFTER_S)])
+        asyncio.get_running_loop().call_later(DISCARD_S, self._end_discard)
+        self._send_refusal()
+
+    def _end_discard(self) -> None:
+        self._discards = False
+        self._send_refusal()
 
     def _refuse(self, status: int) -> None:
-        if self._closing:
+        """Refuse what came last, and close the connection."""
+        if self._closing or self._is_refused:
             return
-        if self._task is None:
-            self.transport.write(render_answer(Answer(status), keep_alive=False))
-        self.close(f"refused with {status} what came after it")
+        self._is_refused = True
+        self._refusal = Answer(status)
+        self._send_refusal()
+
+    def _send_refusal(self) -> None:
+        """Send the refusal and close, once the requests before it are answered."""
+        if self._closing or self._task is not None:
+            return
+        if self._refusal is not None:
+            self.transport.write(render_answer(self._refusal, keep_alive=False))
+            self._refusal = None
+        if not self._discards:
+            self.close()
