Answer a request that offers another protocol

The offer is ignored, as RFC 9110 allows: the request is parsed again without it, since the parser takes its body for bytes of the other protocol. CONNECT is refused with 400.

--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -98,13 +98,30 @@
             self._header_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+        except httptools.HttpParserUpgrade as upgrade:
+            self._decline_upgrade(data[upgrade.args[0] :])
+        except httptools.HttpParserError:
             self._refuse(400)
         else:
             limits = self.server.limits
             if self._in_header_section and self._header_bytes > limits.max_header_bytes:
                 self._refuse(431)
 
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Parse a request again without its offer of another protocol.
+
+        RFC 9110, section 7.8: a server may ignore the offer. The parser takes what
+        follows the head for bytes of that protocol, although it may be a body.
+        """
+        method, target, headers = self._parser.get_method(), self._target, self._headers
+        if method == b"CONNECT":
+            self._refuse(400)
+            return
+        head = [b"%s %s HTTP/1.1\r\n" % (method, target)]
+        head += [b"%s: %s\r\n" % field for field in headers if field[0] != b"upgrade"]
+        self._parser = httptools.HttpRequestParser(self)
+        self.data_received(b"".join(head) + b"\r\n" + rest)
+
     def on_message_begin(self) -> None:
         """Start a request."""
         self._start_message()
@@ -125,7 +142,7 @@
     def on_headers_complete(self) -> None:
         """Check the size of the header fields; send ``100 Continue`` if expected."""
         self._in_header_section = False
-        if self._closing or self._is_refused:
+        if self._closing or self._is_refused or self._parser.should_upgrade():
             return
         limits = self.server.limits
         size = sum(len(n) + len(v) + 4 for n, v in self._headers) + len(self._target)
@@ -154,7 +171,7 @@
         """Queue the request, and start the answering task unless it is running."""
         if self._discards:
             self._end_discard()
-        if self._closing or self._is_refused:
+        if self._closing or self._is_refused or self._parser.should_upgrade():
             return
         keep_alive = self._parser.should_keep_alive()
         request = Request(
@@ -234,10 +251,10 @@
                 self.server.bodies.release(reserved_bytes)
             if self._closing:
                 return
-            # While a server drains, the last request that has arrived ends the
-            # connection: the others were received as well.
-            is_last = self.server.draining and not self._queued
-            keep_alive = keep_alive and not answer.close and not is_last
+            # While a server drains, the answer to what came last ends the connection.
+            is_last = not self._queued and self._refusal is None
+            ends = answer.close or (self.server.draining and is_last)
+            keep_alive = keep_alive and not ends
             with_body = request.method != b"HEAD"
             self.transport.write(render_answer(answer, keep_alive, with_body))
             self._current = None
