Close no connection with unread bytes at once

A close with unread bytes is a reset, which loses the answer that is on its way. A caller that was still sending when its request was refused (400, 408, 413, 431) saw a reset, and so did one whose next bytes had arrived beside the last answer. A host whose event loop was late by the idle time closed connections as idle on which a request had arrived.

A refusal now ends the sending side only, and the connection closes with the caller's end or after a second; the same where bytes wait beside a last answer. A connection on which bytes wait is not idle.

--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -1,6 +1,7 @@
 """Connection of a caller: parses requests and passes them to a handler in order."""
 
 import asyncio
+import select
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,7 @@
 
 BODY_RETRY_AFTER_S = 1  # about the time in which another large body is sent on
 DISCARD_S = 5.0  # longest time for the rest of a body that was refused
+LINGER_S = 1.0  # longest time until a caller closes whose bytes are not read
 MAX_PIPELINED_REQUESTS = 16  # more queued on one connection is treated as abuse
 
 
@@ -203,14 +205,15 @@
                 and now_ms - self._first_byte_ms > limits.header_timeout_ms
             ):
                 self._refuse(408)
-        elif now_ms - self._idle_since_ms > limits.idle_timeout_ms:
-            self.close()
+        else:
+            self.close_if_idle(limits.idle_timeout_ms)
 
     def close_if_idle(self, idle_ms: float) -> None:
         """Close the connection if no request came or was answered for a time."""
         if self._task is not None or self._first_byte_ms is not None or self._closing:
             return
-        if self.server.clock.now_ms() - self._idle_since_ms >= idle_ms:
+        idle_since_ms = self.server.clock.now_ms() - idle_ms
+        if self._idle_since_ms <= idle_since_ms and not self._has_unread():
             self.close()
 
     def close(self, cause: str = "") -> None:
@@ -261,7 +264,10 @@
             if self._is_paused:
                 self._unsent = request
             if not keep_alive:
-                self.close()
+                if self._has_unread():
+                    self._linger()
+                else:
+                    self.close()
                 return
         self._idle_since_ms = self.server.clock.now_ms()
         self._task = None
@@ -315,4 +321,19 @@
             self.transport.write(render_answer(self._refusal, keep_alive=False))
             self._refusal = None
         if not self._discards:
-            self.close()
+            self._linger()
+
+    def _linger(self) -> None:
+        """Close once the caller has, but soon.
+
+        A close with unread bytes is a reset, and loses an answer on its way.
+        """
+        self._is_refused = True
+        self.transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self.close)
+
+    def _has_unread(self) -> bool:
+        """Return whether bytes of the caller have arrived that are not read yet."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
--- a/bulrushlead/http1/tests/test_server.py
+++ b/bulrushlead/http1/tests/test_server.py
@@ -1,6 +1,7 @@
 """HTTP server: order of answers, limits, timeouts, cancellation and draining."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -204,3 +205,43 @@
         writer.close()
         while server.bodies.used_bytes:
             await asyncio.sleep(0.01)
+
+
+async def test_a_refusal_reaches_a_caller_that_is_still_sending(serve):
+    """Guards against a reset that loses the refusal: its cause is unread bytes."""
+    server = await serve(limits=RequestLimits(2_000, 50))
+    with socket.create_connection(("127.0.0.1", server.port)) as sock:
+        sock.sendall(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 99\r\n\r\n")
+        for _ in range(20):
+            sock.sendall(b"x" * 40)
+            await asyncio.sleep(0.01)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        received = await asyncio.wait_for(loop.sock_recv(sock, 1_000), 5)
+    assert received.startswith(b"HTTP/1.1 413 ")
+
+
+async def test_a_connection_with_unread_bytes_is_not_idle(serve):
+    """Guards against requests that a busy process has not read, and resets."""
+    server = await serve()
+    with socket.create_connection(("127.0.0.1", server.port)) as sock:
+        await asyncio.sleep(0.05)
+        sock.sendall(GET_AND_CLOSE)
+        assert not server.close_idle(0)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        received = await asyncio.wait_for(loop.sock_recv(sock, 1_000), 5)
+    assert received.startswith(b"HTTP/1.1 200 ")
+
+
+async def test_an_answer_that_ends_a_connection_reaches_its_caller(serve):
+    """Guards against a reset that loses the answer: its cause is unread bytes."""
+    server = await serve()
+    with socket.create_connection(("127.0.0.1", server.port)) as sock:
+        await asyncio.sleep(0.05)
+        sock.sendall(GET_AND_CLOSE)
+        (connection,) = server.connections
+        connection.data_received(GET_AND_CLOSE)
+        await asyncio.sleep(0.05)
+        assert sock.recv(1_000).startswith(b"HTTP/1.1 200 ")
+        assert sock.recv(1_000) == b""
