--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -48,6 +48,7 @@
     parser = argparse.ArgumentParser(prog="bulrushlead.platform")
     parser.add_argument("--listen-peers", default="", metavar="IP")
     arguments = parser.parse_args()
+    fingerprint = file_fingerprint(path)
     try:
         settings = attrs.evolve(
             load_host_settings(path), peer_listen_ip=arguments.listen_peers
@@ -60,7 +61,7 @@
     try:
         handler = build_handler(LogFormat.JSON, stream, max_lines_per_s=MAX_LINES_PER_S)
         with handler.applicationbound():
-            uvloop.run(Process(settings, path, stream).run())
+            uvloop.run(Process(settings, path, stream, fingerprint).run())
     finally:
         stream.close()
 
@@ -76,12 +77,21 @@
         File that the settings were loaded from.
     stream : BufferedStream
         Stream that log lines are written to.
+    fingerprint : tuple of int
+        ``file_fingerprint`` of the file before it was loaded.
     """
 
-    def __init__(self, settings: HostSettings, path: str, stream: BufferedStream):
+    def __init__(
+        self,
+        settings: HostSettings,
+        path: str,
+        stream: BufferedStream,
+        fingerprint: tuple[int, int],
+    ):
         self.settings = settings
         self.path = path
         self.stream = stream
+        self.fingerprint = fingerprint
         self.clock = MonotonicClock()
         self.rng = random.Random(os.urandom(16))
         self._stop_requested = asyncio.Event()
@@ -221,17 +231,16 @@
 
     async def _watch_settings(self) -> None:
         """Reload the settings on SIGHUP and whenever the file has changed."""
-        last_fingerprint = self._fingerprint()
         while True:
             try:
                 await self.clock.wait_for(
                     self._reload_requested.wait(), SETTINGS_CHECK_MS
                 )
             except TimeoutError:
-                if self._fingerprint() == last_fingerprint:
+                if file_fingerprint(self.path) == self.fingerprint:
                     continue
             self._reload_requested.clear()
-            last_fingerprint = self._fingerprint()
+            self.fingerprint = file_fingerprint(self.path)
             try:
                 self._reload()
             except BulrushleadError as error:
@@ -258,12 +267,14 @@
             seeds=settings.seeds,
         )
 
-    def _fingerprint(self) -> tuple[int, int]:
-        try:
-            status = os.stat(self.path)
-        except OSError:
-            return (0, 0)  # the file is being replaced; the next check finds it
-        return (status.st_mtime_ns, status.st_size)
+
+def file_fingerprint(path: str) -> tuple[int, int]:
+    """Return what changes whenever a file is replaced: its time and size."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return (0, 0)  # the file is being replaced; the next check finds it
+    return (status.st_mtime_ns, status.st_size)
 
 
 def _build_gateway(settings: HostSettings, clock: MonotonicClock, rng: random.Random):
