--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -48,6 +48,7 @@
     parser = argparse.ArgumentParser(prog="bulrushlead.platform")
     parser.add_argument("--listen-peers", default="", metavar="IP")
     arguments = parser.parse_args()
+    fingerprint = file_fingerprint(path)
     try:
         settings = attrs.evolve(
             load_host_settings(path), peer_listen_ip=arguments.listen_peers
@@ -60,7 +61,7 @@
     try:
         handler = build_handler(LogFormat.JSON, stream, max_lines_per_s=MAX_LINES_PER_S)
         with handler.applicationbound():
-            uvloop.run(Process(settings, path, stream).run())
+            uvloop.run(Process(settings, path, stream, fingerprint).run())
     finally:
         stream.close()
 
@@ -76,17 +77,27 @@
         File that the settings were loaded from.
     stream : BufferedStream
         Stream that log lines are written to.
+    fingerprint : tuple of int
+        ``file_fingerprint`` of the file before it was loaded.
     """
 
-    def __init__(self, settings: HostSettings, path: str, stream: BufferedStream):
+    def __init__(
+        self,
+        settings: HostSettings,
+        path: str,
+        stream: BufferedStream,
+        fingerprint: tuple[int, int],
+    ):
         self.settings = settings
         self.path = path
         self.stream = stream
+        self.fingerprint = fingerprint
         self.clock = MonotonicClock()
         self.rng = random.Random(os.urandom(16))
         self._stop_requested = asyncio.Event()
         self._reload_requested = asyncio.Event()
         self._reload_callbacks: list[Callable[[HostSettings], None]] = []
+        self._servers: list[HttpServer] = []
         self._log = EventLogger("platform")
 
     async def run(self) -> None:
@@ -114,6 +125,7 @@
                 self._reload_callbacks.append(
                     lambda new: gateway.reload(new.for_gateway())
                 )
+                self._servers += gateway.request_servers
                 meters = gateway.meters
             if settings.serves_control or settings.serves_directory:
                 meters = await self._start_control(stack)
@@ -122,15 +134,36 @@
             watcher = asyncio.create_task(self._watch_settings())
             await self._stop_requested.wait()
             watcher.cancel()
-            self._log.write(Event.PROCESS_STOPPING, host_id=settings.host_id)
+            started_ms = self.clock.now_ms()
+            before = self._count_unanswered()
+            self._log.write(
+                Event.PROCESS_STOPPING,
+                host_id=settings.host_id,
+                grace_ms=round(settings.grace_ms),
+                connections=sum(len(one.connections) for one in self._servers),
+                in_progress=sum(one.count_in_progress() for one in self._servers),
+            )
             for gateway in gateways:
                 await gateway.drain()
-        self._log.write(Event.PROCESS_STOPPED, host_id=settings.host_id)
+        self._log.write(
+            Event.PROCESS_STOPPED,
+            host_id=settings.host_id,
+            took_ms=round(self.clock.now_ms() - started_ms),
+            unanswered=self._count_unanswered() - before,
+            in_progress=sum(one.count_in_progress() for one in self._servers),
+        )
+
+    def _count_unanswered(self) -> int:
+        return sum(one.unanswered.count for one in self._servers)
 
     async def _start_component(self, stack, component) -> None:
         await component.start()
         stack.push_async_callback(component.close)
 
+    async def _start_server(self, stack, server: HttpServer) -> None:
+        await self._start_component(stack, server)
+        self._servers.append(server)
+
     async def _start_control(self, stack) -> CompactMeters:
         # Imported here to save memory: a host loads only the program that it runs.
         from bulrushlead.coordinator import Coordinator
@@ -153,7 +186,7 @@
             interface = _control.ControlInterface(
                 coordinator, settings.zone_regions, clock
             )
-            await self._start_component(
+            await self._start_server(
                 stack,
                 HttpServer.at(
                     settings.control_address, interface.answer, clock, _control.LIMITS
@@ -166,7 +199,7 @@
                 settings.lookup_ttl_ms,
                 self.rng,
             )
-            await self._start_component(
+            await self._start_server(
                 stack,
                 HttpServer.at(
                     settings.directory_address,
@@ -198,17 +231,16 @@
 
     async def _watch_settings(self) -> None:
         """Reload the settings on SIGHUP and whenever the file has changed."""
-        last_fingerprint = self._fingerprint()
         while True:
             try:
                 await self.clock.wait_for(
                     self._reload_requested.wait(), SETTINGS_CHECK_MS
                 )
             except TimeoutError:
-                if self._fingerprint() == last_fingerprint:
+                if file_fingerprint(self.path) == self.fingerprint:
                     continue
             self._reload_requested.clear()
-            last_fingerprint = self._fingerprint()
+            self.fingerprint = file_fingerprint(self.path)
             try:
                 self._reload()
             except BulrushleadError as error:
@@ -235,12 +267,14 @@
             seeds=settings.seeds,
         )
 
-    def _fingerprint(self) -> tuple[int, int]:
-        try:
-            status = os.stat(self.path)
-        except OSError:
-            return (0, 0)  # the file is being replaced; the next check finds it
-        return (status.st_mtime_ns, status.st_size)
+
+def file_fingerprint(path: str) -> tuple[int, int]:
+    """Return what changes whenever a file is replaced: its time and size."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return (0, 0)  # the file is being replaced; the next check finds it
+    return (status.st_mtime_ns, status.st_size)
 
 
 def _build_gateway(settings: HostSettings, clock: MonotonicClock, rng: random.Random):
