Log failed campaigns and delayed joins

Change: 406 names the voters that granted, refused (with the reason, new in the reply) and did not answer; 407 tells on the leader why it does not add or promote a sender; 408 tells on a replica whom it asked in vain. Each is written on change, at most twice a second for a replica, and every 5 s otherwise. Admission moves out of Membership into a module of its own; its rules are the same.

Before: no line in the cases of test_state_lines.py. After: one to four each.

--- a/bulrushlead/logs/_events.py
+++ b/bulrushlead/logs/_events.py
@@ -44,6 +44,9 @@
     SNAPSHOT_INSTALLED = 403
     MEMBERSHIP_CHANGED = 404
     REPLICA_STALLED = 405
+    CAMPAIGN_FAILED = 406
+    ADMISSION_DELAYED = 407
+    JOIN_DELAYED = 408
 
     # Storage.
     TAIL_REPAIRED = 450
@@ -161,6 +164,15 @@
     _E.REPLICA_STALLED: EventInfo(
         "WARNING", "A replica does not acknowledge, cannot join or cannot be removed."
     ),
+    _E.CAMPAIGN_FAILED: EventInfo(
+        "WARNING", "This replica was not elected as the leader."
+    ),
+    _E.ADMISSION_DELAYED: EventInfo(
+        "WARNING", "This leader does not add or promote a replica that asks to join."
+    ),
+    _E.JOIN_DELAYED: EventInfo(
+        "WARNING", "This replica asks to join, and is no voter or hears no leader."
+    ),
     _E.TAIL_REPAIRED: EventInfo("WARNING", "An incomplete last record was removed."),
     _E.STORAGE_FAILED: EventInfo("ERROR", "A write or sync failed."),
     _E.FLEET_RECALLED: EventInfo("INFO", "The cached server list was read from disk."),
--- a/bulrushlead/replication/_joining.py
+++ b/bulrushlead/replication/_joining.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bulrushlead.logs import Event
+from bulrushlead.replication._change_log import ChangeLog
 from bulrushlead.replication._messages import (
     EntryKind,
     JoinReply,
@@ -22,10 +23,12 @@
     from bulrushlead.replication._replica import Replica
 
 ID_BITS = 64
+MAX_LOGGED_ADDRESSES = 16
 MAX_LEARNED_ADDRESSES = 64  # far more than a cluster has members
 JOIN_INTERVAL_HEARTBEATS = 2
 LOST_CONTACT_TIMEOUTS = 3  # election timeouts without a leader before joining again
 FIRST_TERM = 1
+JOIN_LOG_TIMEOUTS = 3  # election timeouts after which a join counts as delayed
 
 
 class Joining:
@@ -44,6 +47,9 @@
         self.replica = replica
         self._learned_addresses: set[str] = set()
         self._last_blocking_reason = ""
+        self._asked_addresses: set[str] = set()
+        self._joining_since_ms: float | None = None
+        self._delays = ChangeLog(replica.log, replica.clock)
 
     async def run(self) -> None:
         """Join while this replica is not a voter in its own log or has lost contact.
@@ -54,7 +60,11 @@
         replica, settings = self.replica, self.replica.settings
         while True:
             if not replica.is_voter() or self._has_lost_contact():
+                if self._joining_since_ms is None:
+                    self._joining_since_ms = replica.clock.now_ms()
                 await self._join()
+            else:
+                self._joining_since_ms = None
             await replica.clock.sleep_ms(
                 settings.heartbeat_ms * JOIN_INTERVAL_HEARTBEATS
             )
@@ -72,6 +82,7 @@
     async def _join(self) -> None:
         replica = self.replica
         replies = await self._request_join_from_all()
+        self._log_delay(replies)
         if not replica.settings.bootstrap or replica.journal.last_index > 0:
             return
         reason = self._find_blocking_reason(replies)
@@ -134,6 +145,7 @@
         named = set(sorted(named - {settings.address})[:MAX_LEARNED_ADDRESSES])
         if named:
             self._learned_addresses = named
+        self._asked_addresses = known | named
         return replies | await self._request_join_from(named - known)
 
     async def _request_join_from(self, addresses: set[str]) -> dict[str, JoinReply]:
@@ -155,6 +167,30 @@
         except BulrushleadError:
             return None
 
+    def _log_delay(self, replies: dict[str, JoinReply]) -> None:
+        replica = self.replica
+        now_ms = replica.clock.now_ms()
+        waited_ms = now_ms - self._joining_since_ms
+        if waited_ms < JOIN_LOG_TIMEOUTS * replica.settings.election_max_ms:
+            return
+        member = replica.journal.members.find(replica.replica_id)
+        role = "none" if member is None else member.role.value
+        answered = sorted(replies)[:MAX_LOGGED_ADDRESSES]
+        unanswered = sorted(self._asked_addresses - replies.keys())
+        unanswered = unanswered[:MAX_LOGGED_ADDRESSES]
+        self._delays.write(
+            Event.JOIN_DELAYED,
+            replica.replica_id,
+            (role, answered, unanswered, replica.leader_address),
+            replica_id=replica.replica_id,
+            own_role=role,
+            waited_ms=round(waited_ms),
+            leaderless_ms=round(now_ms - replica.leader_seen_ms),
+            leader=replica.leader_address or "",
+            answered=answered,
+            unanswered=unanswered,
+        )
+
     def _log_blocking_reason(self, reason: str) -> None:
         if reason != self._last_blocking_reason:
             self._last_blocking_reason = reason
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -6,6 +6,7 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.logs import Event
+from bulrushlead.replication._admission import Admission
 from bulrushlead.replication._applier import Applier
 from bulrushlead.replication._election import Election
 from bulrushlead.replication._follower import Follower
@@ -79,6 +80,7 @@
         self._election = Election(self._replica)
         self._follower = Follower(self._replica, self._applier)
         self._membership = Membership(self._replica, self._applier)
+        self._admission = Admission(self._replica, self._membership)
         self._joining = Joining(self._replica)
         self._tasks: list[asyncio.Task] = []
 
@@ -118,7 +120,7 @@
         server.register_handler(VoteRequest, self._election.answer_vote)
         server.register_handler(AppendRequest, self._follower.answer_append)
         server.register_handler(SnapshotChunk, self._follower.answer_chunk)
-        server.register_handler(JoinRequest, self._membership.answer_join)
+        server.register_handler(JoinRequest, self._admission.answer_join)
 
     async def propose(self, command: bytes, timeout_ms: float) -> bytes:
         """Append a command and return the result of the state machine.
--- a/bulrushlead/replication/_messages.py
+++ b/bulrushlead/replication/_messages.py
@@ -208,10 +208,13 @@
         Term of the answering replica.
     granted : bool
         Whether the vote or pre-vote is granted.
+    refusal : str
+        Why it is not granted, for the log of the candidate.
     """
 
     term: int
     granted: bool = False
+    refusal: str = ""
 
 
 @message("log.append")
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -49,6 +49,9 @@
     last_contact_ms : float
         When this replica last received a message of a leader, granted a vote or
         started, in milliseconds of the local clock.
+    leader_seen_ms : float
+        When this replica last received a message of a leader, led or started, in
+        milliseconds of the local clock.
     silent_since_ms : dict of str to float
         Since when members have been silent, by identity, in milliseconds of the local
         clock: as the last leader reported it, and the leader since its last message.
@@ -76,7 +79,7 @@
         self.leadership: Leadership | None = None
         self.leader_address: str | None = None
         self.sender_address = ""
-        self.last_contact_ms = clock.now_ms()
+        self.last_contact_ms = self.leader_seen_ms = clock.now_ms()
         self.silent_since_ms: dict[str, float] = {}
         self.is_running = False
         self.commit_index = 0
@@ -174,7 +177,7 @@
             state = attrs.evolve(self.journal.vote_state, cluster_id=cluster_id)
             self.journal.set_vote_state(state)
         self.leader_address = leader_address
-        self.last_contact_ms = self.clock.now_ms()
+        self.last_contact_ms = self.leader_seen_ms = self.clock.now_ms()
 
     def record_silences(self, leader_id: str, silences_ms: dict[str, float]) -> None:
         """Record which members are silent, from a message of the leader."""
@@ -203,6 +206,7 @@
         if self.leader_address == self.settings.address:
             self.leader_address = None
         leadership.close()
+        self.leader_seen_ms = self.clock.now_ms()
         self.log.write(
             Event.LEADER_LOST,
             replica_id=self.replica_id,
