--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -49,7 +49,8 @@
     fault_duration_s : float
         Duration of the fault injection, in seconds.
     logs : str or None, default=None
-        Folder to which the hosts' logs are copied if an invariant is violated.
+        Folder to which the hosts' logs are copied if an invariant is violated or the
+        run does not come to its end.
     cores, edges : int
         Numbers of core hosts (coordinator and directory) and edge hosts (gateways).
     """
@@ -89,6 +90,7 @@
         self.cut_active = False
         self.crashing_paths = set()
         self.crashing_count = 0
+        self.is_complete = False
 
     def clock(self):
         return time.monotonic() - self.started_s
@@ -125,15 +127,18 @@
                 await self._start()
                 await self._inject_faults()
                 await self._recover_and_check()
+            self.is_complete = True
         finally:
             await self._close()
         return self.checker.violations
 
     def copy_logs(self, folder):
-        """Copy the hosts' logs to ``folder`` for diagnosis."""
+        """Copy the hosts' logs and what the harness did to ``folder`` for diagnosis."""
+        Path(folder).mkdir(parents=True, exist_ok=True)
+        lines = [*self.checker.violations, *self.history]
+        (Path(folder) / "history.txt").write_text("\n".join(lines) + "\n")
         for path in self.folder.glob("*/log-*.txt"):
             target = Path(folder) / f"{path.parent.name}-{path.name}"
-            target.parent.mkdir(parents=True, exist_ok=True)
             target.write_bytes(path.read_bytes())
 
     def spawn(self, work):
@@ -251,7 +256,7 @@
                 await backend.crash()
         for proxy in (*self.core_proxies, *self.backend_proxies):
             await proxy.close()
-        if self.logs and self.checker.violations:
+        if self.logs and (self.checker.violations or not self.is_complete):
             self.copy_logs(Path(self.logs) / f"seed-{self.seed}")
         self._folder.cleanup()
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
 from tests.soak.checker import InvariantChecker, expected_body
 from tests.soak.harness import Harness
 from tests.soak.organisations import LASTING, tenants
+from tests.soak.processes import ROOT
 
 # Every seed that has ever failed is listed here with its cause.
 SEEDS = [
@@ -22,12 +23,13 @@
     5,  # requests that crash servers (every eighth seed)
 ]
 FAULT_DURATION_S = 6.0
+LOGS = ROOT / "build" / "soak"  # of runs that fail
 
 
 @pytest.mark.timeout(180)
 @pytest.mark.parametrize("seed", SEEDS)
 def test_invariants_hold_under_random_faults(seed):
-    harness = Harness(seed, FAULT_DURATION_S)
+    harness = Harness(seed, FAULT_DURATION_S, logs=LOGS)
     violations = asyncio.run(harness.run())
     assert violations == [], harness.history
 
