Give concurrent soaks different networks

Cause: the network followed from the process identifier, so that two runs whose identifiers differ by a multiple of 200 used the same addresses.

Change: each run takes the first network of which it can bind one address, and keeps that socket until its end.

After: a run takes the next network if one is in use.

--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -6,6 +6,7 @@
 import os
 import random
 import re
+import socket
 import tempfile
 import time
 from pathlib import Path
@@ -31,6 +32,7 @@
 BACKENDS = 6
 CALLERS = 8
 BASE_DELAYS_MS = (0.0, 35.0)  # one way: in the same region, or to another one
+NETWORKS = 200  # 127.10.0.0/16 and the next ones
 START_TIMEOUT_S = 20.0
 READY_TIMEOUT_S = 2.0
 QUARANTINE_REFUSAL = re.compile(
@@ -60,8 +62,7 @@
         self.seed = seed
         self.fault_duration_s = fault_duration_s
         self.rng = random.Random(seed)
-        # Concurrent runs use different networks.
-        self.network = 10 + os.getpid() % 200
+        self.network, self._network_holder = _reserve_network()
         self._folder = tempfile.TemporaryDirectory(prefix="soak-")
         self.folder = Path(self._folder.name)
         self.started_s = time.monotonic()
@@ -259,6 +260,7 @@
         if self.logs and (self.checker.violations or not self.is_complete):
             self.copy_logs(Path(self.logs) / f"seed-{self.seed}")
         self._folder.cleanup()
+        self._network_holder.close()
 
     @contextlib.asynccontextmanager
     async def choose_core(self):
@@ -281,3 +283,16 @@
 
     def sleep_between(self, low, high):
         return asyncio.sleep(self.rng.uniform(low, high))
+
+
+def _reserve_network():
+    """Return a network that no concurrent run uses, and the socket that holds it."""
+    for offset in range(NETWORKS):
+        network = 10 + (os.getpid() + offset) % NETWORKS
+        holder = socket.socket()
+        try:
+            holder.bind((f"127.{network}.0.1", PEER_PORT))
+            return network, holder
+        except OSError:
+            holder.close()
+    raise RuntimeError("all networks for soaks are in use")
