Measure how late the process of the soak runs

Cause: most rules of the soak have time bounds. Whether the machine was too busy for them was not recorded.

Change: the longest stall and the number of those over 200 ms are counted, printed and kept with the logs. No check is changed by them.

Before: not measured. After: see the counts of a run.

--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -38,6 +38,7 @@
 QUARANTINE_REFUSAL = re.compile(
     r"REQUEST_QUARANTINED: \d+ servers have ended under request (\w+)"
 )
+STALL_CHECK_S = 0.05
 RECOVERY_PHASE_S = 18.0  # time to recover, then to measure the served share
 
 
@@ -125,6 +126,7 @@
         """Run the soak and return the violations of invariants."""
         try:
             async with aiohttp.ClientSession() as self._session:
+                self.spawn(self._measure_stalls())
                 await self._start()
                 await self._inject_faults()
                 await self._recover_and_check()
@@ -136,7 +138,8 @@
     def copy_logs(self, folder):
         """Copy the hosts' logs and what the harness did to ``folder`` for diagnosis."""
         Path(folder).mkdir(parents=True, exist_ok=True)
-        lines = [*self.checker.violations, *self.history]
+        counts = str(dict(self.checker.counts))
+        lines = [*self.checker.violations, counts, *self.history]
         (Path(folder) / "history.txt").write_text("\n".join(lines) + "\n")
         for path in self.folder.glob("*/log-*.txt"):
             target = Path(folder) / f"{path.parent.name}-{path.name}"
@@ -162,6 +165,16 @@
         self.spawn(self._poll_configuration())
         await asyncio.sleep(2.0)
 
+    async def _measure_stalls(self):
+        """Count how late this process runs: a busy machine also delays the hosts."""
+        counts = self.checker.counts
+        while True:
+            started_s = self.clock()
+            await asyncio.sleep(STALL_CHECK_S)
+            late_ms = round((self.clock() - started_s - STALL_CHECK_S) * 1_000)
+            counts["longest stall, ms"] = max(counts["longest stall, ms"], late_ms)
+            counts["stalls over 200 ms"] += late_ms > 200
+
     async def _poll_configuration(self):
         while True:
             await asyncio.sleep(0.5)
