Count what an answer in small pieces takes, and parse it in turns

Cause: the budget counted bytes of bodies, but each piece was kept as an object of its own, some 40 bytes for two counted. Header fields were not counted. A read of 256 KiB was parsed at once, 44,000 calls for chunks of one byte. One server could take the whole budget.

Change: - Pieces below 1 KiB are joined as they come. - The budget counts what is kept after each slice of 32 KiB: body, fields with 160 bytes each, a field or trailer that is not complete, bytes that wait for the parser. A head has at most 256 fields. - Chunk sizes and other framing beyond 192 KiB may be a sixteenth of the body (was: eight times the body), so that chunks of less than 96 bytes end. - After 1,000 calls of the parser a connection stops reading, and goes on in a later turn of the event loop, one connection a turn. - If the budget is used up, the server that holds most gives way.

--- a/bulrushlead/http1/__init__.py
+++ b/bulrushlead/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connections to callers and backend servers, parsed by ``httptools``."""
 
-from bulrushlead.http1._client import ClientConnection, ExchangeError, ExchangeFault
+from bulrushlead.http1._client import ClientConnection
+from bulrushlead.http1._faults import ExchangeError, ExchangeFault
 from bulrushlead.http1._limits import RequestLimits
 from bulrushlead.http1._messages import (
     Answer,
--- a/bulrushlead/http1/_client.py
+++ b/bulrushlead/http1/_client.py
@@ -3,49 +3,27 @@
 import asyncio
 import errno
 from collections.abc import Callable
-from enum import Enum
 
 import httptools
 
-from bulrushlead.http1._budget import ByteBudget
+from bulrushlead.http1._body import BodyBuffer
+from bulrushlead.http1._budget import FIELD_BYTES, BudgetShare, ByteBudget
+from bulrushlead.http1._faults import ExchangeError, ExchangeFault
+from bulrushlead.http1._limits import BODY_BYTES_PER_FRAMING_BYTE, MAX_FRAMING_BYTES
 from bulrushlead.http1._messages import BODILESS_STATUSES, Answer
+from bulrushlead.http1._pacing import PacedReader, TurnQueue
 
 MAX_HEAD_BYTES = 64 * 1024  # status line and header fields, interim answers included
-# Bytes of an exchange that are neither its head nor its body, such as chunk sizes and
-# trailers; many small chunks have several of them for each byte of the body.
-MAX_FRAMING_BYTES = 256 * 1024
-FRAMING_PER_BODY_BYTE = 8
+MAX_FIELDS = 256  # of one head; servers send some ten
+RESERVED_AHEAD_BYTES = 4 * 1024  # so that not each read has to reserve
 # Body bytes of answers to other requests that are read until the right one comes.
 MAX_DISCARDED_BYTES = 1024 * 1024
 # Requests refused or failed on one connection, after which it is closed.
 MAX_FAILED_REQUESTS = 64
 
 
-class ExchangeFault(Enum):
-    """Why an exchange ended without an answer."""
-
-    NOT_SENT = "not_sent"
-    CLOSED = "closed"
-    TRUNCATED = "truncated"
-    MALFORMED = "malformed"
-    TOO_LARGE = "too_large"
-
-
-class ExchangeError(Exception):
-    """An exchange that ended without a complete answer.
-
-    Parameters
-    ----------
-    fault : ExchangeFault
-        Kind of failure. Only ``NOT_SENT`` guarantees that the request did not run.
-    detail : str
-        Cause, for the log.
-    """
-
-    def __init__(self, fault: ExchangeFault, detail: str):
-        super().__init__(f"{fault.value}: {detail}")
-        self.fault = fault
-        self.detail = detail
+class _StopParsingError(Exception):
+    """Raised in a callback of the parser once its exchange has ended."""
 
 
 class ClientConnection(asyncio.Protocol):
@@ -60,12 +38,14 @@
         Lower-case name of the field in which the backend server echoes the
         identifier of the request that it answers.
     buffer : ByteBudget
-        Memory for bodies, shared with other connections.
+        Memory for answers, shared with other connections.
     address : str
         Address of the backend server, as ``host:port``.
     on_silent : callable, optional
         Called with the address if the kernel closes the connection because the other
         end has gone silent.
+    turns : TurnQueue, optional
+        Turns in which answers in many pieces are parsed, shared with other connections.
 
     Attributes
     ----------
@@ -83,9 +63,9 @@
         buffer: ByteBudget,
         address: str = "",
         on_silent: Callable[[str], None] | None = None,
+        turns: TurnQueue | None = None,
     ):
         self.id_header = id_header
-        self.buffer = buffer
         self.address = address
         self.on_silent = on_silent
         self.n_exchanges = 0
@@ -98,7 +78,9 @@
         self._is_head = False
         self._may_reuse = True
         self._failed_ids: set[bytes] = set()
-        self._body_bytes = 0
+        self._share = BudgetShare(buffer, address, self._give_way)
+        self._reader = PacedReader(self._parse, turns or TurnQueue())
+        self._body = BodyBuffer()
         self._start_exchange()
 
     @property
@@ -160,32 +142,23 @@
             self.close()
             raise
         finally:
-            self._future = None
-            self._drop_body()
+            self._future = self._parser = None  # the parser holds a part of a field
+            self._drop_message()
 
     def close(self) -> None:
         """Close the connection at once."""
         self._may_reuse = False
+        self._reader.clear()
         if self._transport is not None:
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; bytes outside of an exchange close the connection."""
-        if self._future is None or self._future.done():
-            self.close()
-            return
-        self._received_bytes += len(data)
-        if not self._has_header_section:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._abort(ExchangeFault.MALFORMED, str(error))
-            return
-        self._check_bounds()
+        self._reader.receive(data, self._transport)
 
     def eof_received(self) -> bool:
         """Complete an answer without a length when the connection ends."""
+        self._reader.finish()
         self._may_reuse = False
         if self._has_header_section and not self._is_framed and not self._is_mismatched:
             self._finish()
@@ -193,6 +166,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the exchange that is in progress."""
+        self._reader.finish()
         self._may_reuse = False
         fault = (
             ExchangeFault.TRUNCATED
@@ -219,10 +193,20 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header field; trailers are dropped."""
         if self._is_complete or self._has_header_section:
+            self._reader.n_callbacks += 1
             return
         self._headers.append((name, value))
+        if len(self._headers) > MAX_FIELDS:
+            self._abort(
+                ExchangeFault.MALFORMED,
+                f"head of an answer has more than {MAX_FIELDS} fields",
+            )
+            raise _StopParsingError
         lower = name.lower()
-        if lower in (b"content-length", b"transfer-encoding"):
+        if lower == b"content-length":
+            self._is_framed = True
+            self._length = int(value) if value.isdigit() else 0
+        elif lower == b"transfer-encoding":
             self._is_framed = True
         elif lower == self.id_header:
             self._echoed_id = value
@@ -231,6 +215,7 @@
 
     def on_headers_complete(self) -> None:
         """Decide whether the answer belongs to the request in progress."""
+        self._reader.n_callbacks += 1 + len(self._headers)
         if self._is_complete:
             return
         self._status = self._parser.get_status_code()
@@ -246,24 +231,21 @@
             self._may_reuse = False
         else:
             self._is_mismatched = self._echoed_id != self._request_id
+        if self._is_mismatched:
+            self._length = 0  # others may follow in the same read
         if self._is_head and not self._is_mismatched:
             self._may_reuse = False
             self._finish()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._reader.n_callbacks += 1
         if self._is_complete:
             return
         if self._is_mismatched:
             self._discarded_bytes += len(body)
-        elif self.buffer.reserve(len(body)):
-            self._body_bytes += len(body)
-            self._body.append(body)
         else:
-            self._abort(
-                ExchangeFault.TOO_LARGE,
-                f"no room for more than {self._body_bytes} bytes of the answer",
-            )
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Deliver the answer, or drop one that belongs to another request."""
@@ -280,15 +262,14 @@
 
     def _start_exchange(self) -> None:
         self._received_bytes = 0
-        self._head_bytes = 0
+        self._head_bytes = 0  # of the head; afterwards, since the last part of the body
         self._discarded_bytes = 0
+        self._reader.n_plain_bytes = 0
         self._start_message()
 
     def _start_message(self) -> None:
-        self._drop_body()
+        self._drop_message()
         self._status = 0
-        self._reason = b""
-        self._headers: list[tuple[bytes, bytes]] = []
         self._echoed_id: bytes | None = None
         self._has_header_section = False
         self._is_framed = False
@@ -306,33 +287,86 @@
                 self._may_reuse = False
         if self._future is not None and not self._future.done():
             self._future.set_result(
-                Answer(self._status, self._headers, b"".join(self._body), self._reason)
+                Answer(self._status, self._headers, self._body.join(), self._reason)
             )
 
-    def _drop_body(self) -> None:
-        self.buffer.release(self._body_bytes)
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+    def _drop_message(self) -> None:
+        self._reason = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._field_bytes = 0
+        self._length = 0
+        self._body.clear()
+        self._share.resize(0)
 
-    def _check_bounds(self) -> None:
-        """End an exchange whose answer goes on without getting anywhere."""
+    def _parse(self, data: bytes | memoryview) -> bool:
+        """Parse a part of what was received; return whether the exchange goes on."""
         if self._future is None or self._future.done():
-            return
-        framing_bytes = self._received_bytes - self._body_bytes - self._discarded_bytes
+            self.close()
+            return False
+        self._received_bytes += len(data)
+        self._head_bytes += len(data)
+        read_body_bytes = self._body.n_bytes + self._discarded_bytes
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._abort(ExchangeFault.MALFORMED, str(error))
+            return False
+        if self._future.done():
+            if self._reader.n_waiting_bytes:
+                self.close()
+            return False
+        if self._body.n_bytes + self._discarded_bytes != read_body_bytes:
+            self._head_bytes = 0
+        return self._is_within_bounds()
+
+    def _is_within_bounds(self) -> bool:
+        """End an exchange whose answer takes too much or gets nowhere."""
+        body_bytes = self._body.n_bytes
+        read_body_bytes = body_bytes + self._discarded_bytes
+        framing_bytes = self._received_bytes - read_body_bytes
+        self._reader.n_plain_bytes = self._length - body_bytes
         if self._head_bytes > MAX_HEAD_BYTES:
-            detail = f"head of an answer exceeds {MAX_HEAD_BYTES} bytes"
+            detail = f"head or trailers of an answer exceed {MAX_HEAD_BYTES} bytes"
         elif self._discarded_bytes > MAX_DISCARDED_BYTES:
             detail = f"{self._discarded_bytes} bytes of answers to other requests"
         elif framing_bytes > (
-            MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
+            MAX_FRAMING_BYTES + read_body_bytes // BODY_BYTES_PER_FRAMING_BYTE
         ):
-            detail = f"{framing_bytes} bytes beside {self._body_bytes} of the body"
+            detail = f"{framing_bytes} bytes beside {read_body_bytes} of the body"
         else:
-            return
+            return self._reserve()
         self._abort(ExchangeFault.MALFORMED, detail)
+        return False
+
+    def _reserve(self) -> bool:
+        """Reserve room for what is kept; end the exchange if there is none."""
+        head_bytes = self._head_bytes + FIELD_BYTES * len(self._headers)
+        if self._has_header_section:
+            if not self._field_bytes:
+                self._field_bytes = sum(len(n) + len(v) for n, v in self._headers)
+            head_bytes += self._field_bytes
+        kept_bytes = self._body.n_bytes + self._reader.n_waiting_bytes + head_bytes
+        if kept_bytes <= self._share.used_bytes:
+            return True
+        if self._share.resize(kept_bytes + RESERVED_AHEAD_BYTES):
+            return True
+        self._abort(
+            ExchangeFault.TOO_LARGE, f"no room for the {kept_bytes} bytes of the answer"
+        )
+        return False
+
+    def _give_way(self) -> None:
+        self._abort(
+            ExchangeFault.TOO_LARGE,
+            f"gave way after {self._share.used_bytes} bytes, since answers of "
+            f"{self._share.owner} took most of the memory",
+        )
 
     def _abort(self, fault: ExchangeFault, detail: str) -> None:
         self._fail(fault, detail)
+        self._is_complete = True
+        self._parser = None
+        self._drop_message()
         self.close()
 
     def _fail(self, fault: ExchangeFault, detail: str) -> None:
--- a/bulrushlead/http1/_limits.py
+++ b/bulrushlead/http1/_limits.py
@@ -1,7 +1,13 @@
-"""Limits on the requests of callers."""
+"""Limits on messages."""
 
 import attrs
 
+# Bytes of a message that are not its body: heads, chunk sizes and trailers. From some
+# 30,000 chunks on, they must have 96 bytes on average, since each one costs as much
+# time as a kilobyte of the body.
+MAX_FRAMING_BYTES = 192 * 1024
+BODY_BYTES_PER_FRAMING_BYTE = 16
+
 
 @attrs.frozen
 class RequestLimits:
--- a/bulrushlead/http1/_pool.py
+++ b/bulrushlead/http1/_pool.py
@@ -6,7 +6,9 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.http1._budget import MAX_BUFFERED_BYTES, ByteBudget
-from bulrushlead.http1._client import ClientConnection, ExchangeError, ExchangeFault
+from bulrushlead.http1._client import ClientConnection
+from bulrushlead.http1._faults import ExchangeError, ExchangeFault
+from bulrushlead.http1._pacing import TurnQueue
 
 CONNECT_TIMEOUT_MS = 400  # several round trips to the farthest region
 MAX_IDLE_MS = 8_000  # below the usual server idle timeout of ten seconds
@@ -61,6 +63,7 @@
         self.n_connects = 0
         self.on_silent: Callable[[str], None] | None = None
         self._buffer = ByteBudget(max_buffered_bytes)
+        self._turns = TurnQueue()
         self._base_limit_ms = float(MAX_IDLE_MS)
         self._limit_set_ms = 0.0
         self._idle: dict[str, list[ClientConnection]] = {}
@@ -116,7 +119,11 @@
             transport, connection = await self.clock.wait_for(
                 loop.create_connection(
                     lambda: ClientConnection(
-                        self.id_header, self._buffer, address, self.on_silent
+                        self.id_header,
+                        self._buffer,
+                        address,
+                        self.on_silent,
+                        self._turns,
                     ),
                     host,
                     int(port),
