Promote a learner that is one round trip behind frequent changes

Change: it has caught up once it holds all that was committed when the last message that it acknowledged was sent.

--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -216,7 +216,7 @@
         return (
             progress is not None
             and self.is_reachable(leadership, replica_id)
-            and progress.match_index >= self.replica.commit_index
+            and progress.has_caught_up
         )
 
     async def change_members(
--- a/bulrushlead/replication/_peer.py
+++ b/bulrushlead/replication/_peer.py
@@ -40,12 +40,17 @@
     expected_since_ms : float
         Since when the peer counts as silent if it acknowledges nothing, in
         milliseconds.
+    has_caught_up : bool
+        Whether the peer has all that was committed when the last message that it
+        acknowledged was sent. Under frequent changes a peer that is farther away
+        than a quorum never has all that is committed now.
     """
 
     next_index: int
     match_index: int = 0
     acknowledged_sent_ms: float = -math.inf
     expected_since_ms: float = -math.inf
+    has_caught_up: bool = False
 
     def last_contact_ms(self) -> float:
         """Return since when the peer has been silent, in milliseconds."""
@@ -185,11 +190,14 @@
         )
         self.leadership.complete_confirmations()
         if isinstance(reply, AppendReply):
-            self._handle_append_reply(reply)
+            self._handle_append_reply(request, reply)
         elif isinstance(reply, SnapshotReply):
             self._handle_snapshot_reply(request, reply)
 
-    def _handle_append_reply(self, reply: AppendReply) -> None:
+    def _handle_append_reply(self, request: AppendRequest, reply: AppendReply) -> None:
+        self.progress.has_caught_up = (
+            reply.success and reply.match_index >= request.commit_index
+        )
         if reply.success:
             self._record_match(reply.match_index)
         else:
--- a/bulrushlead/replication/tests/test_newcomers.py
+++ b/bulrushlead/replication/tests/test_newcomers.py
@@ -154,3 +154,23 @@
     assert leader.log.is_leader()
     with pytest.raises(BulrushleadError):
         await cluster.result(leader.log.read_barrier(1_000))
+
+
+async def test_slow_newcomer_is_promoted_while_changes_are_frequent(cluster):
+    """Guards against a learner that never holds all that faster voters committed."""
+    leader = await cluster.start()
+    log, address = leader.log, "10.0.0.4:7000"
+    node = cluster.nodes[address] = Node(cluster, address)
+
+    async def wait_for_disk():
+        await cluster.clock.sleep_ms(30)
+
+    async def change_often():
+        while True:
+            cluster.spawn(log.propose(b"a", 5_000))
+            await cluster.clock.sleep_ms(10)
+
+    node.storage.before_run = wait_for_disk
+    cluster.spawn(change_often())
+    await cluster.result(node.start(peers=[leader.address], bootstrap=False))
+    await cluster.run_until(node.log._replica.is_voter, 4_000)
