--- a/bulrushlead/replication/_follower.py
+++ b/bulrushlead/replication/_follower.py
@@ -48,9 +48,7 @@
     async def answer_append(self, request: AppendRequest) -> AppendReply:
         """Append entries and acknowledge them once they are on disk."""
         replica, journal = self.replica, self.replica.journal
-        if request.target_id != replica.replica_id:
-            replica.sender_address = request.sender_address
-        replica.check_addressee(request.target_id, request.cluster_id)
+        self._check_addressee(request)
         if request.term < replica.term:
             return AppendReply(replica.term)
         self._accept_leader(request)
@@ -68,7 +66,7 @@
     async def answer_chunk(self, chunk: SnapshotChunk) -> SnapshotReply:
         """Store a snapshot chunk and install the snapshot once it is complete."""
         replica = self.replica
-        replica.check_addressee(chunk.target_id, chunk.cluster_id)
+        self._check_addressee(chunk)
         if chunk.term < replica.term:
             return SnapshotReply(replica.term)
         self._accept_leader(chunk)
@@ -83,6 +81,13 @@
         await self._install(snapshot)
         return SnapshotReply(replica.term, chunk.header.size_bytes, installed=True)
 
+    def _check_addressee(self, request: AppendRequest | SnapshotChunk) -> None:
+        replica = self.replica
+        if request.target_id != replica.replica_id:
+            # The leader of the replica that was at this address; see ``Joining``.
+            replica.sender_address = request.sender_address
+        replica.check_addressee(request.target_id, request.cluster_id)
+
     def _accept_leader(self, request: AppendRequest | SnapshotChunk) -> None:
         replica = self.replica
         if replica.leadership is not None and request.term == replica.term:
--- a/bulrushlead/replication/tests/test_newcomers.py
+++ b/bulrushlead/replication/tests/test_newcomers.py
@@ -174,3 +174,21 @@
     cluster.spawn(change_often())
     await cluster.result(node.start(peers=[leader.address], bootstrap=False))
     await cluster.run_until(node.log._replica.is_voter, 4_000)
+
+
+async def test_replica_without_its_disk_learns_the_leader_from_a_snapshot():
+    """Guards against a lost disk that is never repaired as all seeds are gone."""
+    cluster = Cluster(
+        admit_newcomers=True, snapshot_threshold_entries=5, snapshot_trailing_entries=0
+    )
+    try:
+        leader = await cluster.start()
+        node = cluster.others(leader)[0]
+        node.wipe()
+        for number in range(40):
+            await cluster.propose(b"%d" % number)
+        gone = ["10.0.0.8:7000", "10.0.0.9:7000"]
+        await cluster.result(node.start(peers=gone, bootstrap=False))
+        await cluster.run_until(node.log._replica.is_voter, 4_000)
+    finally:
+        await cluster.close()
