--- a/bulrushlead/replication/tests/test_turnover.py
+++ b/bulrushlead/replication/tests/test_turnover.py
@@ -76,6 +76,31 @@
     assert voter_ids(cluster) == ids_of(cluster.alive)
 
 
+async def test_disk_lost_after_three_replaced_hosts_leaves_a_leader(cluster):
+    """Guards against the losses of issue 45, after which nobody led for good."""
+    leader = await cluster.start()
+    lost = cluster.others(leader)[0]
+    for number, gap_ms in ((6, 9_000), (7, 12_500), (8, 9_500)):
+        remove_node(cluster, lost)
+        await cluster.run_for(2_000)
+        await add_node(cluster, number)
+        await run_retiring(cluster, gap_ms - 2_000)
+        lost = await cluster.wait_leader()
+    await cluster.propose(b"a")
+    lost = cluster.others(lost)[0]
+    lost.wipe()
+    for node in cluster.others(lost):
+        node.crash()
+    await cluster.run_for(1_000)
+    for node in cluster.nodes.values():
+        seeds = [other.address for other in cluster.others(node)][:3]
+        await cluster.result(node.start(peers=seeds, bootstrap=False))
+    await run_retiring(cluster, CATCH_UP_MS)
+    leader = await cluster.propose(b"b")
+    assert leader.machine.commands == [b"a", b"b"]
+    assert voter_ids(cluster) == ids_of(cluster.alive)
+
+
 async def test_newcomer_takes_the_place_of_a_voter_within_catch_up(cluster):
     """Guards against a set that bears no region less while an old voter counts."""
     leader = await cluster.start()
--- a/bulrushlead/replication/tests/turnover_schedule.py
+++ b/bulrushlead/replication/tests/turnover_schedule.py
@@ -122,6 +122,10 @@
         """End a host for good, and return an empty one at another address."""
         self.nodes.remove(node)
         del self.cluster.nodes[node.address]
+        return self.add_node()
+
+    def add_node(self):
+        """Return an empty host at a new address."""
         address = f"10.0.0.{self.next_number}:7000"
         self.next_number += 1
         successor = self.cluster.nodes[address] = Node(self.cluster, address)
