Release the vote of a coordinator that is told to stop from an even set

Seen by callers: after a planned replacement (the new host first) the old voter counted for two seconds more, in a set of six.

Cause: a voter that is gone is known by its silence only, also when it was told to stop.

Change: on a planned stop a coordinator asks the leader to remove it. From an even set it is removed at once, by one entry that a quorum of the others stores; from an odd set it stays, since the quorum would stay the same. A leader removes itself and leads until it stops. A voter that returns, or whose request was held up, is admitted again.

After: test_planned_replacement_bears_the_loss_of_a_region, for a leader and another voter.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -1,6 +1,7 @@
 """Coordinator: one replica of the log, which publishes the fleet while it leads."""
 
 import asyncio
+import contextlib
 import os
 import random
 from collections.abc import Awaitable, Callable
@@ -52,6 +53,7 @@
 FORWARD_INTERVAL_MS = 100  # heartbeats are collected this long and sent in one message
 READ_TIMEOUT_MS = 800
 RETIRE_TIMEOUT_MS = 500
+LEAVE_TIMEOUT_MS = 300  # delays a planned stop
 MIN_VOTERS = 3  # fewer voters tolerate no further failure
 STORAGE_RETRY_MS = 500  # extra pause, since a full disk usually stays full for seconds
 # The fleet cache may lack newer servers: they announce themselves after a restart.
@@ -166,6 +168,10 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._log_started:
+            # Without an answer the others wait for the silence of this replica.
+            with contextlib.suppress(BulrushleadError):
+                await self.log.leave(LEAVE_TIMEOUT_MS)
         await self.session.close()
         await self.log.close()
         await self.messages.close()
--- a/bulrushlead/replication/_joining.py
+++ b/bulrushlead/replication/_joining.py
@@ -59,6 +59,8 @@
         """
         replica, settings = self.replica, self.replica.settings
         while True:
+            if replica.is_leaving:
+                return
             if not replica.is_voter() or self._has_lost_contact():
                 if self._joining_since_ms is None:
                     self._joining_since_ms = replica.clock.now_ms()
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -23,6 +23,7 @@
     AppendRequest,
     EntryKind,
     JoinRequest,
+    LeaveRequest,
     Member,
     SnapshotChunk,
     VoteRequest,
@@ -121,6 +122,7 @@
         server.register_handler(AppendRequest, self._follower.answer_append)
         server.register_handler(SnapshotChunk, self._follower.answer_chunk)
         server.register_handler(JoinRequest, self._admission.answer_join)
+        server.register_handler(LeaveRequest, self._membership.answer_leave)
 
     async def propose(self, command: bytes, timeout_ms: float) -> bytes:
         """Append a command and return the result of the state machine.
@@ -267,6 +269,32 @@
         """
         return await self._membership.retire_silent_voter(timeout_ms)
 
+    async def leave(self, timeout_ms: float) -> bool:
+        """Give up the vote of this replica before a planned stop.
+
+        A voter of an odd number keeps its vote, since the quorum would stay the same.
+        From this call on the replica does not ask to join any more.
+
+        Returns
+        -------
+        bool
+            Whether the replica was removed from the cluster.
+
+        Raises
+        ------
+        BulrushleadError
+            Any error of ``propose``, or of the call to the leader.
+        """
+        replica = self._replica
+        replica.is_leaving = True
+        if replica.leadership is not None:
+            return await self._membership.release_voter(replica.replica_id, timeout_ms)
+        if replica.leader_address is None or not replica.is_voter():
+            return False
+        request = LeaveRequest(replica.replica_id)
+        reply = await replica.link_to(replica.leader_address).call(request, timeout_ms)
+        return reply.removed
+
     async def remove_silent_learner(self, timeout_ms: float) -> str | None:
         """Remove a learner that has not answered for ``retire_silent_ms``.
 
--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -9,6 +9,8 @@
     EntryKind,
     JoinReply,
     JoinRequest,
+    LeaveReply,
+    LeaveRequest,
     Member,
     MemberRole,
     Members,
@@ -125,6 +127,42 @@
             await self.change_members(leadership, members.replaced(longest), timeout_ms)
             return longest
 
+    async def answer_leave(self, request: LeaveRequest) -> LeaveReply:
+        """Remove the sender if that lowers the quorum."""
+        self.replica.check_running()
+        timeout_ms = self.replica.settings.call_timeout_ms
+        return LeaveReply(await self.release_voter(request.replica_id, timeout_ms))
+
+    async def release_voter(self, replica_id: str, timeout_ms: float) -> bool:
+        """Remove a voter that is about to stop from an even number of voters.
+
+        The quorum of the others is lower by one, so that nobody has to wait for the
+        silence of a voter whose successor runs already. The voter is admitted again
+        if it returns, as after a request that was held up. The leader may release
+        itself: it needs a quorum of the others, and leads until it stops.
+
+        Returns
+        -------
+        bool
+            Whether the voter was removed.
+        """
+        leadership = self.require_leadership()
+        settings = self.replica.settings
+        async with self.lock:
+            members = self.committed_members(leadership)
+            n_voters = len(members.voters())
+            if (
+                not settings.admit_newcomers
+                or not members.is_voter(replica_id)
+                or n_voters % 2
+                or n_voters <= settings.min_voters
+            ):
+                return False
+            remaining = members.replaced(replica_id)
+            self.check_reachable_quorum(leadership, remaining)
+            await self.change_members(leadership, remaining, timeout_ms)
+            return True
+
     async def remove_silent_learner(self, timeout_ms: float) -> str | None:
         """Remove a learner that has not answered for ``retire_silent_ms``.
 
--- a/bulrushlead/replication/_messages.py
+++ b/bulrushlead/replication/_messages.py
@@ -358,3 +358,29 @@
     cluster_id: str = ""
     founders: tuple[str, ...] = ()
     members: tuple[str, ...] = ()
+
+
+@message("log.leave")
+class LeaveRequest:
+    """Asks the leader to remove a voter that is about to stop.
+
+    Parameters
+    ----------
+    replica_id : str
+        Identity of the voter.
+    """
+
+    replica_id: str
+
+
+@message("log.leave_reply")
+class LeaveReply:
+    """Answer to a leave request.
+
+    Parameters
+    ----------
+    removed : bool
+        Whether the voter is removed.
+    """
+
+    removed: bool
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -57,6 +57,8 @@
         clock: as the last leader reported it, and the leader since its last message.
     is_running : bool
         Whether the data folder is loaded and the replica is not closing.
+    is_leaving : bool
+        Whether this replica is about to stop for good or for a restart.
     commit_index, last_applied : int
         Index of the last entry known to be committed, and of the last one applied.
     on_commit, on_leadership_lost : callable
@@ -82,6 +84,7 @@
         self.last_contact_ms = self.leader_seen_ms = clock.now_ms()
         self.silent_since_ms: dict[str, float] = {}
         self.is_running = False
+        self.is_leaving = False
         self.commit_index = 0
         self.last_applied = 0
         self.on_commit: Callable[[], None] = lambda: None
--- a/bulrushlead/replication/tests/close_turnover_schedule.py
+++ b/bulrushlead/replication/tests/close_turnover_schedule.py
@@ -1,9 +1,12 @@
 """Seeded schedules in which disks are lost as soon as the last loss is recovered."""
 
+import contextlib
+
 from bulrushlead.replication.tests.turnover_schedule import (
     CATCH_UP_MS,
     TurnoverSchedule,
 )
+from bulrushlead.results import BulrushleadError
 
 STEP_MS = 100
 MIN_LOSSES, MAX_LOSSES = 3, 6
@@ -64,6 +67,7 @@
         await self.wait_accepted()
         for number, node in enumerate(lost):
             if number < len(planned):
+                await self.leave(node)
                 self.end(node)
             else:
                 node.wipe()
@@ -92,6 +96,16 @@
         self.nodes.remove(node)
         del self.cluster.nodes[node.address]
 
+    async def leave(self, node):
+        """Start a planned stop, which may end before it is answered."""
+        if node.alive:
+            self.cluster.spawn(self.leave_by(node.log))
+            await self.run_checked(self.rng.uniform(0, 300))
+
+    async def leave_by(self, log):
+        with contextlib.suppress(BulrushleadError):
+            await log.leave(300)
+
     async def wait_accepted(self):
         """Wait briefly for an accepted change, which the next loss must not undo."""
         accepted = len(self.accepted)
--- a/bulrushlead/replication/tests/test_turnover.py
+++ b/bulrushlead/replication/tests/test_turnover.py
@@ -111,6 +111,44 @@
     assert voter_ids(cluster) == ids_of(cluster.alive)
 
 
+@pytest.mark.parametrize("leads", (False, True))
+async def test_planned_replacement_bears_the_loss_of_a_region(cluster, leads):
+    """Guards against a stopped voter that counts while two others have no power."""
+    stopped = await cluster.start()
+    if not leads:
+        stopped = cluster.others(stopped)[0]
+    await add_node(cluster, 6)
+    await cluster.wait_converged()
+    assert await cluster.result(stopped.log.leave(500))
+    remove_node(cluster, stopped)
+    leader = cluster.leaders[0] if cluster.leaders else cluster.alive[0]
+    for node in cluster.others(leader)[:2]:
+        node.crash()
+    await run_retiring(cluster, 2_000)
+    await cluster.propose(b"a")
+    assert len(voter_ids(cluster)) == 5
+
+
+async def test_voter_of_an_odd_set_stays_over_a_planned_stop(cluster):
+    leader = await cluster.start()
+    for node in (leader, cluster.others(leader)[0]):
+        assert not await cluster.result(node.log.leave(500))
+    assert len(voter_ids(cluster)) == 5
+
+
+async def test_voter_that_left_does_not_join_again_before_it_stops(cluster):
+    leader = await cluster.start()
+    await add_node(cluster, 6)
+    await cluster.wait_converged()
+    stopped = cluster.others(leader)[0]
+    await cluster.result(stopped.log.leave(500))
+    await run_retiring(cluster, 2 * CATCH_UP_MS)
+    assert stopped.log.replica_id not in {m.replica_id for m in members(cluster)}
+    stopped.crash()
+    await cluster.result(stopped.start())
+    await cluster.wait_converged()
+
+
 async def test_newcomer_joins_a_set_whose_voters_all_answer(cluster):
     await cluster.start()
     await add_node(cluster, 6)
