--- a/bulrushlead/gateway/tests/test_planned_stop.py
+++ b/bulrushlead/gateway/tests/test_planned_stop.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import itertools
+import json
 
 import attrs
 import pytest
 
 from bulrushlead.gateway.tests import harness as fakes
 from bulrushlead.gateway.tests.host_fleet import HostFleet
+from bulrushlead.logs import Event, LogFormat, build_handler
 from bulrushlead.traffic import Route
 
 REQUEST = b"GET /read/x HTTP/1.1\r\nhost: h\r\nid: r1\r\nkey: %d\r\n\r\n"
@@ -132,3 +134,48 @@
         writer.close()
         await stop
     assert not callers_left
+
+
+class Lines(list):
+    """The fields of each log line."""
+
+    def write(self, text):
+        self.append(json.loads(text))
+
+    def flush(self):
+        pass
+
+    def fields(self, event, *names):
+        return [
+            tuple(line[name] for name in names)
+            for line in self
+            if line["event"] == event
+        ]
+
+
+async def test_a_stop_tells_what_it_broke_off():
+    """Guards against requests without an answer that no line of a stop explains."""
+    lines = Lines()
+    fleet = HostFleet("a", [fakes.silent])
+    with build_handler(LogFormat.JSON, lines).applicationbound():
+        await fleet.start()
+        (gateway,) = fleet.gateways
+        gateway.settings = attrs.evolve(gateway.settings, drain_ms=200.0)
+        outcomes = []
+        caller = asyncio.create_task(
+            call_until_refused(gateway, 1, outcomes, once=True)
+        )
+        async with asyncio.timeout(5):
+            while not fleet.servers[0].heads:
+                await asyncio.sleep(0.01)
+        await stop_gateway(gateway)
+        await caller
+        await fleet.close()
+    progress = lines.fields(Event.STOP_PROGRESS, "step", "in_progress")
+    assert progress == [("refuses all", 1), ("closes", 1)]
+    unanswered = lines.fields(
+        Event.REQUEST_UNANSWERED, "request_id", "cause", "sent_on", "answered"
+    )
+    assert unanswered == [("r1", "this process stops", True, False)]
+    assert gateway.front.unanswered.count == 1
+    assert outcomes == ["IncompleteReadError"]
