Release the data folder even if closing a file fails

Cause: close() may report a lack of room that writes didn't (delayed allocation, network file systems). The OSError left FileStorage.close with the folder locked and the descriptors still listed. A log is replaced only once it is closed, so that each attempt failed again, with EBADF, or closed a descriptor that belonged to another connection by then. An unexpected error after a write (on_durable) ended the writer as well, without a failure and without a line: nothing was written or replaced any more.

Change: each descriptor is forgotten, then closed, and an error is ignored, since only synced bytes count.

--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -359,6 +359,33 @@
     assert (folder / "damaged-1" / journal.name).read_bytes() == bytes(data)
 
 
+async def test_a_replica_recovers_if_closing_its_journal_fails(
+    coordinators, monkeypatch
+):
+    """Guards against a log that is never replaced, as closing it fails each time."""
+    await wait_until(lambda: all(c.log.last_applied for c in coordinators))
+    failing = followers(coordinators)[0]
+    log = failing.log
+    close, descriptors = os.close, set(log.storage._descriptors.values())
+    assert descriptors
+
+    def close_late(descriptor):
+        close(descriptor)
+        if descriptor in descriptors:
+            descriptors.remove(descriptor)
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+    def refuse(name, data):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(log.storage, "append", refuse)
+    others = [c for c in coordinators if c is not failing]
+    monkeypatch.setattr(os, "close", close_late)
+    await others[0].accept_plan(TrafficPlan(7), b"document")
+    await wait_until(lambda: failing.log is not log and failing.log.is_open)
+    monkeypatch.undo()
+
+
 async def test_a_damaged_journal_on_a_full_disk_ends_no_process(tmp_path, monkeypatch):
     """Guards against a process that ends since it can't move damaged files aside."""
     address = free_address()
--- a/bulrushlead/replication/_journal.py
+++ b/bulrushlead/replication/_journal.py
@@ -134,7 +134,8 @@
         self._closing = True
         self._wake.set()
         if self._writer is not None:
-            await self._writer
+            # An error in ``on_failure`` must not keep the folder locked.
+            await asyncio.gather(self._writer, return_exceptions=True)
             self._writer = None
         self.storage.close()
 
@@ -311,11 +312,11 @@
             batch = self._next_batch()
             try:
                 await self.storage.run(lambda batch=batch: self._write_batch(batch))
+                self._complete_batch(batch)
             except Exception as error:
                 self._waiters = batch.waiters + self._waiters
                 self._fail(_storage_failed(error))
                 return
-            self._complete_batch(batch)
         for waiter in self._waiters:
             waiter.cancel()
 
--- a/bulrushlead/replication/_storage.py
+++ b/bulrushlead/replication/_storage.py
@@ -1,6 +1,7 @@
 """Data folder of a replica."""
 
 import asyncio
+import contextlib
 import fcntl
 import os
 from collections.abc import Callable
@@ -107,13 +108,19 @@
         self._lock_descriptor = descriptor
 
     def close(self) -> None:
-        """Close every file and release the folder."""
-        for descriptor in self._descriptors.values():
-            os.close(descriptor)
-        self._descriptors.clear()
+        """Close every file and release the folder.
+
+        A disk without room may report that only now. Whatever was not synced counts
+        as lost, and the descriptor is free in any case, so it is not closed again.
+        """
+        descriptors = list(self._descriptors.values())
         if self._lock_descriptor is not None:
-            os.close(self._lock_descriptor)
-            self._lock_descriptor = None
+            descriptors.append(self._lock_descriptor)
+        self._descriptors.clear()
+        self._lock_descriptor = None
+        for descriptor in descriptors:
+            with contextlib.suppress(OSError):
+                os.close(descriptor)
 
     async def run(self, steps: Callable[[], T]) -> T:
         """Run blocking steps in a thread."""
--- a/bulrushlead/replication/tests/test_full_disks.py
+++ b/bulrushlead/replication/tests/test_full_disks.py
@@ -1,9 +1,12 @@
 """Replicas whose disks are full for a while, one after the other."""
 
 import asyncio
+import errno
+import os
 
 import pytest
 
+from bulrushlead.replication import FileStorage
 from bulrushlead.replication._generation import Snapshot, checksum_of
 from bulrushlead.replication._journal import Journal
 from bulrushlead.replication._messages import EntryKind, LogEntry, SnapshotHeader
@@ -160,3 +163,69 @@
     assert all("journal-0000000000000002" in names for names in synced_names)
     assert synced_names
     await journal.close()
+
+
+@pytest.mark.parametrize("at_start", [True, False])
+async def test_a_folder_is_released_if_closing_a_file_fails(
+    tmp_path, monkeypatch, at_start
+):
+    """Guards against a log that is never opened again, as its folder stays locked."""
+    close, append = os.close, FileStorage.append
+    refusing = [True]
+
+    def fail_late(descriptor):
+        close(descriptor)
+        if refusing:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+    def refuse(storage, name, data):
+        append(storage, name, data[: len(data) // 2])
+        if refusing:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+    journal = Journal(FileStorage(str(tmp_path / "a")), lambda: None, lambda: None)
+    if not at_start:
+        await journal.start("id")
+    with monkeypatch.context() as patched:
+        patched.setattr(FileStorage, "append", refuse)
+        with pytest.raises(BulrushleadError):
+            if at_start:
+                patched.setattr(FileStorage, "close", closing_with(fail_late, patched))
+                await journal.start("id")
+            journal.append([LogEntry(1, 1, EntryKind.COMMAND, b"a")])
+            await journal.sync()
+        patched.setattr(FileStorage, "close", closing_with(fail_late, patched))
+        await journal.close()
+    refusing.clear()
+    journal = await open_journal(FileStorage(str(tmp_path / "a")))
+    await journal.close()
+
+
+def closing_with(close_file, patched):
+    """Return ``FileStorage.close`` with another ``os.close``."""
+    close_storage = FileStorage.close
+
+    def close(storage):
+        with patched.context() as inner:
+            inner.setattr(os, "close", close_file)
+            close_storage(storage)
+
+    return close
+
+
+async def test_an_error_after_a_write_stops_the_journal_with_a_line():
+    """Guards against a journal that writes nothing more and doesn't say so."""
+
+    def fail():
+        raise RuntimeError("unexpected")
+
+    stopped = []
+    journal = Journal(LimitedStorage(), fail, lambda: stopped.append(True))
+    await journal.start("id")
+    journal.append([LogEntry(1, 1, EntryKind.COMMAND, b"a")])
+    async with asyncio.timeout(5):
+        await journal.sync()  # the entry is on the disk
+        with pytest.raises(BulrushleadError):
+            await journal.sync()
+    assert stopped
+    await journal.close()
