Ask the seeds of reloaded settings to join

Cause: a reload changed the seeds of the session with the leader, not those of the replica, which asks the peers of its start.

Change: a reload passes the seeds on. Who may form a cluster does not change; an answer of a seed that knows a cluster forbids it, as before.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -161,6 +161,7 @@
         """Apply changed settings; a new peer address or folder also needs a restart."""
         self.settings = settings
         self.session.seeds = (settings.peer_address, *settings.seeds)
+        self.log.set_seeds(settings.seeds)
         self.publisher.reload(settings)
 
     async def close(self) -> None:
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -379,3 +379,19 @@
     await leader.announce(heartbeat(sequence=2))
     await wait_until(lambda: heartbeat().server_id in host.servers)
     assert not any(task.done() for task in leader._tasks)
+
+
+async def test_a_newcomer_joins_through_the_seeds_of_reloaded_settings(
+    coordinators, tmp_path
+):
+    """Guards against a replacement that only ever asks seeds that are gone."""
+    gone = (free_address(), free_address())
+    newcomer = build(tmp_path, 9, free_address(), gone)
+    coordinators.append(newcomer)
+    newcomer.settings = attrs.evolve(newcomer.settings, bootstrap=False)
+    await newcomer.start()
+    await CLOCK.sleep_ms(500)
+    assert not newcomer.log.members
+    live = coordinators[0].settings.peer_address
+    newcomer.reload(attrs.evolve(newcomer.settings, seeds=(live,)))
+    await wait_until(lambda: newcomer.log.members)
--- a/bulrushlead/replication/_joining.py
+++ b/bulrushlead/replication/_joining.py
@@ -1,6 +1,7 @@
 """Joining a cluster, and bootstrapping a new one."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -46,11 +47,16 @@
     def __init__(self, replica: "Replica"):
         self.replica = replica
         self._learned_addresses: set[str] = set()
+        self._seeds: set[str] = set()
         self._last_blocking_reason = ""
         self._asked_addresses: set[str] = set()
         self._joining_since_ms: float | None = None
         self._delays = ChangeLog(replica.log, replica.clock)
 
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Ask further addresses, beside the peers of the settings at the start."""
+        self._seeds = set(list(filter(is_address, addresses))[:MAX_LEARNED_ADDRESSES])
+
     async def run(self) -> None:
         """Join while this replica is not a voter in its own log or has lost contact.
 
@@ -140,7 +146,8 @@
         """Ask all replicas that this one knows of, then those that the replies name."""
         replica, settings = self.replica, self.replica.settings
         known = {m.address for m in replica.journal.members.members}
-        known |= {*settings.peers, *self._learned_addresses, replica.sender_address}
+        known |= {*settings.peers, *self._seeds, *self._learned_addresses}
+        known.add(replica.sender_address)
         known -= {settings.address, ""}
         replies = await self._request_join_from(known)
         named = {a for r in replies.values() for a in r.members if is_address(a)}
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from bulrushlead.clock import Clock
 from bulrushlead.logs import Event
@@ -124,6 +124,19 @@
         server.register_handler(JoinRequest, self._admission.answer_join)
         server.register_handler(LeaveRequest, self._membership.answer_leave)
 
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Set the addresses that reloaded settings name to join the cluster.
+
+        The peers of the settings at the start are asked too. A member needs neither,
+        and who may form a new cluster does not change.
+
+        Parameters
+        ----------
+        addresses : iterable of str
+            Addresses of other replicas; the own one and invalid ones are ignored.
+        """
+        self._joining.set_seeds(addresses)
+
     async def propose(self, command: bytes, timeout_ms: float) -> bytes:
         """Append a command and return the result of the state machine.
 
--- a/bulrushlead/replication/tests/test_newcomers.py
+++ b/bulrushlead/replication/tests/test_newcomers.py
@@ -192,3 +192,14 @@
         await cluster.run_until(node.log._replica.is_voter, 4_000)
     finally:
         await cluster.close()
+
+
+async def test_newcomer_asks_the_seeds_of_reloaded_settings(cluster):
+    """Guards against a newcomer that never joins as its first seeds are all gone."""
+    leader = await cluster.start()
+    address = "10.0.0.4:7000"
+    node = cluster.nodes[address] = Node(cluster, address)
+    await cluster.result(node.start(peers=["10.0.0.9:7000"], bootstrap=False))
+    await cluster.run_for(1_000)
+    node.log.set_seeds([address, leader.address, "not an address"])
+    await cluster.run_until(lambda: is_voter(cluster, node), 4_000)
