--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -395,3 +395,14 @@
     live = coordinators[0].settings.peer_address
     newcomer.reload(attrs.evolve(newcomer.settings, seeds=(live,)))
     await wait_until(lambda: newcomer.log.members)
+
+
+async def test_a_planned_stop_releases_the_vote_of_an_even_set(coordinators):
+    """Guards against a stopped coordinator that counts until its silence is noticed."""
+    await wait_until(lambda: all(len(c.log.members) == 4 for c in coordinators))
+    (leader,) = [c for c in coordinators if c.log.is_leader()]
+    await wait_until(lambda: all(m.role.value == "voter" for m in leader.log.members))
+    stopped = followers(coordinators)[0]
+    await stopped.close()
+    stopped_id = stopped.log.replica_id
+    assert stopped_id not in {m.replica_id for m in leader.log.members}
