Schedule full disks one after the other for the replicated log

Random schedules of 3 to 5 replicas whose disks are full in turn for 0.5 to 4 s, 0 to 3 s apart, with 0 to 3,000 bytes left and failures of a write after a part of it, of a sync, of a rename, of a removal. Processes run on and open their logs again. Between them a replica may lose its power, its disk or its connections; at the end one disk is lost and all others lose their power just after an accepted change. A change must be accepted within 4 s once all disks have room, nothing accepted be lost, and no file be left behind.

--- a/bulrushlead/replication/tests/test_schedules.py
+++ b/bulrushlead/replication/tests/test_schedules.py
@@ -10,6 +10,7 @@
 import pytest
 import uvloop
 
+from bulrushlead.replication.tests.disks_schedule import DisksSchedule
 from bulrushlead.replication.tests.schedule import Schedule
 from bulrushlead.replication.tests.turnover_schedule import TurnoverSchedule
 
@@ -46,6 +47,15 @@
             runner.run(run_schedule(seed, TurnoverSchedule))
 
 
+@pytest.mark.timeout(max(120, SCHEDULES))
+@pytest.mark.parametrize("group", range(GROUPS))
+def test_full_disks_in_turn_preserve_safety_and_changes(group):
+    """Guards against replicas that don't come back when their disk has room again."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        for seed in range(FIRST_SEED + group, FIRST_SEED + SCHEDULES // 20, GROUPS):
+            runner.run(run_schedule(seed, DisksSchedule))
+
+
 @pytest.mark.parametrize("seed", REGRESSION_SEEDS)
 def test_seed_that_exposed_a_fault(seed):
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
