Replace core hosts in the soak, and end runs with the loss of all processes

Change: seeds with seed % 16 == 15 replace core hosts by empty ones at other addresses in a series (killed, stopped, or planned with the new one first; mostly the leader in some seeds; lost disks, cuts and kills of all between), while seeds turn over. Seeds with seed % 8 == 7 end with all processes killed right after an accepted change, mostly with one lost disk; the change must be read back and a new one accepted in 15 s. Faults that never end are a violation. The mixes of the other seeds are as before.

--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -26,6 +26,11 @@
 from tests.soak.faults import CRASHES, CUTS, FAULTS, PLANNED
 from tests.soak.processes import PEER_PORT, READY_PORT, ZONES, Host
 from tests.soak.proxy import Proxy
+from tests.soak.replacements import (
+    REPLACEMENTS,
+    lose_all_processes,
+    replace_cores_in_series,
+)
 
 CORES = 5
 EDGES = 3
@@ -38,6 +43,7 @@
 QUARANTINE_REFUSAL = re.compile(
     r"REQUEST_QUARANTINED: \d+ servers have ended under request (\w+)"
 )
+MAX_FAULT_S = 60.0  # of a fault, after the last one was started
 STALL_CHECK_S = 0.05
 RECOVERY_PHASE_S = 18.0  # time to recover, then to measure the served share
 
@@ -71,24 +77,27 @@
         self.cores = [Host(self, "core", n) for n in range(cores)]
         self.edges = [Host(self, "edge", n) for n in range(edges)]
         self.backends = [Backend(self, n) for n in range(BACKENDS)]
-        self.core_proxies = [
-            Proxy(f"{core.ip}:{PEER_PORT}", f"{core.bind_ip}:{PEER_PORT}")
-            for core in self.cores
-        ]
-        for proxy in self.core_proxies:
-            proxy.base_delay_ms = self.rng.choice(BASE_DELAYS_MS)
+        for core in self.cores:
+            self._add_proxy(core)
+        self.seeds = self.cores[:3]
+        self.all_cores = list(self.cores)  # with those that are gone for good
         self.backend_proxies = [Proxy(b.address, b.bind_address) for b in self.backends]
         # Every fourth seed injects no faults, only planned work; every fourth one cuts
-        # gateways off; every eighth one sends requests that crash servers.
+        # gateways off; every eighth one sends requests that crash servers. Every
+        # sixteenth one replaces core hosts; it and another one lose all processes.
         self.faults = {0: PLANNED, 2: CUTS, 4: PLANNED, 5: CRASHES, 6: CUTS}.get(
             seed % 8, FAULTS
         )
+        if seed % 16 == 15:
+            self.faults = REPLACEMENTS
+        self.loses_all_processes = seed % 8 == 7
         self.history = []
         self.version = 1
         self.operators = [Operator(self, name) for name in "ab"]
         self._session = None
         self._tasks = set()
         self.core_fault_active = False
+        self.series_active = False
         self.cut_active = False
         self.crashing_paths = set()
         self.crashing_count = 0
@@ -104,7 +113,30 @@
         return f"127.{self.network}.{group}.{number + 1}"
 
     def seed_ips(self):
-        return [core.ip for core in self.cores[:3]]
+        return [core.ip for core in self.seeds]
+
+    @property
+    def core_proxies(self):
+        return [core.proxy for core in self.cores]
+
+    def _add_proxy(self, core):
+        core.proxy = Proxy(f"{core.ip}:{PEER_PORT}", f"{core.bind_ip}:{PEER_PORT}")
+        core.proxy.base_delay_ms = self.rng.choice(BASE_DELAYS_MS)
+
+    def add_core(self, zone):
+        """Return a new core host with an empty disk, which is not started yet."""
+        core = Host(self, "core", len(self.all_cores), zone)
+        core.first_start = False
+        self._add_proxy(core)
+        self.all_cores.append(core)
+        return core
+
+    def retire_core(self, core, new):
+        """Let a new core host take the place of one that is gone for good."""
+        self.cores[self.cores.index(core)] = new
+        if core in self.seeds:
+            others = [other for other in self.cores if other not in self.seeds]
+            self.seeds[self.seeds.index(core)] = self.rng.choice(others)
 
     def core_ips(self):
         return [core.ip for core in self.cores]
@@ -129,6 +161,9 @@
                 self.spawn(self._measure_stalls())
                 await self._start()
                 await self._inject_faults()
+                if self.loses_all_processes:
+                    self._heal()
+                    await self._run_fault(lose_all_processes)
                 await self._recover_and_check()
             self.is_complete = True
         finally:
@@ -187,14 +222,34 @@
         """
         end_s = self.clock() + self.fault_duration_s
         running = []
-        while self.clock() < end_s:
+        if self.faults is REPLACEMENTS:
+            running.append(self.spawn(self._run_fault(replace_cores_in_series)))
+            await asyncio.sleep(0)
+        while self.clock() < end_s or self.series_active:
             fault = self.rng.choice(self.faults)
             running.append(self.spawn(self._run_fault(fault)))
             await asyncio.sleep(self.rng.uniform(0.2, 1.5))
-        await asyncio.gather(*running)
+        await self._wait_for(running)
+
+    async def _wait_for(self, faults):
+        """Wait for the end of faults; those of operators last until one leads."""
+        if not faults:
+            return
+        _, pending = await asyncio.wait(faults, timeout=MAX_FAULT_S)
+        for task in pending:
+            task.cancel()
+        if pending:
+            names = ", ".join(sorted({task.get_name() for task in pending}))
+            self.checker.record_violation(
+                "RECOVER", f"{MAX_FAULT_S:.0f} s after the faults still waits: {names}"
+            )
+        for task in faults:
+            if task not in pending:
+                task.result()
 
     async def _run_fault(self, fault):
         self.history.append(f"{self.clock():.1f} s {fault.__name__}")
+        asyncio.current_task().set_name(fault.__name__)
         await fault(self)
 
     async def crash(self, backend, path):
@@ -210,12 +265,16 @@
         self.backends[number] = Backend(self, number, backend.incarnation + 1)
         await self.backends[number].start()
 
-    async def _recover_and_check(self):
+    def _heal(self):
         for proxy in (*self.core_proxies, *self.backend_proxies):
             proxy.heal()
         for host in (*self.cores, *self.edges):
             host.resume()
             host.heal_links()
+
+    async def _recover_and_check(self):
+        self._heal()
+        for host in (*self.cores, *self.edges):
             await host.start()
         self.checker.faults_ended_s = self.clock()
         await asyncio.sleep(RECOVERY_PHASE_S)
@@ -263,12 +322,13 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for host in (*self.cores, *self.edges):
+        for host in (*self.all_cores, *self.edges):
             await host.close()
         for backend in self.backends:
             with contextlib.suppress(Exception):
                 await backend.crash()
-        for proxy in (*self.core_proxies, *self.backend_proxies):
+        core_proxies = [core.proxy for core in self.all_cores]
+        for proxy in (*core_proxies, *self.backend_proxies):
             await proxy.close()
         if self.logs and (self.checker.violations or not self.is_complete):
             self.copy_logs(Path(self.logs) / f"seed-{self.seed}")
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -16,6 +16,7 @@
 DIRECTORY_PORT = 8164
 FRONT_PORT = 8161
 READY_PORT = 8167
+METRICS_PORT = 9464
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
 GRACE_S = 6.0
 CUT_FILE = "cut.txt"  # see tests.soak.cut_host
@@ -32,13 +33,15 @@
         ``edge`` or ``core``.
     number : int
         Number within the kind.
+    zone : str or None, default=None
+        Availability zone; by number if None.
     """
 
-    def __init__(self, harness, kind, number):
+    def __init__(self, harness, kind, number, zone=None):
         self.harness = harness
         self.kind = kind
         self.name = f"{kind}-{number}"
-        self.zone = list(ZONES)[number % len(ZONES)]
+        self.zone = zone or list(ZONES)[number % len(ZONES)]
         group = 1 if kind == "core" else 2
         self.ip = harness.ip(group, number)
         # Peers connect to a proxy at ``ip``, which forwards to ``bind_ip``.
@@ -46,6 +49,7 @@
         self.folder = harness.folder / self.name
         self.data = self.folder / "data"
         self.source = ROOT  # of the build that the next start runs
+        self.proxy = None  # of a core host
         self.process = None
         self.paused = False
         # Two faults may start a host at the same time. Without the lock, the reference
@@ -81,8 +85,7 @@
 
     async def _spawn(self):
         self.data.mkdir(parents=True, exist_ok=True)
-        settings = self.folder / "boot.toml"
-        settings.write_text(self._settings())
+        settings = self.write_settings()
         self.first_start = False
         self.starts += 1
         program = "bulrushlead.platform"
@@ -101,6 +104,17 @@
             )
         self.paused = False
 
+    def write_settings(self):
+        """Write the settings with the present seeds; return their path."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / "boot.toml"
+        # Renamed, so that a host never reads half of it.
+        path.with_suffix(".new").write_text(self._settings())
+        return path.with_suffix(".new").rename(path)
+
+    def reload(self):
+        self.signal(signal.SIGHUP)
+
     def signal(self, number):
         if self.alive:
             with contextlib.suppress(ProcessLookupError):
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -32,7 +32,8 @@
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
     async def close(self):
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         self.reset(1.0, None)
 
     def heal(self):
@@ -48,8 +49,11 @@
 
     async def _serve(self, reader, writer):
         # asyncio streams of Python 3.11 log a cancelled handler as an error.
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._forward(reader, writer)
+        try:
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._forward(reader, writer)
+        finally:
+            writer.close()
 
     async def _forward(self, reader, writer):
         while self.cut_in:
