Refuse on a new host only crashes that the leader has published

A host in its first 30 s should refuse only what the leader has published; the code asked only whether the leader had ever published anything on the request.

Change: in the first 30 s, of a request that completed runs lately only the crashes that the leader published count for a refusal. One that never completed is refused as before.

Before: test_a_host_that_has_just_started_refuses_no_more_than_was_published failed (three servers have ended under request f). After: it passes.

--- a/bulrushlead/quarantine/_observer.py
+++ b/bulrushlead/quarantine/_observer.py
@@ -116,7 +116,8 @@
         self._delivered: dict[str, tuple[str, int]] = {}
         self._reported: dict[str, int] | None = None
         self._started_ms = clock.now_ms()
-        self._published: set[str] = set()
+        # Incarnations of the crashes that the leader has published, by fingerprint.
+        self._published: dict[str, frozenset[str]] = {}
         self._log = EventLogger("quarantine")
 
     def hold(self, fingerprint: str) -> Hold | None:
@@ -257,8 +258,11 @@
             self._delivered = {
                 f: sent for f, sent in self._delivered.items() if f in self.table
             }
-        self._published = {f for f in self._published if f in self.table}
-        self._published |= notices.keys()
+        self._published = {
+            f: crashes for f, crashes in self._published.items() if f in self.table
+        }
+        for fingerprint, notice in notices.items():
+            self._published[fingerprint] = frozenset(notice.crashes)
         for fingerprint in self.table.merge(notices):
             completed_ms = self._completed_ms.get(fingerprint, -math.inf)
             if self.table.record_completed(fingerprint, completed_ms):
@@ -268,10 +272,18 @@
         """Return whether this host knows enough to refuse a request.
 
         One that has just started remembers no complete runs. It may refuse what the
-        leader has published, and so what all hosts could clear.
+        leader has published, and so what all hosts could clear. Later crashes under a
+        request that completed runs lately may be explained by what other hosts sent.
         """
-        age_ms = self.clock.now_ms() - self._started_ms
-        return age_ms >= MIN_MEMORY_MS or fingerprint in self._published
+        if self.clock.now_ms() - self._started_ms >= MIN_MEMORY_MS:
+            return True
+        published = self._published.get(fingerprint)
+        if published is None:
+            return False
+        return (
+            not self.table.completed_lately(fingerprint)
+            or self.table.crash_count(fingerprint, published) >= QUARANTINE_CRASHES
+        )
 
     def _notify(self) -> None:
         if self.on_evidence is not None:
--- a/bulrushlead/quarantine/_suspect.py
+++ b/bulrushlead/quarantine/_suspect.py
@@ -126,7 +126,9 @@
             del self.trials_ms[trial]
         return bool(cleared)
 
-    def crash_count(self, explained: Container[str] = ()) -> int:
+    def crash_count(
+        self, explained: Container[str] = (), among: Container[str] | None = None
+    ) -> int:
         """Return the crashes that speak against the request.
 
         For one that completed a run lately, crashes count only one after the other:
@@ -136,11 +138,15 @@
         ----------
         explained : container of str
             Incarnations that another request has crashed.
+        among : container of str or None, default=None
+            Incarnations that count; all if None.
         """
-        crashes = sorted(
-            (c for key, c in self.crashes.items() if key not in explained),
-            key=lambda crash: crash.ended_ms,
+        counted = (
+            crash
+            for key, crash in self.crashes.items()
+            if key not in explained and (among is None or key in among)
         )
+        crashes = sorted(counted, key=lambda crash: crash.ended_ms)
         if not self.completed_lately:
             return len(crashes)
         count, last_ended_ms = 0, -math.inf
--- a/bulrushlead/quarantine/_table.py
+++ b/bulrushlead/quarantine/_table.py
@@ -78,12 +78,12 @@
         """Fingerprints of the requests that are quarantined."""
         return frozenset(self._quarantined)
 
-    def crash_count(self, fingerprint: str) -> int:
-        """Return the crashes that speak against a request."""
-        suspect = self._suspects.get(fingerprint)
+    def crash_count(self, name: str, among: Container[str] | None = None) -> int:
+        """Return the crashes that speak against a request, among some incarnations."""
+        suspect = self._suspects.get(name)
         if suspect is None or not suspect.crashes:
             return 0
-        return suspect.crash_count(self._explained(fingerprint, suspect))
+        return suspect.crash_count(self._explained(name, suspect), among)
 
     def completed_lately(self, fingerprint: str) -> bool:
         """Return whether a request completed a run shortly before its crashes."""
--- a/bulrushlead/quarantine/tests/test_observer.py
+++ b/bulrushlead/quarantine/tests/test_observer.py
@@ -103,6 +103,33 @@
     assert observer.hold("f") is not None
 
 
+def test_a_host_that_has_just_started_refuses_no_more_than_was_published(clock):
+    """Guards against a verdict that lacks what other hosts know (soak seed 45).
+
+    The leader had published one crash of a request that completes runs. It was then
+    away: two servers more ended under it, because of a request at another host.
+    """
+    observer = CrashObserver(clock)
+    complete(observer)
+    crash(observer, "s1")
+    observer.apply("one", observer.table.notices(["f"]))
+    for server in ("s2", "s3"):
+        crash(observer, server)
+    assert observer.hold("f") is None
+    observer.apply("one", observer.table.notices(["f"]))
+    assert observer.hold("f") is not None
+
+
+def test_a_host_that_has_just_started_refuses_what_never_completed(clock):
+    """Guards against crashes without end while no leader publishes the third one."""
+    observer = CrashObserver(clock)
+    for server in ("s1", "s2"):
+        crash(observer, server)
+    observer.apply("one", observer.table.notices(["f"]))
+    crash(observer, "s3")
+    assert observer.hold("f") is not None
+
+
 def test_a_frequent_request_is_not_held_for_crashes_beside_it(observer):
     """Guards against refusing the most frequent request when servers crash."""
     for number in range(20):
