Overlap planned work in the soak

Cause: planned stops, reloads and changes of the configuration mostly came one after the other in the soak; overlapping ones were left to chance.

Change: seeds with seed % 16 == 12, so far planned work only, also reload a gateway while it stops, and change the configuration again and again while gateways stop in turn.

Before: not covered.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -231,6 +231,28 @@
             await edge.start()
 
 
+async def reload_edge_while_stopping(harness):
+    """Send a planned stop, and let the host reload its settings meanwhile."""
+    edge = harness.rng.choice(harness.edges)
+    if not edge.alive or edge.paused:
+        return
+    stop = asyncio.ensure_future(edge.stop())
+    for _ in range(harness.rng.randint(1, 3)):
+        await harness.sleep_between(0.0, 1.5)
+        edge.reload()
+    await stop
+    await edge.start()
+
+
+async def change_configuration_during_stops(harness):
+    """Change the configuration again and again while gateways stop in turn."""
+    stops = asyncio.ensure_future(stop_edges_in_turn(harness))
+    while not stops.done():
+        await change_configuration(harness)
+        await harness.sleep_between(0.1, 2.0)
+    await stops
+
+
 async def change_configuration(harness):
     harness.version += harness.rng.randrange(1, 4)
     await harness.rng.choice(harness.operators).put(harness.version)
@@ -299,6 +321,14 @@
     resend_old_configuration,
     evacuate,
 )
+# The same with more at once: reloads and changes while gateways stop.
+OVERLAPS = (
+    *PLANNED,
+    reload_edge_while_stopping,
+    reload_edge_while_stopping,
+    change_configuration_during_stops,
+    change_configuration_during_stops,
+)
 # Cuts of gateways from all servers, beside planned work that moves no gateway: the only
 # seeds in which the first tries at the gateways that are cut off can be compared.
 CUTS = (
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -23,7 +23,7 @@
     call_control,
 )
 from tests.soak.checker import InvariantChecker
-from tests.soak.faults import CRASHES, CUTS, FAULTS, PLANNED
+from tests.soak.faults import CRASHES, CUTS, FAULTS, OVERLAPS, PLANNED
 from tests.soak.processes import PEER_PORT, READY_PORT, ZONES, Host
 from tests.soak.proxy import Proxy
 from tests.soak.replacements import (
@@ -83,13 +83,13 @@
         self.all_cores = list(self.cores)  # with those that are gone for good
         self.backend_proxies = [Proxy(b.address, b.bind_address) for b in self.backends]
         # Every fourth seed injects no faults, only planned work; every fourth one cuts
-        # gateways off; every eighth one sends requests that crash servers. Every
-        # sixteenth one replaces core hosts; it and another one lose all processes.
+        # gateways off; every eighth one sends requests that crash servers. Of sixteen,
+        # one has more planned work at once and one replaces core hosts; that one and
+        # another one lose all processes.
         self.faults = {0: PLANNED, 2: CUTS, 4: PLANNED, 5: CRASHES, 6: CUTS}.get(
             seed % 8, FAULTS
         )
-        if seed % 16 == 15:
-            self.faults = REPLACEMENTS
+        self.faults = {12: OVERLAPS, 15: REPLACEMENTS}.get(seed % 16, self.faults)
         self.loses_all_processes = seed % 8 == 7
         self.history = []
         self.version = 1
