Let the soak stop gateways together, among reloads and long requests

Planned stops in the soak came one after the other, and no request of it lasted as long as a stop, so that none could reach its end. LOST counted only requests that had run.

In the seeds of planned work a fiftieth of the requests now lasts 2.6 to 3.6 s on a route that allows 4 s; gateways are stopped together, with SIGHUP before, during and after the stop and a second SIGTERM. A connection that closes half a second after its request was sent, without an answer, is LOST also if the request did not run.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -19,6 +19,9 @@
 MAX_QUEUED = 12
 HEARTBEAT_S = 0.5
 SERVICE_TIME_RANGE_S = (0.02, 0.12)
+LONG_SERVICE_TIME_RANGE_S = (2.6, 3.6)  # on the long route, for more than half a grace
+LONG_SHARE = 0.02  # of the requests, while there is planned work only
+TIMEOUTS_MS = {"read": 2_000, "order": 2_000, "long": 4_000}
 SERVICE = "stock"
 SHUTDOWN_S = 0.1
 CRASH_AFTER_S = 0.06  # from the begin of a run
@@ -140,7 +143,9 @@
                     await asyncio.sleep(CRASH_AFTER_S)
                     self.harness.spawn(self.harness.crash(self, request.path))
                     await asyncio.sleep(CALL_TIMEOUT.total)
-                await asyncio.sleep(self.rng.uniform(*SERVICE_TIME_RANGE_S))
+                is_long = request.path.startswith("/long/")
+                times_s = LONG_SERVICE_TIME_RANGE_S if is_long else SERVICE_TIME_RANGE_S
+                await asyncio.sleep(self.rng.uniform(*times_s))
             headers = self._answer_headers(request_id)
             headers["Server-Seal"] = self.server_id
             return web.Response(
@@ -200,19 +205,21 @@
 
     async def _send_request(self, session):
         checker = self.harness.checker
-        unsafe = self.rng.random() < 0.4
+        is_long = self.rng.random() < self.harness.long_share
+        unsafe = is_long or self.rng.random() < 0.4
         self.count += 1
         request_id = f"{self.number}-{self.count}"
         host = self.rng.choice(self.hosts)
         key, is_served = checker.organisations.choose_key(self.rng, request_id)
         request = checker.record_request(request_id, unsafe, host, is_served)
-        path = "order" if unsafe else "read"
+        path = "long" if is_long else "order" if unsafe else "read"
+        timeout_ms = TIMEOUTS_MS[path]
         headers = {
             "Host": "h",
             "Request-Id": request_id,
             "Api-Key": key,
             "Tenant": "nobody",
-            "Deadline-Ms": "2000",
+            "Deadline-Ms": str(timeout_ms),
             "Affinity-Key": str(self.rng.randrange(20)),
         }
         try:
@@ -221,7 +228,7 @@
                 f"http://{host}/{path}/x",
                 headers=headers,
                 data=b"order" if unsafe else None,
-                timeout=aiohttp.ClientTimeout(total=2.2, connect=1.0),
+                timeout=aiohttp.ClientTimeout(timeout_ms / 1000 + 0.2, connect=1.0),
             ) as answer:
                 body = await answer.read()
                 echoed = answer.headers.get("Request-Id")
@@ -333,7 +340,7 @@
             "host": "h",
             "pathPrefix": f"/{name}/",
             "type": kind,
-            "timeout": "2s",
+            "timeout": f"{TIMEOUTS_MS[name]}ms",
             "targetLatency": "300ms",
             "priority": 1,
             "service": SERVICE,
@@ -348,8 +355,8 @@
         "metadata": {"name": SERVICE},
         "spec": {"maxConnections": 300, "warmup": "1s", "warmupPerS": 10, "mark": mark},
     }
-    resources = [route("read", "safe"), route("order", "unsafe"), service]
-    resources += tenants(version)
+    resources = [route("read", "safe"), route("order", "unsafe")]
+    resources += [route("long", "unsafe"), service, *tenants(version)]
     return {"version": version, "resources": resources}
 
 
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -14,8 +14,8 @@
 ROUTE       A request ran whose key never existed.
 QUOTA       More requests of an organisation ran in a window than its quota allows.
 DENIED      A valid request was rejected with a status such as 400, 401 or 404.
-LOST        A connection was closed without a fault after its request ran, or an
-            accepted configuration was lost.
+LOST        A connection was closed without a fault after its request ran or long
+            after it was sent, or an accepted configuration was lost.
 LIMIT       A server got more requests than the limit that it had named.
 DRAIN       A request reached a server too long after its drain was acknowledged.
 CONFIG      A configuration was refused, is stale, or has other content; or a request
@@ -40,8 +40,12 @@
 RECONNECT_S = 4.0
 # From an acknowledged configuration until every read returns it or a newer one.
 APPLY_DEADLINE_S = 2.5
+# From a request until its connection may be closed if it was not read.
+LOSS_SLACK_S = 0.5
 MAX_ATTEMPTS = 2  # as the routes of the soak's configuration allow
 # Statuses with which a host states that the request has not run.
+# Failures of a request that was not sent, or whose caller gave up.
+NOT_CLOSED = ("TimeoutError", "ConnectionTimeoutError", "ClientConnectorError")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 RECOVERY_S = 15.0  # from the end of the last fault until requests count
 MIN_SERVED_SHARE = 0.9  # of the requests that are sent after the recovery
@@ -231,11 +235,13 @@
         self.counts[cause] += 1
         self._count_after_recovery(request, False)
         servers = self.runs.get(request.request_id)
-        if servers and self.is_fault_free() and cause != "TimeoutError":
+        age_s = self.clock() - request.sent_s
+        was_read = servers or age_s > LOSS_SLACK_S
+        if was_read and self.is_fault_free() and cause not in NOT_CLOSED:
             self.record_violation(
                 "LOST",
-                f"{request.request_id} ran at {servers}, "
-                f"{request.host} closed: {cause}",
+                f"{request.request_id} ran at {servers}, {request.host} closed "
+                f"after {age_s:.2f} s: {cause}",
             )
 
     def _count_after_recovery(self, request, served):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -231,6 +231,25 @@
             await edge.start()
 
 
+async def stop_edges_together(harness):
+    """Stop several gateways at once, with reloads before, during and after."""
+    edges = harness.rng.sample(harness.edges, len(harness.edges) - 1)
+    await asyncio.gather(*(_stop_among_signals(harness, edge) for edge in edges))
+
+
+async def _stop_among_signals(harness, edge):
+    if not edge.alive or edge.paused:
+        return
+    await harness.sleep_between(0.0, 0.5)
+    edge.signal(signal.SIGHUP)
+    stop = asyncio.ensure_future(edge.stop())
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+        await harness.sleep_between(0.0, 1.0)
+        edge.signal(number)
+    await stop
+    await edge.start()
+
+
 async def change_configuration(harness):
     harness.version += harness.rng.randrange(1, 4)
     await harness.rng.choice(harness.operators).put(harness.version)
@@ -289,6 +308,7 @@
 PLANNED = (
     stop_edge,
     stop_edges_in_turn,
+    stop_edges_together,
     reload_edge,
     drain_backend,
     drain_backend,
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -16,6 +16,7 @@
 from bulrushlead.quarantine import request_fingerprint
 from tests.soak.backends import (
     CRASHING_ORGANISATION,
+    LONG_SHARE,
     Backend,
     Caller,
     Operator,
@@ -80,6 +81,7 @@
         self.faults = {0: PLANNED, 2: CUTS, 4: PLANNED, 5: CRASHES, 6: CUTS}.get(
             seed % 8, FAULTS
         )
+        self.long_share = LONG_SHARE if self.faults is PLANNED else 0.0
         self.history = []
         self.version = 1
         self.operators = [Operator(self, name) for name in "ab"]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -209,6 +209,23 @@
     assert violated_invariants(checker) == ["LOST"]
 
 
+@pytest.mark.parametrize(
+    ("age_s", "cause", "violated"),
+    [
+        (0.6, "ServerDisconnectedError", ["LOST"]),
+        (0.4, "ServerDisconnectedError", []),
+        (0.6, "TimeoutError", []),
+        (0.6, "ClientConnectorError", []),
+    ],
+)
+def test_a_request_that_was_read_and_not_answered_is_reported(
+    checker, clock, age_s, cause, violated
+):
+    clock.now_s += age_s
+    checker.record_failed_request(checker.requests["r1"], cause)
+    assert violated_invariants(checker) == violated
+
+
 def test_lost_answer_during_fault_is_allowed(checker):
     checker.record_fault()
     checker.record_run("s1", "r1")
