--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -216,7 +216,7 @@
         if self._idle_since_ms <= idle_since_ms and not self._has_unread():
             self.close()
 
-    def close(self, cause: str = "") -> None:
+    def close(self, cause: str = "this host closed") -> None:
         """Close the connection once buffered output has been sent.
 
         Parameters
