--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -244,6 +244,25 @@
     await edge.start()
 
 
+async def stop_edges_together(harness):
+    """Stop several gateways at once, with reloads before, during and after."""
+    edges = harness.rng.sample(harness.edges, len(harness.edges) - 1)
+    await asyncio.gather(*(_stop_among_signals(harness, edge) for edge in edges))
+
+
+async def _stop_among_signals(harness, edge):
+    if not edge.alive or edge.paused:
+        return
+    await harness.sleep_between(0.0, 0.5)
+    edge.signal(signal.SIGHUP)
+    stop = asyncio.ensure_future(edge.stop())
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+        await harness.sleep_between(0.0, 1.0)
+        edge.signal(number)
+    await stop
+    await edge.start()
+
+
 async def change_configuration_during_stops(harness):
     """Change the configuration again and again while gateways stop in turn."""
     stops = asyncio.ensure_future(stop_edges_in_turn(harness))
@@ -311,6 +330,7 @@
 PLANNED = (
     stop_edge,
     stop_edges_in_turn,
+    stop_edges_together,
     reload_edge,
     drain_backend,
     drain_backend,
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -17,6 +17,7 @@
 from bulrushlead.quarantine import request_fingerprint
 from tests.soak.backends import (
     CRASHING_ORGANISATION,
+    LONG_SHARE,
     Backend,
     Caller,
     Operator,
@@ -91,6 +92,7 @@
         )
         self.faults = {12: OVERLAPS, 15: REPLACEMENTS}.get(seed % 16, self.faults)
         self.loses_all_processes = seed % 8 == 7
+        self.long_share = LONG_SHARE if self.faults is PLANNED else 0.0
         self.history = []
         self.version = 1
         self.operators = [Operator(self, name) for name in "ab"]
