Bound what a caller's request takes while it is received

What callers saw: nothing so far. The fault of the answers of servers held for requests as well: a caller could end an entry host, or hold its event loop.

Cause: pieces of a chunked body were objects of their own, fields of a head were counted by their bytes only (1,500 short fields in 13 KB take 240 KB, on each connection), trailers were appended to the fields without any limit after the limits had been checked, a chunk extension never ended, and a read was parsed at once.

Change: IncomingRequest holds what is received of a request. Small pieces are joined; heads that take over 4 KiB with their fields are reserved against the same memory as bodies, until the request is answered; trailers are dropped, and end after the limit on heads; framing is bound as for answers (400), and so are calls of the parser in a turn. Requests below 4 KiB are never refused for lack of memory. `bind` moves to a module of its own.

--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -9,14 +9,11 @@
 
 from bulrushlead.clock import Clock
 from bulrushlead.http1._budget import MAX_BODY_BYTES, ByteBudget
+from bulrushlead.http1._incoming import IncomingRequest
 from bulrushlead.http1._limits import RequestLimits
-from bulrushlead.http1._messages import (
-    Answer,
-    BodyDigest,
-    Request,
-    find_header,
-    render_answer,
-)
+from bulrushlead.http1._listening import bind
+from bulrushlead.http1._messages import Answer, Request, render_answer
+from bulrushlead.http1._pacing import PacedReader, TurnQueue
 from bulrushlead.logs import Event, EventLogger
 from bulrushlead.results import ResultCode
 
@@ -42,14 +39,14 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
+        self._reader = PacedReader(self._parse, server.turns)
         self._queued: deque[tuple[Request, bool, int]] = deque()
-        self._reserved_bytes = 0  # of the body that is being received
         self._discards = False
         self._task: asyncio.Task | None = None
         self._closing = False
         self._idle_since_ms = server.clock.now_ms()
         self._first_byte_ms: float | None = None
-        self._start_message()
+        self._incoming = IncomingRequest(server.bodies)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection."""
@@ -60,73 +57,100 @@
         """Cancel the request in progress, since its answer cannot be delivered."""
         self.server.connections.discard(self)
         self._closing = True
-        self.server.bodies.release(
-            self._reserved_bytes + sum(reserved for _, _, reserved in self._queued)
-        )
-        self._reserved_bytes = 0
+        self._incoming.drop()
+        self.server.bodies.release(sum(reserved for _, _, reserved in self._queued))
         self._queued.clear()
         if self._task is not None:
             self._task.cancel()
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser and enforce the header size limit."""
+        """Parse what was received, or a part of it; see ``PacedReader``."""
+        self._reader.receive(data, self.transport)
+
+    def _parse(self, data: bytes | memoryview) -> bool:
+        """Feed the parser and enforce the limits; return whether to go on."""
         if self._closing:
-            return
+            return False
         if self._first_byte_ms is None:
             self._first_byte_ms = self.server.clock.now_ms()
-        if self._in_header_section:
-            self._header_bytes += len(data)
+        incoming = self._incoming
+        incoming.received_bytes += len(data)
+        incoming.quiet_bytes += len(data)
+        body_bytes = incoming.body.n_bytes
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._refuse(400)
-        else:
-            limits = self.server.limits
-            if self._in_header_section and self._header_bytes > limits.max_header_bytes:
-                self._refuse(431)
+        if self._incoming is not incoming or incoming.body.n_bytes != body_bytes:
+            self._incoming.quiet_bytes = 0
+        is_open = not (self._closing or self._discards)
+        if is_open and self._incoming.received_bytes:
+            self._check_size()
+        if self._closing:
+            self._incoming.drop()
+        return not self._closing
+
+    def _check_size(self) -> None:
+        """Refuse a request that takes too much or gets nowhere."""
+        incoming = self._incoming
+        max_head_bytes = self.server.limits.max_header_bytes
+        head_bytes = incoming.quiet_bytes
+        if incoming.in_header_section:
+            head_bytes = incoming.received_bytes
+        if head_bytes > max_head_bytes:
+            self._refuse(431)
+        elif incoming.has_excess_framing(max_head_bytes):
+            self._refuse(400)
+        elif not incoming.reserve_head():
+            self._refuse_for_memory()
+        self._reader.n_plain_bytes = incoming.length - incoming.body.n_bytes
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._start_message()
         if self._first_byte_ms is None:
             self._first_byte_ms = self.server.clock.now_ms()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
-        self._target += url
+        self._incoming.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header field."""
-        name = name.lower()
-        if name == b"expect" and value.lower() == b"100-continue":
-            self._expects_continue = True
-        self._headers.append((name, value))
+        """Store one header field; trailers are dropped, as they have no limit."""
+        if self._incoming.in_header_section and not self._discards:
+            self._incoming.add_field(name, value)
+        else:
+            self._reader.n_callbacks += 1
 
     def on_headers_complete(self) -> None:
         """Check the size of the header fields; send ``100 Continue`` if expected."""
-        self._in_header_section = False
+        incoming = self._incoming
         limits = self.server.limits
-        size = sum(len(n) + len(v) + 4 for n, v in self._headers) + len(self._target)
-        length = int(find_header(self._headers, b"content-length") or 0)
+        self._reader.n_callbacks += 1 + len(incoming.headers)
+        size = incoming.complete_head()
         if size > limits.max_header_bytes:
             self._refuse(431)
-        elif length <= limits.max_body_bytes and not self._reserve(length):
-            self._refuse_body()
-        elif self._expects_continue and not self._closing:
+        elif self._discards:
+            return
+        elif not incoming.reserve_head() or (
+            incoming.length <= limits.max_body_bytes
+            and not incoming.reserve_body(incoming.length)
+        ):
+            self._refuse_for_memory()
+        elif incoming.expects_continue and not self._closing:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._reader.n_callbacks += 1
         if self._closing or self._discards:
             return
-        self._body_bytes += len(body)
-        if self._body_bytes > self.server.limits.max_body_bytes:
+        n_bytes = self._incoming.body.n_bytes + len(body)
+        if n_bytes > self.server.limits.max_body_bytes:
             self._refuse(413)
-        elif self._reserve(self._body_bytes - self._reserved_bytes):
-            self._body.append(body)
-            self._body_digest.update(body)
+        elif self._incoming.reserve_body(n_bytes):
+            self._incoming.append(body)
         else:
-            self._refuse_body()
+            self._refuse_for_memory()
 
     def on_message_complete(self) -> None:
         """Queue the request, and start the answering task unless it is running."""
@@ -136,21 +160,17 @@
             self.close()
             return
         keep_alive = self._parser.should_keep_alive()
-        request = Request(
+        incoming, self._incoming = self._incoming, IncomingRequest(self.server.bodies)
+        request = incoming.complete(
             self._parser.get_method(),
-            self._target,
-            self._headers,
-            b"".join(self._body),
             self._first_byte_ms or self.server.clock.now_ms(),
-            self._body_digest.digest(),
         )
         self._first_byte_ms = None
-        self._start_message()
         if len(self._queued) >= MAX_PIPELINED_REQUESTS:
+            incoming.drop()
             self._refuse(400)
             return
-        self._queued.append((request, keep_alive, self._reserved_bytes))
-        self._reserved_bytes = 0
+        self._queued.append((request, keep_alive, incoming.reserved_bytes))
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
@@ -161,7 +181,7 @@
         limits = self.server.limits
         if self._first_byte_ms is not None:
             if (
-                self._in_header_section
+                self._incoming.in_header_section
                 and now_ms - self._first_byte_ms > limits.header_timeout_ms
             ):
                 self._refuse(408)
@@ -181,16 +201,6 @@
         if self.transport is not None:
             self.transport.close()
 
-    def _start_message(self) -> None:
-        self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_digest = BodyDigest()
-        self._body_bytes = 0
-        self._header_bytes = 0
-        self._in_header_section = True
-        self._expects_continue = False
-
     async def _serve(self) -> None:
         while self._queued and not self._closing:
             request, keep_alive, reserved_bytes = self._queued.popleft()
@@ -214,27 +224,16 @@
         self._idle_since_ms = self.server.clock.now_ms()
         self._task = None
 
-    def _reserve(self, n_bytes: int) -> bool:
-        """Reserve room for a part of the body; return whether there is enough."""
-        if n_bytes <= 0:
-            return True
-        if not self.server.bodies.reserve(n_bytes):
-            return False
-        self._reserved_bytes += n_bytes
-        return True
-
-    def _refuse_body(self) -> None:
+    def _refuse_for_memory(self) -> None:
         """Refuse a request for lack of memory, and read on until its end.
 
         Closing the connection before would reset it, and the caller lose the refusal.
         """
         self._discards = True
-        self._body.clear()
-        self.server.bodies.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._incoming.drop()
         self.server.log.write(
             Event.REQUEST_REFUSED,
-            refusal=f"{ResultCode.OVERLOADED.value} OVERLOADED: too many large bodies",
+            refusal=f"{ResultCode.OVERLOADED.value} OVERLOADED: many large requests",
         )
         if self._task is None:
             answer = Answer(503, [(b"retry-after", b"%d" % BODY_RETRY_AFTER_S)])
@@ -269,8 +268,10 @@
     draining : bool
         Whether the server closes each connection after its next answer.
     bodies : ByteBudget
-        Bound on the bodies of all requests in progress; servers of one process may
-        share it.
+        Bound on the bodies and large heads of all requests in progress; servers of one
+        process may share it.
+    turns : TurnQueue
+        Turns in which requests in many pieces are parsed.
     """
 
     def __init__(
@@ -289,6 +290,7 @@
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self.bodies = ByteBudget(MAX_BODY_BYTES)
+        self.turns = TurnQueue()
         self.log = EventLogger("http1")
         self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
@@ -309,7 +311,7 @@
     async def start(self) -> None:
         """Listen for connections."""
         loop = asyncio.get_running_loop()
-        self._socket = _bind(self.address, self.port)
+        self._socket = bind(self.address, self.port)
         self.port = self._socket.getsockname()[1]
         self._server = await loop.create_server(
             lambda: ServerConnection(self), sock=self._socket, backlog=LISTEN_BACKLOG
@@ -382,15 +384,3 @@
             now_ms = self.clock.now_ms()
             for connection in list(self.connections):
                 connection.check_timeouts(now_ms)
-
-
-def _bind(address: str, port: int) -> socket.socket:
-    sock = socket.socket()
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((address, port))
-    except OSError:
-        sock.close()
-        raise
-    return sock
