Refuse a heartbeat of more than 64 KiB before it is decoded

What operators saw: nothing so far. A faulty server could send 4 MiB of JSON as its heartbeat; decoded, that took 105 MB and held the coordinator's event loop.

Cause: heartbeats and deregistrations had the bound of configurations.

Change: a body of more than 64 KiB is BAD_REQUEST, or a deregistration without a start time. A heartbeat has some 300 bytes.

Test: test_a_document_is_no_heartbeat failed before for both (75 MB; limit of the test 1 MB).

--- a/bulrushlead/platform/_heartbeats.py
+++ b/bulrushlead/platform/_heartbeats.py
@@ -9,6 +9,8 @@
 from bulrushlead.platform._units import parse_duration_ms
 from bulrushlead.results import BulrushleadError, ResultCode
 
+# A heartbeat has some 300 bytes. Decoded, a document of 4 MiB takes over 100 MB.
+MAX_BODY_BYTES = 64 * 1024
 MAX_SLOTS = 100_000  # far more than one server runs; estimates divide by the slots
 MAX_INTEGER = 2**63 - 1  # fits a signed 64-bit integer
 MAX_COLD_MS = 24 * 3_600_000.0  # a longer warm-up is a mistake of the server
@@ -35,7 +37,7 @@
         ``BAD_REQUEST`` if a field is missing, has another type or an invalid value.
     """
     try:
-        return _build_announcement(server_id, json.loads(body), zones)
+        return _build_announcement(server_id, _load(body), zones)
     except (ValueError, TypeError, KeyError, RecursionError) as error:
         raise BulrushleadError(
             ResultCode.BAD_REQUEST, f"heartbeat of {server_id!r:.60}: {error!r:.200}"
@@ -51,12 +53,18 @@
         Milliseconds; None if the body does not contain it.
     """
     try:
-        born_ms = json.loads(body).get("born") if body else None
+        born_ms = _load(body).get("born") if body else None
     except (ValueError, AttributeError, RecursionError):
         return None
     return born_ms if _is_integer(born_ms) else None
 
 
+def _load(body: bytes) -> Any:
+    if len(body) > MAX_BODY_BYTES:
+        raise ValueError(f"{len(body)} bytes, at most {MAX_BODY_BYTES} allowed")
+    return json.loads(body)
+
+
 def _build_announcement(server_id: str, fields: Any, zones: set[str]) -> Announcement:
     if not isinstance(fields, dict) or not _NAME.fullmatch(server_id):
         raise ValueError("not an object with an identity")
--- a/bulrushlead/platform/tests/test_hostile_input.py
+++ b/bulrushlead/platform/tests/test_hostile_input.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import contextlib
 import tomllib
+import tracemalloc
 
 import pytest
 import tomli_w
@@ -218,3 +220,18 @@
     writer.close()
     await server.close()
     assert handled == []
+
+
+@pytest.mark.parametrize(
+    "decode", [decode_born_ms, lambda body: decode_heartbeat("i-1", body, {"fes-a"})]
+)
+def test_a_document_is_no_heartbeat(decode):
+    """Guards against heartbeats of 4 MiB that take over 100 MB each to decode."""
+    body = b'{"born":5,"a":[' + b"{}," * 1_000_000 + b"{}]}"
+    tracemalloc.start()
+    try:
+        with contextlib.suppress(BulrushleadError):
+            assert decode(body) is None
+        assert tracemalloc.get_traced_memory()[1] < 1_000_000
+    finally:
+        tracemalloc.stop()
