Take no further request of a caller that does not read its answers

What callers saw: nothing so far. One caller that sent request after request on one connection and read nothing let a host keep all the answers.

Cause: answers were written without regard to what the transport still held.

Change: while the transport holds more than it wants to, the connection reads no further request and begins none of those that wait, as HTTP pipelining allows. Nothing changes for a caller that reads.

Test: test_answers_wait_for_a_caller_that_does_not_read failed before (12 of 12 and 200 of 200 answers of 4 MB kept, at most 9 are what the kernel holds).

--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -41,9 +41,10 @@
         self._parser = httptools.HttpRequestParser(self)
         self._reader = PacedReader(self._parse, server.turns)
         self._queued: deque[tuple[Request, bool, int]] = deque()
-        self._discards = False
+        self._closing = self._discards = False
         self._task: asyncio.Task | None = None
-        self._closing = False
+        self._may_write = asyncio.Event()
+        self._may_write.set()
         self._idle_since_ms = server.clock.now_ms()
         self._first_byte_ms: float | None = None
         self._incoming = IncomingRequest(server.bodies)
@@ -63,6 +64,18 @@
         if self._task is not None:
             self._task.cancel()
 
+    def pause_writing(self) -> None:
+        """Stop reading further requests until the caller reads the answers."""
+        self._may_write.clear()
+        if not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Go on with requests."""
+        self._may_write.set()
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         """Parse what was received, or a part of it; see ``PacedReader``."""
         self._reader.receive(data, self.transport)
@@ -83,8 +96,7 @@
             self._refuse(400)
         if self._incoming is not incoming or incoming.body.n_bytes != body_bytes:
             self._incoming.quiet_bytes = 0
-        is_open = not (self._closing or self._discards)
-        if is_open and self._incoming.received_bytes:
+        if self._incoming.received_bytes and not (self._closing or self._discards):
             self._check_size()
         if self._closing:
             self._incoming.drop()
@@ -203,6 +215,7 @@
 
     async def _serve(self) -> None:
         while self._queued and not self._closing:
+            await self._may_write.wait()
             request, keep_alive, reserved_bytes = self._queued.popleft()
             try:
                 answer = await self.server.handler(request)
--- a/bulrushlead/http1/tests/test_small_requests.py
+++ b/bulrushlead/http1/tests/test_small_requests.py
@@ -193,3 +193,32 @@
     head = POST + b"expect: 100-continue\r\ncontent-length: 20\r\n\r\n"
     received = await send_and_read_all(server, head + bytes(20))
     assert received.startswith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 413 ")
+
+
+@pytest.mark.parametrize("n_requests", [12, 200])
+async def test_answers_wait_for_a_caller_that_does_not_read(serve, n_requests):
+    """Guards against one caller for whom a host keeps answers without a bound.
+
+    One that has sent no more than it may gets them all once it reads.
+    """
+    n_answers = 0
+
+    async def large(request):
+        nonlocal n_answers
+        n_answers += 1
+        return Answer(200, [], bytes(4_000_000))
+
+    server = await serve(large)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    for number in range(n_requests):
+        is_last = number == n_requests - 1
+        field = b"connection: close\r\n" * is_last
+        writer.write(b"GET / HTTP/1.1\r\nhost: h\r\n%s\r\n" % field)
+        await asyncio.sleep(0.002)
+    n_before = n_answers
+    assert 0 < n_before < 10  # those that the kernel holds, and one
+    if n_requests == 12:
+        received = await reader.read()
+        assert received.count(b"HTTP/1.1 200 ") == 12
+        assert len(received) > 12 * 4_000_000
+    writer.close()
