--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -168,7 +168,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._log_started:
+        if self.log.is_open:
             # Without an answer the others wait for the silence of this replica.
             with contextlib.suppress(BulrushleadError):
                 await self.log.leave(LEAVE_TIMEOUT_MS)
--- a/bulrushlead/http1/_http_server.py
+++ b/bulrushlead/http1/_http_server.py
@@ -8,6 +8,7 @@
 from bulrushlead.http1._budget import MAX_BODY_BYTES, ByteBudget
 from bulrushlead.http1._limits import RequestLimits
 from bulrushlead.http1._messages import Answer, Request
+from bulrushlead.http1._pacing import TurnQueue
 from bulrushlead.http1._server import ServerConnection
 from bulrushlead.http1._unanswered import UnansweredRequests
 from bulrushlead.logs import EventLogger
@@ -40,8 +41,10 @@
     unanswered : UnansweredRequests
         Requests that were received whole and got no whole answer.
     bodies : ByteBudget
-        Bound on the bodies of all requests in progress; servers of one process may
-        share it.
+        Bound on the bodies and large heads of all requests in progress; servers of one
+        process may share it.
+    turns : TurnQueue
+        Turns in which requests in many pieces are parsed.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self.bodies = ByteBudget(MAX_BODY_BYTES)
+        self.turns = TurnQueue()
         self.log = EventLogger("http1")
         self.unanswered = UnansweredRequests(clock, self.log)
         self._socket: socket.socket | None = None
--- a/bulrushlead/http1/_server.py
+++ b/bulrushlead/http1/_server.py
@@ -7,13 +7,9 @@
 
 import httptools
 
-from bulrushlead.http1._messages import (
-    Answer,
-    BodyDigest,
-    Request,
-    find_header,
-    render_answer,
-)
+from bulrushlead.http1._incoming import IncomingRequest
+from bulrushlead.http1._messages import Answer, Request, render_answer
+from bulrushlead.http1._pacing import PacedReader
 from bulrushlead.http1._unanswered import end_cause
 from bulrushlead.logs import Event
 from bulrushlead.results import ResultCode
@@ -40,20 +36,21 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
+        self._reader = PacedReader(self._parse, server.turns)
         self._queued: deque[tuple[Request, bool, int]] = deque()
-        self._reserved_bytes = 0  # of the body that is being received
         self._discards = False
         self._is_refused = False  # what came last, so that no more is read
         self._refusal: Answer | None = None  # of it, unless it is sent
         self._task: asyncio.Task | None = None
         self._current: Request | None = None
         self._unsent: Request | None = None  # whose answer waits to be sent
-        self._is_paused = False
+        self._may_write = asyncio.Event()
+        self._may_write.set()
         self._close_cause = ""
         self._closing = False
         self._idle_since_ms = server.clock.now_ms()
         self._first_byte_ms: float | None = None
-        self._start_message()
+        self._incoming = IncomingRequest(server.bodies)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection."""
@@ -67,22 +64,24 @@
         for request in self.unanswered_requests():
             self.server.unanswered.record(request, cause, request is self._unsent)
         self._closing = True
-        self.server.bodies.release(
-            self._reserved_bytes + sum(reserved for _, _, reserved in self._queued)
-        )
-        self._reserved_bytes = 0
+        self._incoming.drop()
+        self.server.bodies.release(sum(reserved for _, _, reserved in self._queued))
         self._queued.clear()
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
-        """Note that a part of an answer waits to be sent."""
-        self._is_paused = True
+        """Stop reading further requests until the caller reads the answers."""
+        self._may_write.clear()
+        if not self.transport.is_closing():
+            self.transport.pause_reading()
 
     def resume_writing(self) -> None:
-        """Note that the answers have been sent."""
-        self._is_paused = False
+        """Go on with requests, since the answers have been sent."""
         self._unsent = None
+        self._may_write.set()
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def unanswered_requests(self) -> list[Request]:
         """Return the requests that were received whole and have no whole answer."""
@@ -91,83 +90,117 @@
         return [request for request in begun if request is not None] + queued
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser and enforce the header size limit."""
+        """Parse what was received, or a part of it; see ``PacedReader``."""
+        self._reader.receive(data, self.transport)
+
+    def _parse(self, data: bytes | memoryview) -> bool:
+        """Feed the parser and enforce the limits; return whether to go on."""
         if self._closing or (self._is_refused and not self._discards):
-            return
+            return False
         if self._first_byte_ms is None:
             self._first_byte_ms = self.server.clock.now_ms()
-        if self._in_header_section:
-            self._header_bytes += len(data)
+        incoming = self._incoming
+        incoming.received_bytes += len(data)
+        incoming.quiet_bytes += len(data)
+        body_bytes = incoming.body.n_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
-            self._decline_upgrade(data[upgrade.args[0] :])
+            return self._decline_upgrade(bytes(data[upgrade.args[0] :]))
         except httptools.HttpParserError:
             self._refuse(400)
-        else:
-            limits = self.server.limits
-            if self._in_header_section and self._header_bytes > limits.max_header_bytes:
-                self._refuse(431)
+        if self._incoming is not incoming or incoming.body.n_bytes != body_bytes:
+            self._incoming.quiet_bytes = 0
+        if self._incoming.received_bytes and not (self._closing or self._is_refused):
+            self._check_size()
+        if self._closing or self._is_refused:
+            self._incoming.drop()
+        return not self._closing
+
+    def _check_size(self) -> None:
+        """Refuse a request that takes too much or gets nowhere."""
+        incoming = self._incoming
+        max_head_bytes = self.server.limits.max_header_bytes
+        head_bytes = incoming.quiet_bytes
+        if incoming.in_header_section:
+            head_bytes = incoming.received_bytes
+        if head_bytes > max_head_bytes:
+            self._refuse(431)
+        elif incoming.has_excess_framing(max_head_bytes):
+            self._refuse(400)
+        elif not incoming.reserve_head():
+            self._refuse_for_memory()
+        self._reader.n_plain_bytes = incoming.length - incoming.body.n_bytes
 
-    def _decline_upgrade(self, rest: bytes) -> None:
+    def _decline_upgrade(self, rest: bytes) -> bool:
         """Parse a request again without its offer of another protocol.
 
         RFC 9110, section 7.8: a server may ignore the offer. The parser takes what
         follows the head for bytes of that protocol, although it may be a body.
+
+        Returns
+        -------
+        bool
+            Whether to go on; see ``_parse``.
         """
-        method, target, headers = self._parser.get_method(), self._target, self._headers
+        method, offer = self._parser.get_method(), self._incoming
         if method == b"CONNECT":
             self._refuse(400)
-            return
-        head = [b"%s %s HTTP/1.1\r\n" % (method, target)]
-        head += [b"%s: %s\r\n" % field for field in headers if field[0] != b"upgrade"]
+            return not self._closing
+        head = [b"%s %s HTTP/1.1\r\n" % (method, offer.target)]
+        head += [b"%s: %s\r\n" % f for f in offer.headers if f[0] != b"upgrade"]
+        offer.drop()
+        self._incoming = IncomingRequest(self.server.bodies)
         self._parser = httptools.HttpRequestParser(self)
-        self.data_received(b"".join(head) + b"\r\n" + rest)
+        return self._parse(b"".join(head) + b"\r\n" + rest)
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._start_message()
         if self._first_byte_ms is None:
             self._first_byte_ms = self.server.clock.now_ms()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
-        self._target += url
+        self._incoming.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header field."""
-        name = name.lower()
-        if name == b"expect" and value.lower() == b"100-continue":
-            self._expects_continue = True
-        self._headers.append((name, value))
+        """Store one header field; trailers are dropped, as they have no limit."""
+        if self._incoming.in_header_section and not self._is_refused:
+            self._incoming.add_field(name, value)
+        else:
+            self._reader.n_callbacks += 1
 
     def on_headers_complete(self) -> None:
         """Check the size of the header fields; send ``100 Continue`` if expected."""
-        self._in_header_section = False
+        incoming = self._incoming
+        self._reader.n_callbacks += 1 + len(incoming.headers)
         if self._closing or self._is_refused or self._parser.should_upgrade():
+            incoming.in_header_section = False
             return
         limits = self.server.limits
-        size = sum(len(n) + len(v) + 4 for n, v in self._headers) + len(self._target)
-        length = int(find_header(self._headers, b"content-length") or 0)
+        size = incoming.complete_head()
         if size > limits.max_header_bytes:
             self._refuse(431)
-        elif length <= limits.max_body_bytes and not self._reserve(length):
-            self._refuse_body()
-        elif self._expects_continue:
+        elif not incoming.reserve_head() or (
+            incoming.length <= limits.max_body_bytes
+            and not incoming.reserve_body(incoming.length)
+        ):
+            self._refuse_for_memory()
+        elif incoming.expects_continue:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._reader.n_callbacks += 1
         if self._closing or self._is_refused:
             return
-        self._body_bytes += len(body)
-        if self._body_bytes > self.server.limits.max_body_bytes:
+        n_bytes = self._incoming.body.n_bytes + len(body)
+        if n_bytes > self.server.limits.max_body_bytes:
             self._refuse(413)
-        elif self._reserve(self._body_bytes - self._reserved_bytes):
-            self._body.append(body)
-            self._body_digest.update(body)
+        elif self._incoming.reserve_body(n_bytes):
+            self._incoming.append(body)
         else:
-            self._refuse_body()
+            self._refuse_for_memory()
 
     def on_message_complete(self) -> None:
         """Queue the request, and start the answering task unless it is running."""
@@ -176,21 +209,17 @@
         if self._closing or self._is_refused or self._parser.should_upgrade():
             return
         keep_alive = self._parser.should_keep_alive()
-        request = Request(
+        incoming, self._incoming = self._incoming, IncomingRequest(self.server.bodies)
+        request = incoming.complete(
             self._parser.get_method(),
-            self._target,
-            self._headers,
-            b"".join(self._body),
             self._first_byte_ms or self.server.clock.now_ms(),
-            self._body_digest.digest(),
         )
         self._first_byte_ms = None
-        self._start_message()
         if len(self._queued) >= MAX_PIPELINED_REQUESTS:
+            incoming.drop()
             self._refuse(400)
             return
-        self._queued.append((request, keep_alive, self._reserved_bytes))
-        self._reserved_bytes = 0
+        self._queued.append((request, keep_alive, incoming.reserved_bytes))
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
@@ -201,7 +230,7 @@
         limits = self.server.limits
         if self._first_byte_ms is not None:
             if (
-                self._in_header_section
+                self._incoming.in_header_section
                 and now_ms - self._first_byte_ms > limits.header_timeout_ms
             ):
                 self._refuse(408)
@@ -229,18 +258,9 @@
         if self.transport is not None:
             self.transport.close()
 
-    def _start_message(self) -> None:
-        self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_digest = BodyDigest()
-        self._body_bytes = 0
-        self._header_bytes = 0
-        self._in_header_section = True
-        self._expects_continue = False
-
     async def _serve(self) -> None:
         while self._queued and not self._closing:
+            await self._may_write.wait()
             request, keep_alive, reserved_bytes = self._queued.popleft()
             self._current = request
             try:
@@ -261,7 +281,7 @@
             with_body = request.method != b"HEAD"
             self.transport.write(render_answer(answer, keep_alive, with_body))
             self._current = None
-            if self._is_paused:
+            if not self._may_write.is_set():
                 self._unsent = request
             if not keep_alive:
                 if self._has_unread():
@@ -274,27 +294,16 @@
         if self._is_refused:
             self._send_refusal()
 
-    def _reserve(self, n_bytes: int) -> bool:
-        """Reserve room for a part of the body; return whether there is enough."""
-        if n_bytes <= 0:
-            return True
-        if not self.server.bodies.reserve(n_bytes):
-            return False
-        self._reserved_bytes += n_bytes
-        return True
-
-    def _refuse_body(self) -> None:
+    def _refuse_for_memory(self) -> None:
         """Refuse a request for lack of memory, and read on until its end.
 
         Closing the connection before would reset it, and the caller lose the refusal.
         """
         self._discards = True
-        self._body.clear()
-        self.server.bodies.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._incoming.drop()
         self.server.log.write(
             Event.REQUEST_REFUSED,
-            refusal=f"{ResultCode.OVERLOADED.value} OVERLOADED: too many large bodies",
+            refusal=f"{ResultCode.OVERLOADED.value} OVERLOADED: many large requests",
         )
         self._is_refused = True
         self._refusal = Answer(503, [(b"retry-after", b"%d" % BODY_RETRY_AFTER_S)])
