--- a/bulrushlead/gateway/tests/test_planned_stop.py
+++ b/bulrushlead/gateway/tests/test_planned_stop.py
@@ -178,4 +178,5 @@
     )
     assert unanswered == [("r1", "this process stops", True, False)]
     assert gateway.front.unanswered.count == 1
+    assert gateway.front.unanswered.broken_off == 1
     assert outcomes == ["IncompleteReadError"]
--- a/bulrushlead/http1/_http_server.py
+++ b/bulrushlead/http1/_http_server.py
@@ -9,7 +9,7 @@
 from bulrushlead.http1._limits import RequestLimits
 from bulrushlead.http1._messages import Answer, Request
 from bulrushlead.http1._server import ServerConnection
-from bulrushlead.http1._unanswered import UnansweredRequests
+from bulrushlead.http1._unanswered import STOP_CAUSE, UnansweredRequests
 from bulrushlead.logs import EventLogger
 
 TIMEOUT_CHECK_MS = 500  # precision of the idle and header timeouts
@@ -135,7 +135,7 @@
             self._timeout_task = None
         self._close_listener()
         for connection in list(self.connections):
-            connection.close("this process stops")
+            connection.close(STOP_CAUSE)
         await asyncio.sleep(0)
 
     def _close_listener(self) -> None:
--- a/bulrushlead/http1/_unanswered.py
+++ b/bulrushlead/http1/_unanswered.py
@@ -4,6 +4,8 @@
 from bulrushlead.http1._messages import Request
 from bulrushlead.logs import Event, EventLogger
 
+STOP_CAUSE = "this process stops"
+
 
 class UnansweredRequests:
     """Writes one line for each request whose connection ends before its whole answer.
@@ -19,8 +21,9 @@
     ----------
     id_header : bytes
         Name of the header field with the identifier of a request; empty for none.
-    count : int
-        Such requests since the start.
+    count, broken_off : int
+        Such requests since the start: all, and those that the stop of this process
+        broke off.
     """
 
     def __init__(self, clock: Clock, log: EventLogger):
@@ -28,6 +31,7 @@
         self.log = log
         self.id_header = b""
         self.count = 0
+        self.broken_off = 0
 
     def record(self, request: Request, cause: str, is_answered: bool) -> None:
         """Write the line of a request.
@@ -42,6 +46,7 @@
             Whether there was an answer, and a part of it was not sent.
         """
         self.count += 1
+        self.broken_off += cause == STOP_CAUSE
         request_id = (request.header(self.id_header) or b"") if self.id_header else b""
         self.log.write(
             Event.REQUEST_UNANSWERED,
--- a/bulrushlead/http1/tests/test_unanswered.py
+++ b/bulrushlead/http1/tests/test_unanswered.py
@@ -97,6 +97,7 @@
     writer.close()
     await wait_for_lines(server)
     assert lines.unanswered() == [("r1", "the caller closed", True, False)]
+    assert (server.unanswered.count, server.unanswered.broken_off) == (1, 0)
 
 
 async def test_a_reset_connection_is_named_as_the_cause(begin, lines):
--- a/bulrushlead/platform/_main.py
+++ b/bulrushlead/platform/_main.py
@@ -149,6 +149,7 @@
             Event.PROCESS_STOPPED,
             host_id=settings.host_id,
             took_ms=round(self.clock.now_ms() - started_ms),
+            broken_off=sum(one.unanswered.broken_off for one in self._servers),
             unanswered=self._count_unanswered() - before,
             in_progress=sum(one.count_in_progress() for one in self._servers),
         )
