Let calls that wait for one connection keep their timeouts

Seen by callers: after the leader has lost its power, a change or a heartbeat that another host passes on is answered long after its timeout, as is a campaign that waits for all its votes.

Change: the wait for the connection counts towards the timeout of the call.

Before: test_calls_that_wait_for_one_connection_keep_their_timeouts exceeds its bound. After: it passes.

--- a/bulrushlead/wire/_client.py
+++ b/bulrushlead/wire/_client.py
@@ -138,6 +138,15 @@
         return await future
 
     async def _connect(self, timeout_ms: float):
+        try:
+            return await self.clock.wait_for(self._connect_in_turn(), timeout_ms)
+        except TimeoutError as error:
+            raise BulrushleadError(
+                ResultCode.PEER_UNREACHABLE,
+                f"cannot connect to {self.address} within {timeout_ms:.0f} ms",
+            ) from error
+
+    async def _connect_in_turn(self):
         async with self._connect_lock:
             if self._closed:
                 raise BulrushleadError(
@@ -156,7 +165,7 @@
                         close_timeout=CLOSE_TIMEOUT_MS / 1000.0,
                         proxy=None,
                     ),
-                    min(timeout_ms, CONNECT_TIMEOUT_MS),
+                    CONNECT_TIMEOUT_MS,
                 )
             # ValueError: the address is none. One odd entry in a list of hosts must not
             # end the loop that goes through it.
--- a/bulrushlead/wire/tests/test_wire.py
+++ b/bulrushlead/wire/tests/test_wire.py
@@ -229,3 +229,34 @@
         await client.call(Echo("a"), 1_000)
     assert caught.value.code is ResultCode.PEER_UNREACHABLE
     await client.close()
+
+
+async def test_calls_that_wait_for_one_connection_keep_their_timeouts():
+    """Guards against calls that wait for all attempts before them.
+
+    The host accepts connections and answers nothing, as one that stands still does.
+    """
+
+    async def stand_still(reader, writer):
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(stand_still, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    clock = MonotonicClock()
+    client = MessageClient(f"127.0.0.1:{port}", clock)
+    ended = []
+
+    async def call():
+        with pytest.raises(BulrushleadError) as error:
+            await client.call(Echo("a"), 200)
+        ended.append(error.value.code)
+
+    try:
+        calls = [asyncio.create_task(call()) for _ in range(10)]
+        # Half of the time that ten attempts of 200 ms after each other take.
+        await clock.wait_for(asyncio.gather(*calls), 1_000)
+    finally:
+        await client.close()
+        server.close()
+    assert ended == [ResultCode.PEER_UNREACHABLE] * 10
