Take the silences of members from the leadership that ends

Seen by operators: a coordinator that had been cut off for some seconds, and had answered for half a minute since, lost its vote 1.3 s into its next pause instead of after ten. It comes back as a learner, which takes seconds in which the others bear one loss less.

Cause: a replica records since when others are silent from the messages of a leader only. While it leads itself, the record stays as it was before, and counts again if the same replica is elected once more.

Change: a leader that steps down records who was silent when a quorum last answered it. What it did not hear later may be its own fault.

Before: test_silence_that_ended_long_ago_retires_no_voter failed. After: it passes.

--- a/bulrushlead/replication/_leadership.py
+++ b/bulrushlead/replication/_leadership.py
@@ -123,6 +123,23 @@
             if silence_ms > limit_ms
         }
 
+    def silent_since_ms(self) -> dict[str, float]:
+        """Return since when members were silent when a quorum last answered, in ms.
+
+        What this replica did not hear later may be its own fault.
+        """
+        quorum_sent_ms = self.lease_expiry_ms() - self.replica.settings.lease_ms
+        limit_ms = quorum_sent_ms - self.replica.settings.election_max_ms
+        contacts_ms = {
+            replica_id: peer.replicator.progress.last_contact_ms()
+            for replica_id, peer in self._peers.items()
+        }
+        return {
+            replica_id: contact_ms
+            for replica_id, contact_ms in contacts_ms.items()
+            if contact_ms < limit_ms
+        }
+
     def oldest_transfer_index(self) -> float:
         """Return the index of the oldest snapshot that is being sent to a peer.
 
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -208,6 +208,7 @@
             return
         if self.leader_address == self.settings.address:
             self.leader_address = None
+        self.silent_since_ms = leadership.silent_since_ms()
         leadership.close()
         self.leader_seen_ms = self.clock.now_ms()
         self.log.write(
--- a/bulrushlead/replication/tests/test_turnover.py
+++ b/bulrushlead/replication/tests/test_turnover.py
@@ -171,6 +171,35 @@
     assert silent_id not in voter_ids(cluster)
 
 
+async def lose_lease(cluster, leader):
+    """Let a leader lose its lease for a moment; return the next one, mostly itself."""
+    replica = leader.log._replica
+    replica.step_down("test")
+    now_ms = cluster.clock.now_ms()
+    for node in cluster.alive:
+        node.log._replica.last_contact_ms = now_ms + 300
+    replica.last_contact_ms = now_ms - 2_000
+    return await cluster.wait_leader()
+
+
+async def test_silence_that_ended_long_ago_retires_no_voter(cluster):
+    """Guards against a voter that is removed at once because of an earlier silence."""
+    first_leader = await cluster.start()
+    paused = cluster.others(first_leader)[0]
+    cluster.isolate(paused)
+    await run_retiring(cluster, RETIRE_MS // 2)
+    first_leader.crash()
+    leader = await cluster.wait_leader()
+    cluster.network.blocked.clear()
+    await cluster.result(first_leader.start())
+    await run_retiring(cluster, 2 * RETIRE_MS)
+    leader = await cluster.wait_leader()
+    cluster.isolate(paused)
+    assert await lose_lease(cluster, leader) is leader
+    await run_retiring(cluster, RETIRE_MS // 2)
+    assert paused.log.replica_id in voter_ids(cluster)
+
+
 async def test_two_silent_voters_are_retired(cluster):
     """Guards against lost voters that count for ever because there are two."""
     leader = await cluster.start()
