Ask to join from the start until a leader is heard

Cause: a replica that its log calls a voter waited for three election timeouts before it asked to join, also right after its start, and nobody sends to a voter that was removed.

Change: it asks from its start on until it hears a leader. A leader ignores the request of a present voter.

Before: test_retired_voters_that_restart_return_within_half_of_catch_up failed. After: it passes.

--- a/bulrushlead/replication/_joining.py
+++ b/bulrushlead/replication/_joining.py
@@ -78,14 +78,16 @@
             )
 
     def _has_lost_contact(self) -> bool:
-        """Return whether the cluster may have removed this voter."""
+        """Return whether the cluster may have removed this voter.
+
+        That may have happened before a start, after which no leader sends to it.
+        """
         replica, settings = self.replica, self.replica.settings
+        if not settings.admit_newcomers or replica.leadership is not None:
+            return False
         silence_ms = replica.clock.now_ms() - replica.last_contact_ms
-        return (
-            settings.admit_newcomers
-            and replica.leadership is None
-            and silence_ms > LOST_CONTACT_TIMEOUTS * settings.election_max_ms
-        )
+        timeouts = LOST_CONTACT_TIMEOUTS if replica.has_heard_leader else 0
+        return silence_ms > timeouts * settings.election_max_ms
 
     async def _join(self) -> None:
         replica = self.replica
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -57,6 +57,8 @@
         clock: as the last leader reported it, and the leader since its last message.
     is_running : bool
         Whether the data folder is loaded and the replica is not closing.
+    has_heard_leader : bool
+        Whether this replica has accepted a leader, or led, since its start.
     is_leaving : bool
         Whether this replica is about to stop for good or for a restart.
     commit_index, last_applied : int
@@ -84,6 +86,7 @@
         self.last_contact_ms = self.leader_seen_ms = clock.now_ms()
         self.silent_since_ms: dict[str, float] = {}
         self.is_running = False
+        self.has_heard_leader = False
         self.is_leaving = False
         self.commit_index = 0
         self.last_applied = 0
@@ -180,6 +183,7 @@
             state = attrs.evolve(self.journal.vote_state, cluster_id=cluster_id)
             self.journal.set_vote_state(state)
         self.leader_address = leader_address
+        self.has_heard_leader = True
         self.last_contact_ms = self.leader_seen_ms = self.clock.now_ms()
 
     def record_silences(self, leader_id: str, silences_ms: dict[str, float]) -> None:
@@ -196,6 +200,7 @@
         """Become the leader of the current term."""
         self.leadership = leadership
         self.leader_address = self.settings.address
+        self.has_heard_leader = True
         leadership.start()
         self.log.write(
             Event.LEADER_ELECTED, replica_id=self.replica_id, term=leadership.term
--- a/bulrushlead/replication/tests/test_turnover.py
+++ b/bulrushlead/replication/tests/test_turnover.py
@@ -220,6 +220,21 @@
     await cluster.wait_converged()
 
 
+async def test_retired_voters_that_restart_return_within_half_of_catch_up(cluster):
+    """Guards against a region that counts as lost for seconds after its return."""
+    leader = await cluster.start()
+    stopped = cluster.others(leader)[:2]
+    for node in stopped:
+        node.crash()
+    await run_retiring(cluster, 2 * RETIRE_MS)
+    assert len(voter_ids(cluster)) == 3
+    for node in stopped:
+        await cluster.result(node.start())
+    # The processes of the hosts need the rest of the time to start.
+    await run_retiring(cluster, CATCH_UP_MS // 2)
+    assert voter_ids(cluster) >= ids_of(stopped)
+
+
 async def test_no_voter_is_retired_while_another_may_be_gone(cluster):
     leader = await cluster.start()
     first, second, *_ = cluster.others(leader)
