Find the leader in the soak by its metric, not by the help text

Cause: the line searched for, bulrushlead_is_leader 1, is also the begin of the metric's help text, which each host prints. The series therefore replaced the first host of the list, the newest one, instead of the leader; the leader went on.

Change: whole lines are compared.

Before: test_the_leader_is_told_from_the_others failed. After: it passes.

--- a/tests/soak/replacements.py
+++ b/tests/soak/replacements.py
@@ -171,7 +171,7 @@
                 async with session.get(
                     f"http://{core.ip}:{METRICS_PORT}/metrics"
                 ) as answer:
-                    if LEADER_LINE in await answer.text():
+                    if LEADER_LINE in (await answer.text()).splitlines():
                         return core
             except (OSError, aiohttp.ClientError, TimeoutError):
                 continue
--- a/tests/soak/test_replacements.py
+++ b/tests/soak/test_replacements.py
@@ -3,9 +3,12 @@
 import asyncio
 
 import pytest
+from aiohttp import web
 
+from bulrushlead.metrics import CompactMeters, Metric
 from tests.soak import replacements
 from tests.soak.harness import Harness
+from tests.soak.processes import METRICS_PORT
 from tests.soak.test_soak import FAULT_DURATION_S, LOGS, violated_invariants
 
 # Every seed that has ever failed is listed here with its cause.
@@ -84,6 +87,32 @@
     assert "bootstrap = false" in new.write_settings().read_text()
 
 
+def test_the_leader_is_told_from_the_others(harness):
+    """Guards against the help text of the metric, which any host prints."""
+
+    async def run():
+        runners = []
+        for number, core in enumerate(harness.cores[:3]):
+            meters = CompactMeters()
+            value = float(number == 1)
+            meters.register_gauge(Metric.IS_LEADER, lambda value=value: value)
+            app = web.Application()
+            text = meters.render()
+            app.router.add_get("/metrics", lambda _, text=text: answer(text))
+            runners.append(web.AppRunner(app))
+            await runners[-1].setup()
+            await web.TCPSite(runners[-1], core.ip, METRICS_PORT).start()
+        leader = await replacements._leader(harness)
+        for runner in runners:
+            await runner.cleanup()
+        return leader
+
+    async def answer(text):
+        return web.Response(text=text)
+
+    assert asyncio.run(run()) is harness.cores[1]
+
+
 def test_faults_that_never_end_are_reported(harness, monkeypatch):
     monkeypatch.setattr("tests.soak.harness.MAX_FAULT_S", 0.01)
 
