Ask to leave by a field of the join request

What production cannot read must not be sent.

Cause: the request of a coordinator that is told to stop was a message of its own.

Change: JoinRequest has the field 'leaves' and JoinReply 'removed'. A leader of an earlier build ignores the field, takes the request for one of a present voter, and does nothing; the sender then stops as before.

--- a/bulrushlead/replication/_admission.py
+++ b/bulrushlead/replication/_admission.py
@@ -37,14 +37,23 @@
         self._delays = ChangeLog(replica.log, replica.clock)
 
     async def answer_join(self, request: JoinRequest) -> JoinReply:
-        """Return the cluster of this replica; the leader also admits the sender."""
+        """Return the cluster of this replica.
+
+        The leader also admits the sender, or removes it if it leaves.
+        """
         replica = self.replica
         # Until the folder is read, this replica does not know its own cluster and
         # could answer that it has none.
         replica.check_running()
         if not is_address(request.address):
             raise refused(f"{request.address!r:.60} is no address of a replica")
-        if replica.leadership is not None and not self.membership.lock.locked():
+        removed = False
+        if request.leaves:
+            timeout_ms = replica.settings.call_timeout_ms
+            removed = await self.membership.release_voter(
+                request.replica_id, timeout_ms
+            )
+        elif replica.leadership is not None and not self.membership.lock.locked():
             await self._admit(request)
         cluster_id = replica.cluster_id if replica.journal.last_index else ""
         founders = (replica.settings.address, *replica.settings.peers)
@@ -54,6 +63,7 @@
             cluster_id,
             tuple(sorted(founders)),
             tuple(sorted({member.address for member in members})),
+            removed,
         )
 
     async def _admit(self, request: JoinRequest) -> None:
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -23,7 +23,6 @@
     AppendRequest,
     EntryKind,
     JoinRequest,
-    LeaveRequest,
     Member,
     SnapshotChunk,
     VoteRequest,
@@ -122,7 +121,6 @@
         server.register_handler(AppendRequest, self._follower.answer_append)
         server.register_handler(SnapshotChunk, self._follower.answer_chunk)
         server.register_handler(JoinRequest, self._admission.answer_join)
-        server.register_handler(LeaveRequest, self._membership.answer_leave)
 
     def set_seeds(self, addresses: Iterable[str]) -> None:
         """Set the addresses that reloaded settings name to join the cluster.
@@ -304,7 +302,7 @@
             return await self._membership.release_voter(replica.replica_id, timeout_ms)
         if replica.leader_address is None or not replica.is_voter():
             return False
-        request = LeaveRequest(replica.replica_id)
+        request = JoinRequest(replica.replica_id, replica.settings.address, leaves=True)
         reply = await replica.link_to(replica.leader_address).call(request, timeout_ms)
         return reply.removed
 
--- a/bulrushlead/replication/_membership.py
+++ b/bulrushlead/replication/_membership.py
@@ -9,8 +9,6 @@
     EntryKind,
     JoinReply,
     JoinRequest,
-    LeaveReply,
-    LeaveRequest,
     Member,
     MemberRole,
     Members,
@@ -127,12 +125,6 @@
             await self.change_members(leadership, members.replaced(longest), timeout_ms)
             return longest
 
-    async def answer_leave(self, request: LeaveRequest) -> LeaveReply:
-        """Remove the sender if that lowers the quorum."""
-        self.replica.check_running()
-        timeout_ms = self.replica.settings.call_timeout_ms
-        return LeaveReply(await self.release_voter(request.replica_id, timeout_ms))
-
     async def release_voter(self, replica_id: str, timeout_ms: float) -> bool:
         """Remove a voter that is about to stop from an even number of voters.
 
--- a/bulrushlead/replication/_messages.py
+++ b/bulrushlead/replication/_messages.py
@@ -330,10 +330,14 @@
     ----------
     replica_id, address : str
         Identity and address of the sender.
+    leaves : bool, default=False
+        Whether the sender is about to stop, and asks to be removed instead. Not a
+        message of its own, which earlier builds would refuse: they ignore the field.
     """
 
     replica_id: str
     address: str
+    leaves: bool = False
 
 
 @message("log.join_reply")
@@ -352,35 +356,12 @@
     members : tuple of str
         Addresses of the members in its log. The sender asks these too, since its
         settings may not name the leader.
+    removed : bool, default=False
+        Whether the sender, which leaves, was removed from the cluster.
     """
 
     replica_id: str
     cluster_id: str = ""
     founders: tuple[str, ...] = ()
     members: tuple[str, ...] = ()
-
-
-@message("log.leave")
-class LeaveRequest:
-    """Asks the leader to remove a voter that is about to stop.
-
-    Parameters
-    ----------
-    replica_id : str
-        Identity of the voter.
-    """
-
-    replica_id: str
-
-
-@message("log.leave_reply")
-class LeaveReply:
-    """Answer to a leave request.
-
-    Parameters
-    ----------
-    removed : bool
-        Whether the voter is removed.
-    """
-
-    removed: bool
+    removed: bool = False
