--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -226,7 +226,9 @@
         return "".join(part.read_text(errors="replace") for part in parts)
 
 
-async def http_call(address, method, target, headers=(), body=b"", timeout_s=1.0):
+async def http_call(
+    address, method, target, headers=(), body=b"", timeout_s=1.0, host=HOST_NAME
+):
     """Send one request on a connection of its own; return status, headers and body.
 
     The status is 0 if there is no answer, or no whole one, in time.
@@ -235,7 +237,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(*address)
-            head = [f"{method} {target} HTTP/1.1", f"Host: {HOST_NAME}"]
+            head = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
             head += [f"{name}: {value}" for name, value in headers]
             head += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
             writer.write("\r\n".join(head).encode() + body)
@@ -347,3 +349,104 @@
             if status == 200:
                 return json.loads(body)
         return None
+
+
+class Server:
+    """A sound instance: it announces itself, and runs what names it."""
+
+    def __init__(self, platform, record, number, service=SERVICE, zone=None):
+        self.platform = platform
+        self.record = record
+        self.server_id = f"i-{number:08x}"
+        self.service = service
+        self.zone = zone or list(ZONES)[number % len(ZONES)]
+        self.address = (platform.ip(80 + number), 8080)
+        self.born_ms = int(time.time() * 1000)
+        self.sequence = 0
+        self.capacity = 16
+        self.work_s = 0.05
+        self.runs = []
+        self._server = None
+        self._beats = None
+        self._connections = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, *self.address)
+        self._beats = asyncio.create_task(self._announce())
+
+    async def close(self):
+        if self._beats is not None:
+            self._beats.cancel()
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._connections):
+            task.cancel()
+
+    async def _announce(self):
+        while True:
+            await self.heartbeat("ready")
+            await asyncio.sleep(1.5)
+
+    async def heartbeat(self, state):
+        """Announce this server to one node after the other; return whether one acks."""
+        self.sequence += 1
+        document = {
+            "service": self.service,
+            "address": "{}:{}".format(*self.address),
+            "zone": self.zone,
+            "version": "v1",
+            "capacity": self.capacity,
+            "state": state,
+            "warmupLeft": "0ms",
+            "sequence": self.sequence,
+            "born": self.born_ms,
+        }
+        target = f"/v1/rpc?call=instances.heartbeat&of={self.server_id}"
+        cores = [core for core in self.platform.cores if core.alive]
+        for core in random.sample(cores, len(cores)):
+            status, _, _ = await http_call(
+                core.control, "POST", target, [("Content-Type", "application/json")],
+                json.dumps(document).encode(),
+            )
+            if 200 <= status < 300:
+                return True
+        return False
+
+    async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self._connections.add(task)
+        try:
+            while line := await reader.readline():
+                await self._answer(line, reader, writer)
+        except (OSError, ValueError, asyncio.IncompleteReadError):
+            pass
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self._connections.discard(task)
+            writer.close()
+
+    async def _answer(self, line, reader, writer):
+        method, path, _ = line.decode("latin-1").split()
+        headers = await read_fields(reader)
+        await reader.readexactly(int(headers.get("content-length", 0)))
+        request_id = headers.get("request-id", "")
+        fields = [f"Request-Id: {request_id}", f"Server-Load: 1,0,{self.capacity}"]
+        if path == "/health":
+            status, body = "200 OK", b""
+            fields.append(f"Instance-Id: {self.server_id}")
+        elif headers.get("expect-instance", self.server_id) != self.server_id:
+            status, body = "421 Misdirected Request", b""
+            fields.append("Not-Executed: 1")
+        else:
+            self.runs.append((request_id, path))
+            self.record.write(
+                f"{self.server_id} of {self.service} runs {method} {path} {request_id}"
+            )
+            await asyncio.sleep(self.work_s)
+            status, body = "200 OK", f"{self.service} {path}".encode()
+            fields.append(f"Server-Seal: {self.server_id}.{request_id}")
+        fields.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join([f"HTTP/1.1 {status}", *fields, "", ""])
+        writer.write(head.encode() + body)
+        await writer.drain()
