--- a/review/8/case.py
+++ b/review/8/case.py
@@ -36,6 +36,7 @@
 
 
 async def run(record):
+    """Run the case; return the exit code."""
     platform = stand_ins.Platform(record, cores=5, edges=2)
     operator = stand_ins.Operator(platform, record)
     servers = [
@@ -96,6 +97,7 @@
 
 
 def main():
+    """Run the case and exit with its code."""
     record = stand_ins.Record(FOLDER)
     try:
         code = asyncio.run(run(record))
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -61,9 +61,11 @@
         self.file = (Path(folder) / "record.txt").open("w")
 
     def now_s(self):
+        """Return the time since the start, in seconds."""
         return time.monotonic() - self.started_s
 
     def write(self, text):
+        """Write one line with its time."""
         self.file.write(f"{self.now_s():8.3f} s  {text}\n")
         self.file.flush()
 
@@ -106,9 +108,11 @@
         return first
 
     def ip(self, number):
+        """Return an address of the deployment."""
         return f"{self.network}.{number}"
 
     async def close(self):
+        """End all processes and remove their files."""
         for host in (*self.cores, *self.edges):
             await host.close()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -130,10 +134,12 @@
 
     @property
     def control(self):
+        """Return the address for instances and the operator."""
         return (self.ip, self.platform.control)
 
     @property
     def front(self):
+        """Return the address for clients."""
         return (self.ip, self.platform.front)
 
     def write_settings(self, bootstrap):
@@ -201,20 +207,24 @@
 
     @property
     def alive(self):
+        """Return whether the process runs."""
         return self.process is not None and self.process.returncode is None
 
     def signal(self, number):
+        """Send a signal to the process, if it runs."""
         if self.alive:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
             self.platform.record.write(f"{self.name} gets {number.name}")
 
     async def kill(self):
+        """Kill the process and wait for its end."""
         self.signal(signal.SIGKILL)
         if self.process is not None:
             await self.process.wait()
 
     async def close(self):
+        """Kill the process without a line in the record."""
         if self.alive:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(signal.SIGCONT)
@@ -222,6 +232,7 @@
             await self.process.wait()
 
     def log_text(self):
+        """Return what all processes of this host have logged."""
         parts = sorted(self.folder.glob("log-*.txt"))
         return "".join(part.read_text(errors="replace") for part in parts)
 
@@ -261,6 +272,7 @@
 
 
 async def read_fields(reader):
+    """Read the header fields of a message; names in lower case."""
     headers = {}
     while (line := (await reader.readline()).strip()) != b"":
         name, _, value = line.decode("latin-1").partition(":")
@@ -326,7 +338,10 @@
         while time.monotonic() < until_s:
             core = random.choice([c for c in self.platform.cores if c.alive])
             status, _, _ = await http_call(
-                core.control, "POST", target, [("Content-Type", "application/json")],
+                core.control,
+                "POST",
+                target,
+                [("Content-Type", "application/json")],
                 body,
             )
             self.record.write(f"operator: {call} {subject} at {core.name}: {status}")
@@ -371,10 +386,12 @@
         self._connections = set()
 
     async def start(self):
+        """Listen, and send heartbeats."""
         self._server = await asyncio.start_server(self._serve, *self.address)
         self._beats = asyncio.create_task(self._announce())
 
     async def close(self):
+        """Close all connections."""
         if self._beats is not None:
             self._beats.cancel()
         if self._server is not None:
@@ -405,7 +422,10 @@
         cores = [core for core in self.platform.cores if core.alive]
         for core in random.sample(cores, len(cores)):
             status, _, _ = await http_call(
-                core.control, "POST", target, [("Content-Type", "application/json")],
+                core.control,
+                "POST",
+                target,
+                [("Content-Type", "application/json")],
                 json.dumps(document).encode(),
             )
             if 200 <= status < 300:
