Tell in a request's line what its route matches

The line of a request named its route, but several routes may have one name.

Change: `pattern`, the host name and path prefix of the route, at most 200 characters.

--- a/bulrushlead/gateway/_request_log.py
+++ b/bulrushlead/gateway/_request_log.py
@@ -3,6 +3,9 @@
 from bulrushlead.dispatch import Work
 from bulrushlead.gateway._request_state import RequestState
 from bulrushlead.logs import Event, EventLogger
+from bulrushlead.traffic import Route
+
+MAX_PATTERN_CHARACTERS = 200  # operators may declare longer prefixes
 
 
 def write_request_line(
@@ -39,6 +42,7 @@
     fields = {
         "request_id": header_text(state.request_id),
         "route": work.route,
+        "pattern": _pattern_text(state.route),
         "service": work.service,
         "key": header_text(key),
         "status": status,
@@ -65,6 +69,11 @@
     return (value or b"").decode("latin-1")
 
 
+def _pattern_text(route: Route) -> str:
+    """Return what a route matches, since several routes may have one name."""
+    return f"{route.host}{route.path_prefix}"[:MAX_PATTERN_CHARACTERS]
+
+
 def _request_event(state: RequestState, status: int) -> Event:
     if state.refusal:
         return Event.REQUEST_REFUSED
