Choose the service of a request by its route's pattern, not by its name

The configuration is acknowledged, and from then on each request to the first host runs at the service of the second one, with a good seal. The same happens to the weights of a split.

Cause: the table selects a route by host name and path prefix, but the active plan kept the weighted split of each route under `route.name`, so that the last route of a name decided for all of them. Nothing says that names are unique.

Change: the split is kept under the pattern, by which the table selects. Of two routes with one pattern, which an older build may have stored, the first one is in force in both.

Test: plans with two names for all routes, drawn by Hypothesis.

--- a/bulrushlead/gateway/_active_plan.py
+++ b/bulrushlead/gateway/_active_plan.py
@@ -16,12 +16,12 @@
     def __init__(self, plan: TrafficPlan):
         self.version = plan.version
         self._table = RouteTable(plan)
-        self._splits = {
-            route.name: WeightedSplit(route.shares) for route in plan.routes
-        }
+        self._splits: dict[tuple[str, str], WeightedSplit] = {}
         self._top_priorities: dict[str, int] = {}
         ranks = {organisation.priority for organisation in plan.organisations}
         for route in plan.routes:
+            # As in the table, the first of two routes with one pattern is in force.
+            self._splits.setdefault(route.pattern, WeightedSplit(route.shares))
             priorities = [rank for rank in ranks if rank is not None]
             if route.public or not ranks or None in ranks:
                 priorities.append(route.priority)
@@ -36,7 +36,7 @@
 
     def next_service(self, route: Route) -> str:
         """Return the service that handles the next request of a route."""
-        return self._splits[route.name].next_service()
+        return self._splits[route.pattern].next_service()
 
     def is_urgent(self, route: Route, service: str, caller: Caller) -> bool:
         """Return whether a request has the highest priority of its service."""
--- a/bulrushlead/gateway/tests/test_shared_names.py
+++ b/bulrushlead/gateway/tests/test_shared_names.py
@@ -3,10 +3,44 @@
 import attrs
 import logbook
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from bulrushlead.gateway._active_plan import ActivePlan
 from bulrushlead.gateway._request_log import MAX_PATTERN_CHARACTERS
 from bulrushlead.gateway.tests import harness as fakes
 from bulrushlead.logs import Event
+from bulrushlead.traffic import Route, ServiceShare, TrafficPlan
+
+HOSTS = ("a.example", "b.example")
+PREFIXES = ("/", "/stock/", "/stock/barley/")
+SERVICES = ("s1", "s2", "s3")
+
+
+@st.composite
+def plans(draw):
+    """Draw a plan with few names for its routes, whose patterns may repeat."""
+    patterns = st.tuples(st.sampled_from(HOSTS), st.sampled_from(PREFIXES))
+    routes = []
+    for host, prefix in draw(st.lists(patterns, min_size=1, max_size=8)):
+        name = draw(st.sampled_from(("read", "order")))
+        services = draw(st.lists(st.sampled_from(SERVICES), min_size=1, unique=True))
+        shares = tuple(ServiceShare(service, 1.0) for service in services)
+        routes.append(Route(name, host, prefix, shares, True, 2e3, 3e2))
+    return TrafficPlan(1, tuple(routes))
+
+
+@given(plan=plans(), requests=st.integers(1, 5))
+def test_requests_run_at_a_service_of_the_route_that_they_match(plan, requests):
+    """Guards against requests that run at the service of a route with the same name."""
+    active = ActivePlan(plan)
+    for _ in range(requests):
+        for route in plan.routes:
+            target = f"{route.path_prefix}1".encode()
+            found = active.find_route(route.host.encode(), target)
+            assert found.pattern == route.pattern
+            services = [share.service for share in found.shares]
+            assert active.next_service(found) in services
 
 
 @pytest.mark.parametrize("prefix", ["/read/", "/read/" + "x" * 300 + "/"])
--- a/bulrushlead/traffic/_plan.py
+++ b/bulrushlead/traffic/_plan.py
@@ -27,7 +27,7 @@
     Parameters
     ----------
     name : str
-        Name of the route.
+        Name of the route; others may have the same one.
     host : str
         Host name, in lower case.
     path_prefix : str
@@ -65,6 +65,11 @@
     allowed_regions: tuple[str, ...] = ()
     public: bool = False
 
+    @property
+    def pattern(self) -> tuple[str, str]:
+        """Host name and path prefix, which identify a route in its plan."""
+        return self.host, self.path_prefix
+
 
 @message("traffic.service")
 class ServicePolicy:
