Keep the durations of two routes with one name apart

With two routes of one name the fast one's requests are expected to take as long as the slow one's, so that they are refused behind a queue that they could have waited in, and the reverse. Hosts that carry requests of others did the same under the name in the relay order.

Change: estimates are kept by a hash of what the route matches. The relay order has it as a new field; an order of an older build goes by the name, as before.

--- a/bulrushlead/dispatch/_dispatcher.py
+++ b/bulrushlead/dispatch/_dispatcher.py
@@ -354,7 +354,7 @@
     def _option(
         self, rank: int, candidate: Candidate, work: Work, now_ms: float
     ) -> Option:
-        estimate = self.estimates.for_route(work.route, work.target_latency_ms)
+        estimate = self.estimates.for_group(work.duration_group, work.target_latency_ms)
         mean_ms = self.estimates.service_mean_ms(work.service, work.target_latency_ms)
         server = candidate.server
         load = server.load(now_ms)
--- a/bulrushlead/dispatch/_estimates.py
+++ b/bulrushlead/dispatch/_estimates.py
@@ -48,23 +48,26 @@
 
 
 class DurationEstimates:
-    """Mean durations by route, for the first preferred server and for others."""
+    """Mean durations by route, for the first preferred server and for others.
+
+    The requests of a route are the group that ``Work.duration_group`` names.
+    """
 
     def __init__(self):
-        self._routes: dict[str, _Durations] = {}
+        self._groups: dict[int | str, _Durations] = {}
         self._services: dict[str, float] = {}
 
-    def for_route(self, route: str, target_latency_ms: float) -> WorkEstimate:
+    def for_group(self, group: int | str, target_latency_ms: float) -> WorkEstimate:
         """Return the expected duration of a route's requests.
 
         Parameters
         ----------
-        route : str
-            Name of the route.
+        group : int or str
+            Group of the requests.
         target_latency_ms : float
             Target latency, in milliseconds, used until an answer arrives.
         """
-        durations = self._routes.get(route)
+        durations = self._groups.get(group)
         if durations is None or durations.first_ms is None:
             cached_ms = INITIAL_CACHED_RATIO * target_latency_ms
             return WorkEstimate(cached_ms, target_latency_ms, False, cached_ms)
@@ -77,10 +80,10 @@
         return self._services.get(service, target_latency_ms)
 
     def record_answer(
-        self, route: str, service: str, is_first: bool, work_ms: float
+        self, group: int | str, service: str, is_first: bool, work_ms: float
     ) -> None:
         """Add the duration of an answer, without its estimated queueing."""
-        durations = self._routes.setdefault(route, _Durations())
+        durations = self._groups.setdefault(group, _Durations())
         if is_first:
             durations.first_ms = _moving_average(durations.first_ms, work_ms)
             durations.unqueued_ms = _fast_average(durations.unqueued_ms, work_ms)
--- a/bulrushlead/dispatch/_warm_copies.py
+++ b/bulrushlead/dispatch/_warm_copies.py
@@ -80,7 +80,7 @@
         if not work.sticky or placement.rank:
             return None
         self._tokens = min(MAX_TOKENS, self._tokens + MAX_SHARE)
-        estimate = self.estimates.for_route(work.route, work.target_latency_ms)
+        estimate = self.estimates.for_group(work.duration_group, work.target_latency_ms)
         if (
             self._tokens < 1.0
             or not _gains(estimate, work.target_latency_ms)
--- a/bulrushlead/dispatch/_work.py
+++ b/bulrushlead/dispatch/_work.py
@@ -16,7 +16,7 @@
     service : str
         Service that handles it.
     route : str
-        Name of its route, which groups requests of similar duration.
+        Name of its route.
     key : bytes
         Object key; an evenly distributed value if the request has none.
     sticky : bool
@@ -33,6 +33,8 @@
         Servers that already got an attempt of it.
     region : str
         Region of the host that received it from its caller; empty if this host did.
+    route_digest : int
+        Hash of what its route matches; 0 if unknown.
     """
 
     service: str
@@ -45,6 +47,12 @@
     allowed_regions: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
     region: str = ""
+    route_digest: int = 0
+
+    @property
+    def duration_group(self) -> int | str:
+        """Group of requests of similar duration; routes may share a name."""
+        return self.route_digest or self.route
 
     @property
     def digest(self) -> int:
--- a/bulrushlead/gateway/_attempts.py
+++ b/bulrushlead/gateway/_attempts.py
@@ -208,7 +208,7 @@
         work_ms = max(elapsed_ms - placement.wait_ms, MIN_WORK_SHARE * elapsed_ms)
         is_first = work.sticky and placement.rank == 0
         self.dispatcher.estimates.record_answer(
-            work.route, work.service, is_first, work_ms
+            work.duration_group, work.service, is_first, work_ms
         )
 
     async def _exchange(
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -203,6 +203,7 @@
             remaining_ms=state.deadline_ms - self.clock.now_ms(),
             urgent=self._plan.is_urgent(route, service, caller),
             allowed_regions=regions,
+            route_digest=route.digest,
         )
         return await self._handle(state, work)
 
--- a/bulrushlead/gateway/_relaying.py
+++ b/bulrushlead/gateway/_relaying.py
@@ -155,6 +155,7 @@
             allowed_regions=work.allowed_regions,
             organisation=state.caller.name,
             credential=b"" if state.is_counted else state.caller.digest,
+            route_digest=work.route_digest,
         )
 
     def _result(
@@ -224,6 +225,7 @@
         allowed_regions=order.allowed_regions,
         excluded=frozenset(order.excluded),
         region=order.region,
+        route_digest=order.route_digest,
     )
 
 
--- a/bulrushlead/relay/_messages.py
+++ b/bulrushlead/relay/_messages.py
@@ -65,6 +65,8 @@
     credential : bytes
         Digest of the caller's key, if the carrying host has to find out whether the
         organisation may still send, and to count the request against its quota.
+    route_digest : int
+        See ``Work``; 0 from a host whose build does not send it.
     """
 
     host_id: str
@@ -83,6 +85,7 @@
     allowed_regions: tuple[str, ...] = ()
     organisation: str = ""
     credential: bytes = b""
+    route_digest: int = 0
 
 
 def encode_order(order: RelayOrder) -> bytes:
--- a/bulrushlead/traffic/_plan.py
+++ b/bulrushlead/traffic/_plan.py
@@ -1,5 +1,7 @@
 """The traffic plan: routes and services that operators declare, with a version."""
 
+import xxhash
+
 from bulrushlead.traffic._organisation import Organisation
 from bulrushlead.wire import message
 
@@ -70,6 +72,13 @@
         """Host name and path prefix, which identify a route in its plan."""
         return self.host, self.path_prefix
 
+    @property
+    def digest(self) -> int:
+        """64-bit hash of the pattern."""
+        # The length keeps two patterns apart that are divided differently.
+        text = f"{len(self.host)}:{self.host}{self.path_prefix}"
+        return xxhash.xxh64_intdigest(text.encode())
+
 
 @message("traffic.service")
 class ServicePolicy:
