Refuse contradicting routes of one host and path whatever their names

Operators saw: two routes with the same host and path prefix are refused if their names differ, and accepted if they share one, though each sends to another service or runs its requests otherwise. One of them never takes effect, against "an accepted configuration takes effect everywhere".

Cause: the check told two routes apart by name, which does not identify a route.

Change: it compares the routes themselves. A route that is given twice, word for word, says the same thing and stays accepted; so do routes of other patterns with one name.

Tests: seven twins of a route that differ in one field only failed before; the one that differs by its name passed and does now.

--- a/bulrushlead/traffic/_validation.py
+++ b/bulrushlead/traffic/_validation.py
@@ -31,16 +31,15 @@
     """
     faults: list[Fault] = []
     services = {service.name for service in plan.services}
-    patterns: dict[tuple[str, str], str] = {}
+    patterns: dict[tuple[str, str], Route] = {}
     for route in plan.routes:
         _check_route(route, services, faults)
-        pattern = (route.host, route.path_prefix)
-        other = patterns.setdefault(pattern, route.name)
-        if other != route.name:
+        other = patterns.setdefault(route.pattern, route)
+        if other != route:
             faults.append(
                 Fault(
                     f"routes.{route.name}.path_prefix",
-                    f"the same host and path as route {other}",
+                    f"the same host and path as route {other.name}",
                     "one route for each host and path",
                 )
             )
--- a/bulrushlead/traffic/tests/test_traffic.py
+++ b/bulrushlead/traffic/tests/test_traffic.py
@@ -68,11 +68,35 @@
         check_plan(with_route(**changes))
 
 
-def test_two_routes_with_the_same_host_and_path_are_refused():
-    twin = attrs.evolve(ROUTE, name="twin")
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"name": "twin"},
+        {"shares": (ServiceShare("s2", 1.0),)},
+        {"shares": (ServiceShare("s1", 2.0),)},
+        {"idempotent": False},
+        {"timeout_ms": 1e3},
+        {"max_attempts": 2},
+        {"allowed_regions": ("north",)},
+        {"public": True},
+    ],
+)
+def test_two_routes_with_the_same_host_and_path_are_refused(changes):
+    """Guards against accepting a route that never takes effect, by its name."""
+    twin = attrs.evolve(ROUTE, **changes)
     with pytest.raises(FaultsError, match="stock"):
         check_plan(attrs.evolve(PLAN, routes=(ROUTE, twin)))
 
 
+def test_a_route_that_is_given_twice_is_allowed():
+    check_plan(attrs.evolve(PLAN, routes=(ROUTE, attrs.evolve(ROUTE))))
+
+
+def test_routes_with_one_name_are_allowed():
+    """Guards against refusing names that nothing declares to be unique."""
+    other = attrs.evolve(ROUTE, host="b.example", shares=(ServiceShare("s2", 1.0),))
+    check_plan(attrs.evolve(PLAN, routes=(ROUTE, other)))
+
+
 def test_target_latency_slightly_above_the_timeout_is_allowed():
     check_plan(with_route(target_latency_ms=60_000.0))
