Compare a target latency with the time-out free of rounding errors

Cause: two rounding errors of binary floats. 64.1 times 1,000 is 64,099.99999999999; and time-outs with fractions of a millisecond, plus 60,000, round above the target: 23,424 of the first 3,000,000 microseconds do.

Change: durations are parsed as decimals and then rounded once; the difference is compared to the nanosecond. So "1.1s" is 1,100 ms in all settings, too.

Test: time-outs of any microsecond up to 1,000 s with a target 2 us around the minute, in both units; each of the two changes alone leaves a failing example.

--- a/bulrushlead/platform/_units.py
+++ b/bulrushlead/platform/_units.py
@@ -1,6 +1,7 @@
 """Parses durations in the platform's notation."""
 
 import math
+from decimal import Decimal, DecimalException
 
 
 def parse_duration_ms(text: object) -> float | None:
@@ -14,13 +15,14 @@
     if not isinstance(text, str):
         return None
     if text.endswith("ms"):
-        number, factor = text[:-2], 1.0
+        number, factor = text[:-2], 1
     elif text.endswith("s"):
-        number, factor = text[:-1], 1000.0
+        number, factor = text[:-1], 1000
     else:
         return None
     try:
-        value = float(number) * factor
-    except ValueError:
+        # In binary floats, 64.1 times 1,000 is less than 64,100.
+        value = float(Decimal(number) * factor)
+    except (DecimalException, ValueError):
         return None
     return value if math.isfinite(value) and value >= 0 else None
--- a/bulrushlead/platform/tests/test_decoding.py
+++ b/bulrushlead/platform/tests/test_decoding.py
@@ -4,8 +4,12 @@
 accepted silently would reach the fleet as a server or a route that does not exist.
 """
 
+from decimal import Decimal
+
 import attrs
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from bulrushlead.fleet import ServerState
 from bulrushlead.platform._heartbeats import decode_born_ms, decode_heartbeat
@@ -32,7 +36,9 @@
 @pytest.mark.parametrize(
     ("text", "value_ms"),
     [("1500ms", 1_500.0), ("2.5s", 2_500.0), ("0ms", 0.0), ("-1s", None)]
-    + [(bad, None) for bad in ("", "5", "ms", "nans", "infs", "1m", 5, None)],
+    + [("64.1s", 64_100.0), ("1e2s", 100_000.0), ("0.0001s", 0.1)]
+    + [(bad, None) for bad in ("", "5", "ms", "nans", "infs", "1m", 5, None)]
+    + [(bad, None) for bad in ("snans", "1e400s", "1e99999999s", "1e9999999999s")],
 )
 def test_parses_durations(text, value_ms):
     assert parse_duration_ms(text) == value_ms
@@ -196,6 +202,35 @@
         check_plan(decode_plan(encode_json(configuration(**changes))))
 
 
+MICROSECONDS_OF_A_MINUTE = 60_000_000
+
+
+@example(timeout_us=1_024_054, over_us=MICROSECONDS_OF_A_MINUTE, units=("ms", "ms"))
+@given(
+    timeout_us=st.integers(1, 10**9),
+    over_us=st.integers(MICROSECONDS_OF_A_MINUTE - 2, MICROSECONDS_OF_A_MINUTE + 2),
+    units=st.tuples(st.sampled_from(("ms", "s")), st.sampled_from(("ms", "s"))),
+)
+def test_target_latency_a_minute_above_the_timeout_is_refused(
+    timeout_us, over_us, units
+):
+    """Guards against accepting it by a rounding error, and against refusing less."""
+    timeout, target = (
+        f"{Decimal(value_us) / (1_000 if unit == 'ms' else 1_000_000):f}{unit}"
+        for value_us, unit in zip(
+            (timeout_us, timeout_us + over_us), units, strict=True
+        )
+    )
+    plan = decode_plan(
+        encode_json(configuration(timeout=timeout, targetLatency=target))
+    )
+    if over_us < MICROSECONDS_OF_A_MINUTE:
+        check_plan(plan)
+        return
+    with pytest.raises(FaultsError, match="target_latency_ms"):
+        check_plan(plan)
+
+
 def test_a_truncated_configuration_is_refused():
     body = encode_json(configuration())
     for length in range(0, len(body), 37):
--- a/bulrushlead/traffic/_validation.py
+++ b/bulrushlead/traffic/_validation.py
@@ -11,6 +11,7 @@
 
 # A target latency this far above the timeout is a typo or a wrong unit.
 MAX_TARGET_OVER_TIMEOUT_MS = 60_000
+DURATION_DIGITS = 6  # decimals of a millisecond; floats hold no more of a long one
 MAX_NAME_BYTES = 200  # the name of an organisation is sent with each of its requests
 
 
@@ -68,7 +69,8 @@
         faults.append(
             Fault(f"{key}.timeout_ms", str(route.timeout_ms), "more than 0 ms")
         )
-    if route.target_latency_ms >= route.timeout_ms + MAX_TARGET_OVER_TIMEOUT_MS:
+    over_ms = round(route.target_latency_ms - route.timeout_ms, DURATION_DIGITS)
+    if over_ms >= MAX_TARGET_OVER_TIMEOUT_MS:
         faults.append(
             Fault(
                 f"{key}.target_latency_ms",
