Take no answer whose status code is invalid

A server that answered with status 000 to 099 was waited for until the deadline: 504 after 2.5 s for requests that may run once, and refusals for others while the server seemed busy.

Cause: a client connection took every code below 200 for an interim answer, after which the final one would come, and every other one for final. RFC 9110, section 15: the codes are 100 to 599, and any other one is to be treated as a failure of the server.

Change: an answer with any other code is malformed, as soon as its head is read: the connection closes, the attempt counts as lost, a request that may run more than once is sent to another server, any other one gets 502. Nothing of the answer is trusted, its "not run" neither. The same connections carry answers between hosts.

Tests: all codes from 000 to 999, with and without a reason phrase, on an own answer and on one to another request; and what a caller gets.

--- a/bulrushlead/gateway/tests/harness.py
+++ b/bulrushlead/gateway/tests/harness.py
@@ -76,7 +76,7 @@
         name.replace("_", "-").encode() + b": " + value + b"\r\n"
         for name, value in fields.items()
     )
-    return b"HTTP/1.1 %d X\r\nid: r1\r\n%scontent-length: %d\r\n\r\n%s" % (
+    return b"HTTP/1.1 %03d X\r\nid: r1\r\n%scontent-length: %d\r\n\r\n%s" % (
         status,
         lines,
         len(body),
--- a/bulrushlead/gateway/tests/test_forwarding.py
+++ b/bulrushlead/gateway/tests/test_forwarding.py
@@ -102,6 +102,24 @@
     assert (answer.status, answer.body) == (500, b"oops")
 
 
+@pytest.mark.parametrize("status", [0, 1, 99, 600, 999])
+async def test_an_answer_with_an_invalid_status_reaches_no_caller(build, status):
+    """Guards against passing on status 999, and waiting out the deadline after 000."""
+
+    async def odd(server, head, writer):
+        return fakes.answer(status, server=b"odd")
+
+    harness = await build(odd, odd)
+    started_ms = fakes.CLOCK.now_ms()
+    for path, attempts in ((b"/order/1", 1), (b"/read/1", 2)):
+        answer = await harness.send_request(path)
+        assert (answer.status, answer.headers) == (502, [])
+        assert harness.requests_received() == attempts
+        for server in harness.servers:
+            server.heads.clear()
+    assert fakes.CLOCK.now_ms() - started_ms < 1_000
+
+
 async def test_refusal_without_not_run_header_becomes_502(build):
     harness = await build(fakes.false_refusal)
     assert (await harness.send_request(b"/order/1")).status == 502
--- a/bulrushlead/http1/_client.py
+++ b/bulrushlead/http1/_client.py
@@ -15,6 +15,7 @@
 
 MAX_HEAD_BYTES = 64 * 1024  # status line and header fields, interim answers included
 MAX_FIELDS = 256  # of one head; servers send some ten
+STATUS_CODES = range(100, 600)  # RFC 9110, section 15: any other one is invalid
 RESERVED_AHEAD_BYTES = 4 * 1024  # so that not each read has to reserve
 # Body bytes of answers to other requests that are read until the right one comes.
 MAX_DISCARDED_BYTES = 1024 * 1024
@@ -219,6 +220,10 @@
         if self._is_complete:
             return
         self._status = self._parser.get_status_code()
+        if self._status not in STATUS_CODES:
+            # Below 100 it would count as interim, and the exchange would wait on.
+            self._abort(ExchangeFault.MALFORMED, f"status {self._status:03d}")
+            raise _StopParsingError
         if self._status < 200:
             return
         self._has_header_section = True
--- a/bulrushlead/http1/tests/test_client.py
+++ b/bulrushlead/http1/tests/test_client.py
@@ -233,6 +233,36 @@
     assert await exchange_fault(pool, address) is ExchangeFault.MALFORMED
 
 
+@pytest.mark.parametrize("request_id", [b"r1", b"r0"])
+@pytest.mark.parametrize("reason", [b"", b" Odd"])
+async def test_each_status_code_outside_its_range_is_malformed(
+    pool, raw_server, reason, request_id
+):
+    """Guards against waiting for the answer after status 000, and delivering 999."""
+    codes = [f"{code:03d}".encode() for code in range(1_000)]
+
+    async def script(reader, writer):
+        code = (await read_header_section(reader)).rpartition(b"code: ")[2][:3]
+        head = ok_answer(request_id, b"", b"Not-Executed: 1\r\n")
+        writer.write(head.replace(b"200 OK", code + reason) + ok_answer(b"r1"))
+
+    address = await raw_server(script)
+    for code in codes:
+        connection = await pool.connect(address, 1_000)
+        data = render_request(b"GET", b"/", [(b"code", code)], b"")
+        if b"100" <= code < b"600" and code != b"101":
+            answer = await connection.exchange(data, b"r1", False)
+            is_final = code >= b"200" and request_id == b"r1"
+            assert answer.status == (int(code) if is_final else 200)
+        else:
+            with pytest.raises(ExchangeError) as caught:
+                async with asyncio.timeout(1):
+                    await connection.exchange(data, b"r1", False)
+            assert caught.value.fault is ExchangeFault.MALFORMED
+            assert not connection.is_reusable
+        connection.close()
+
+
 async def test_a_copy_of_a_refusal_refuses_no_second_try(pool, raw_server):
     """Guards against "not run" for a request that is sent again, and runs.
 
