Refuse answers with a status of 600 and above in the own interface

Codes below 200 were errors already.

Change: an answer is checked for a final status of 200 to 599.

--- a/bulrushlead/forwarding/_checks.py
+++ b/bulrushlead/forwarding/_checks.py
@@ -8,6 +8,7 @@
 from bulrushlead.results import Ran, ResultCode
 
 BODILESS_STATUSES = frozenset({204, 304})
+FINAL_STATUSES = range(200, 600)  # RFC 9110, section 15: codes from 600 on are invalid
 
 
 def has_no_body(response: aiohttp.ClientResponse) -> bool:
@@ -41,7 +42,7 @@
     Without exactly one length or the chunked encoding, a broken connection could
     look like the end of the answer.
     """
-    if response.status < 200:
+    if response.status not in FINAL_STATUSES:
         raise ForwardError(
             ResultCode.ANSWER_MALFORMED,
             f"{server.name} answered status {response.status} to {request.method}; "
--- a/bulrushlead/forwarding/tests/test_forwarder.py
+++ b/bulrushlead/forwarding/tests/test_forwarder.py
@@ -155,6 +155,24 @@
     assert len(server.requests) == 1
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_each_status_code_that_is_invalid_is_an_error(
+    forwarder, scripted_server, method
+):
+    """Guards against passing on answers with status 600 and above."""
+
+    async def script(server, reader, writer):
+        code = (await server.read_request(reader)).partition("code=")[2][:3]
+        text = f"HTTP/1.1 {code} Odd\r\nContent-Length: 2\r\n\r\nok"
+        writer.write(text.encode())
+
+    server = await scripted_server(script)
+    for code in (*range(100), *range(600, 1_000)):
+        request = build_request(method, path_qs=f"/?code={code:03d}")
+        failure = await catch_failure(forwarder, server.backend_server, request)
+        assert failure == (ResultCode.ANSWER_MALFORMED, Ran.UNKNOWN)
+
+
 @pytest.mark.parametrize("method", EVERY_METHOD)
 @pytest.mark.parametrize("point", [ClosePoint.BEFORE_RUNNING, ClosePoint.AFTER_RUNNING])
 async def test_a_broken_connection_causes_no_resend(forwarder, sample, method, point):
