Announce a server to the next host after a status below 200

A backend server counted any status below 300 as the acknowledgement of its announcement, 000 included, and did not ask the next entry host.

Change: only 200 to 299 acknowledge.

Test: 000 and 099 failed before with a time-out, 404, 503, 600 and 999 passed.

--- a/bulrushlead/backend/_announcer.py
+++ b/bulrushlead/backend/_announcer.py
@@ -113,4 +113,4 @@
         async with self._session.post(
             f"http://{entry_host}{ANNOUNCE_PATH}", json=codec.to_plain(announcement)
         ) as answer:
-            return answer.status < 300
+            return 200 <= answer.status < 300
