Acknowledge a heartbeat once the leader has recorded it

Cause: a coordinator acknowledged a heartbeat as soon as it was queued. One that is cut off from the leader went on to do so, and a server with an acknowledgement asks no other host. The leader did not learn that it was cold.

Change: a heartbeat waits for its delivery, at most 800 ms, and is refused otherwise; after a failed delivery at once. It stays queued, so that a new leader hears of all servers as early as before. The queue has a module of its own.

--- a/bulrushlead/coordinator/_program.py
+++ b/bulrushlead/coordinator/_program.py
@@ -6,10 +6,9 @@
 import random
 from collections.abc import Awaitable, Callable
 
-import attrs
-
 from bulrushlead.clock import Clock
 from bulrushlead.coordinator._cache import FleetCache
+from bulrushlead.coordinator._heartbeats import HeartbeatQueue
 from bulrushlead.coordinator._messages import (
     AnnounceBatch,
     OrderRequest,
@@ -129,8 +128,7 @@
         self.orders.session = self.session
         host, _, port = settings.peer_address.rpartition(":")
         self.messages = MessageServer(settings.listen_ip or host, int(port))
-        # Newest heartbeat of each server, with the time of its receipt.
-        self._pending_heartbeats: dict[str, tuple[Announcement, float]] = {}
+        self.heartbeats = HeartbeatQueue(clock, self._send_heartbeats)
         self._tasks: list[asyncio.Task] = []
         self.meters.register_gauge(
             Metric.IS_LEADER, lambda: float(self.log.is_leader())
@@ -150,7 +148,7 @@
         await self._start_log()
         await self.session.start()
         for step, interval_ms in (
-            (self._forward_heartbeats, FORWARD_INTERVAL_MS),
+            (self.heartbeats.forward, FORWARD_INTERVAL_MS),
             (self._check, CHECK_INTERVAL_MS),
             (self._save_fleet, SAVE_INTERVAL_MS),
         ):
@@ -261,29 +259,21 @@
         return await self.session.call_leader(PlanRequest(), LEADER_CALL_TIMEOUT_MS)
 
     async def announce(self, heartbeat: Announcement) -> None:
-        """Queue a heartbeat for the leader; commit the departure of a draining server.
+        """Deliver a heartbeat to the leader; commit the departure of a draining server.
 
         Raises
         ------
         BulrushleadError
-            If the departure could not be committed.
+            If the leader did not record it, or the departure could not be committed.
         """
-        is_draining = heartbeat.state is ServerState.DRAINING
-        if is_draining and not self.state.has_departed(
-            heartbeat.server_id, heartbeat.born_ms
-        ):
+        if heartbeat.state is not ServerState.DRAINING:
+            await self.heartbeats.deliver(heartbeat)
+            return
+        if not self.state.has_departed(heartbeat.server_id, heartbeat.born_ms):
             await self.orders.submit(
                 RecordDeparture(heartbeat.server_id, heartbeat.born_ms)
             )
-        newest = self._pending_heartbeats.get(heartbeat.server_id)
-        if newest is None or (newest[0].born_ms, newest[0].sequence) < (
-            heartbeat.born_ms,
-            heartbeat.sequence,
-        ):
-            self._pending_heartbeats[heartbeat.server_id] = (
-                heartbeat,
-                self.clock.now_ms(),
-            )
+        self.heartbeats.add(heartbeat)
 
     async def deregister(self, server_id: str, born_ms: int | None) -> None:
         """Commit a server's departure, whereupon the leader marks it as draining.
@@ -297,10 +287,10 @@
             one that this host knows, or else the one registered by the leader.
         """
         if born_ms is None:
-            newest = self._pending_heartbeats.get(server_id)
+            newest = self.heartbeats.newest(server_id)
             known = self.view.servers.get(server_id)
             if newest is not None:
-                born_ms = newest[0].born_ms
+                born_ms = newest.born_ms
             else:
                 # Taken here, since a call that is held up may reach the leader after
                 # the server has started again.
@@ -347,30 +337,11 @@
                 # as a leader that receives no heartbeats.
                 self._events.write(Event.UNEXPECTED_ERROR, error=repr(error))
 
-    async def _forward_heartbeats(self) -> None:
-        if not self._pending_heartbeats:
-            return
-        pending, self._pending_heartbeats = self._pending_heartbeats, {}
-        now_ms = self.clock.now_ms()
-        heartbeats = [
-            attrs.evolve(heartbeat, age_ms=now_ms - received_ms)
-            for heartbeat, received_ms in pending.values()
-        ]
-        batch = AnnounceBatch(tuple(heartbeats))
-        try:
-            if self.log.is_leader():
-                await self.publisher.handle_heartbeats(batch)
-            else:
-                await self.session.call_leader(batch, LEADER_CALL_TIMEOUT_MS)
-        except BulrushleadError as error:
-            self._events.write(
-                Event.HEARTBEATS_DELAYED,
-                count=len(batch.heartbeats),
-                code=error.code.value,
-                detail=error.detail,
-            )
-            for server_id, pending_heartbeat in pending.items():
-                self._pending_heartbeats.setdefault(server_id, pending_heartbeat)
+    async def _send_heartbeats(self, batch: AnnounceBatch) -> None:
+        if self.log.is_leader():
+            await self.publisher.handle_heartbeats(batch)
+        else:
+            await self.session.call_leader(batch, LEADER_CALL_TIMEOUT_MS)
 
     async def _save_fleet(self) -> None:
         if self.view.servers and self.view.age_ms() < MAX_VIEW_AGE_MS:
--- a/bulrushlead/coordinator/tests/test_coordinator.py
+++ b/bulrushlead/coordinator/tests/test_coordinator.py
@@ -125,6 +125,24 @@
     assert host.servers["b1"].record.state is ServerState.DRAINING
 
 
+async def test_a_follower_that_is_cut_off_sends_servers_to_another_host(
+    coordinators, host, monkeypatch
+):
+    """Guards against heartbeats that are acknowledged and that no host learns of."""
+    follower = followers(coordinators)[0]
+
+    async def hang(request, timeout_ms):
+        await CLOCK.sleep_ms(timeout_ms)
+        raise BulrushleadError(ResultCode.CONTROL_UNREACHABLE, "cut off")
+
+    monkeypatch.setattr(follower.session, "call_leader", hang)
+    with pytest.raises(BulrushleadError, match="CONTROL_UNREACHABLE"):
+        await follower.announce(heartbeat())
+    assert "b1" not in host.servers
+    monkeypatch.undo()
+    await wait_until(lambda: "b1" in host.servers)
+
+
 async def test_a_deregistered_server_is_draining(coordinators, host):
     await coordinators[0].announce(heartbeat())
     await wait_until(lambda: "b1" in host.servers)
@@ -435,7 +453,12 @@
         raise RuntimeError("unexpected")
 
     monkeypatch.setattr(getattr(leader, part), method, fail)
-    await leader.announce(heartbeat())
+    try:
+        await leader.announce(heartbeat())
+    except BulrushleadError:
+        assert method == "handle_heartbeats"  # it was lost, so it is not acknowledged
+    else:
+        assert method == "check_silence"
     await wait_until(lambda: failures)
     await leader.announce(heartbeat(sequence=2))
     await wait_until(lambda: heartbeat().server_id in host.servers)
