Form the cluster after a crash during the first start

Cause: the permission to form the cluster is a setting, which the platform gives at the first start only, and one address alone may use it. A restart loses it, and the others wait for that address for good.

Evidence: three replicas with a simulated clock, of which the lowest crashes and starts again without the setting, never elect a leader; with the permission kept they do. So it is neither a wrong answer of the others nor a missing quorum.

Change: the folder remembers the permission from its creation on, in the record of the vote. The cluster is formed by the lowest address of those that may, as the answers to join requests say; answers of earlier builds do not say, and are waited for as before. What every founder must answer is unchanged, so that no cluster is formed beside one that has accepted a change.

--- a/bulrushlead/replication/_admission.py
+++ b/bulrushlead/replication/_admission.py
@@ -64,6 +64,7 @@
             tuple(sorted(founders)),
             tuple(sorted({member.address for member in members})),
             removed,
+            replica.may_bootstrap,
         )
 
     async def _admit(self, request: JoinRequest) -> None:
--- a/bulrushlead/replication/_election.py
+++ b/bulrushlead/replication/_election.py
@@ -8,7 +8,7 @@
 from bulrushlead.logs import Event
 from bulrushlead.replication._change_log import ChangeLog
 from bulrushlead.replication._leadership import Leadership
-from bulrushlead.replication._messages import Member, VoteReply, VoteRequest, VoteState
+from bulrushlead.replication._messages import Member, VoteReply, VoteRequest
 from bulrushlead.results import BulrushleadError
 
 if TYPE_CHECKING:
@@ -126,7 +126,7 @@
         if state.voted_for not in ("", request.sender_id):
             return VoteReply(replica.term, refusal="voted for another in this term")
         replica.last_contact_ms = replica.clock.now_ms()
-        new_state = VoteState(request.term, request.sender_id, state.cluster_id)
+        new_state = attrs.evolve(state, term=request.term, voted_for=request.sender_id)
         if new_state != state:
             replica.journal.set_vote_state(new_state)
         await replica.journal.sync()
@@ -158,7 +158,7 @@
         state = replica.journal.vote_state
         term = state.term + 1
         replica.journal.set_vote_state(
-            VoteState(term, replica.replica_id, state.cluster_id)
+            attrs.evolve(state, term=term, voted_for=replica.replica_id)
         )
         replica.leader_address = None
         await replica.journal.sync()
--- a/bulrushlead/replication/_joining.py
+++ b/bulrushlead/replication/_joining.py
@@ -93,7 +93,7 @@
         replica = self.replica
         replies = await self._request_join_from_all()
         self._log_delay(replies)
-        if not replica.settings.bootstrap or replica.journal.last_index > 0:
+        if not replica.may_bootstrap or replica.journal.last_index > 0:
             return
         reason = self._find_blocking_reason(replies)
         if reason:
@@ -123,11 +123,17 @@
         The folder may be empty because a disk was lost. An accepted change is on
         the disks of a quorum, so nothing was accepted before if every peer
         answers that it belongs to no cluster.
+
+        Only one replica may do it, or two clusters could form at once: the lowest
+        address of those that may. One that crashed at the first start before its
+        folder was created may not, and the next one takes its place.
         """
         settings = self.replica.settings
         founders = tuple(sorted((settings.address, *settings.peers)))
-        if founders[0] != settings.address:
-            return f"the cluster is formed by {founders[0]}, the lowest address"
+        lower = founders[: founders.index(settings.address)]
+        for address in lower:
+            if address not in replies or replies[address].may_bootstrap:
+                return f"the cluster is formed by {address}, a lower address"
         for address, reply in sorted(replies.items()):
             if reply.cluster_id:
                 return (
--- a/bulrushlead/replication/_journal.py
+++ b/bulrushlead/replication/_journal.py
@@ -87,7 +87,7 @@
         self._closing = False
         self._log = EventLogger("replication")
 
-    async def start(self, new_replica_id: str) -> None:
+    async def start(self, new_replica_id: str, may_bootstrap: bool = False) -> None:
         """Load or create the data folder and start the writer task.
 
         The journal is rewritten at each start, because after a failed sync the
@@ -97,6 +97,8 @@
         ----------
         new_replica_id : str
             Identity of this replica if the folder is empty.
+        may_bootstrap : bool, default=False
+            Whether the replica may then bootstrap a cluster; see ``VoteState``.
 
         Raises
         ------
@@ -104,7 +106,8 @@
             ``STORAGE_DAMAGED`` or ``STORAGE_FAILED``.
         """
         try:
-            generation = await self.storage.run(lambda: self._recover(new_replica_id))
+            new = Generation(0, new_replica_id, VoteState(may_bootstrap=may_bootstrap))
+            generation = await self.storage.run(lambda: self._recover(new))
         except OSError as error:
             self.storage.close()
             raise _storage_failed(error) from error
@@ -261,9 +264,9 @@
                 )
             )
 
-    def _recover(self, new_replica_id: str) -> Generation:
+    def _recover(self, new: Generation) -> Generation:
         self.storage.open()
-        generation = load_generation(self.storage) or Generation(0, new_replica_id)
+        generation = load_generation(self.storage) or new
         self._removed_names = remove_leftovers(self.storage, generation)
         generation.number += 1
         self._sequence = write_generation(self.storage, generation)
--- a/bulrushlead/replication/_log.py
+++ b/bulrushlead/replication/_log.py
@@ -94,7 +94,9 @@
             ``STORAGE_FAILED`` if the folder cannot be written.
         """
         replica = self._replica
-        await replica.journal.start(f"{self.rng.getrandbits(ID_BITS):016x}")
+        await replica.journal.start(
+            f"{self.rng.getrandbits(ID_BITS):016x}", replica.settings.bootstrap
+        )
         # Before a restart this replica may have acknowledged a leader whose lease is
         # still valid, so it grants no vote for the shortest election timeout.
         replica.last_contact_ms = self.clock.now_ms()
--- a/bulrushlead/replication/_messages.py
+++ b/bulrushlead/replication/_messages.py
@@ -116,11 +116,15 @@
     cluster_id : str
         Random identity of the cluster; empty until the replica joins or bootstraps
         one.
+    may_bootstrap : bool, default=False
+        Whether the settings allowed this replica to bootstrap a cluster when its folder
+        was created. They do so at the first start only, which a crash may interrupt.
     """
 
     term: int = 0
     voted_for: str = ""
     cluster_id: str = ""
+    may_bootstrap: bool = False
 
 
 @message("log.journal_header")
@@ -358,6 +362,9 @@
         settings may not name the leader.
     removed : bool, default=False
         Whether the sender, which leaves, was removed from the cluster.
+    may_bootstrap : bool, default=True
+        Whether it may bootstrap a cluster if it has none. Earlier builds do not say;
+        others then wait for it, as they did.
     """
 
     replica_id: str
@@ -365,3 +372,4 @@
     founders: tuple[str, ...] = ()
     members: tuple[str, ...] = ()
     removed: bool = False
+    may_bootstrap: bool = True
--- a/bulrushlead/replication/_replica.py
+++ b/bulrushlead/replication/_replica.py
@@ -15,7 +15,6 @@
 )
 from bulrushlead.replication._journal import Journal
 from bulrushlead.replication._leadership import Leadership
-from bulrushlead.replication._messages import VoteState
 from bulrushlead.replication._settings import ReplicaSettings
 from bulrushlead.results import BulrushleadError, ResultCode
 from bulrushlead.wire import PeerLink
@@ -112,6 +111,11 @@
         """Identity of this replica."""
         return self.journal.replica_id
 
+    @property
+    def may_bootstrap(self) -> bool:
+        """Whether this replica may bootstrap a cluster while its log is empty."""
+        return self.settings.bootstrap or self.journal.vote_state.may_bootstrap
+
     def is_voter(self) -> bool:
         """Return whether this replica is a voter in its own log."""
         return self.journal.members.is_voter(self.replica_id)
@@ -172,7 +176,8 @@
     def observe_term(self, term: int) -> None:
         """Adopt a higher term, and step down if this replica leads."""
         if term > self.term:
-            self.journal.set_vote_state(VoteState(term, "", self.cluster_id))
+            state = self.journal.vote_state
+            self.journal.set_vote_state(attrs.evolve(state, term=term, voted_for=""))
             self.leader_address = None
             self.step_down(f"term {term} has started")
 
--- a/bulrushlead/replication/_settings.py
+++ b/bulrushlead/replication/_settings.py
@@ -77,8 +77,9 @@
         Folder of the journal and the snapshots.
     bootstrap : bool, default=False
         Whether a replica with an empty folder may bootstrap a new cluster. It does
-        so only if its address is the lowest, and every peer answers that it belongs
-        to no cluster and is configured with the same addresses.
+        so only if its address is the lowest of those that may, and every peer answers
+        that it belongs to no cluster and is configured with the same addresses. The
+        folder remembers it, so that a restart during the first start may leave it out.
     heartbeat_ms : float, default=150
         Interval between messages of the leader to an idle peer, in milliseconds.
     lease_ms : float, default=540
