Never blame a server for a batch of heartbeats that failed

A refused heartbeat carried the code of the last delivery. If the leader had refused the batch, for its size or for another server's entry, the platform adapter would have answered 400, although the heartbeat was sound.

Cause: the code of the batch was passed on with each heartbeat.

Change: a heartbeat that was not recorded always gets CONTROL_UNREACHABLE (503 there), with the reason in its text. Found by reading the change; the test of a failed delivery uses such a code now and failed before.

--- a/bulrushlead/coordinator/_heartbeats.py
+++ b/bulrushlead/coordinator/_heartbeats.py
@@ -66,24 +66,20 @@
         Raises
         ------
         BulrushleadError
-            ``CONTROL_UNREACHABLE`` if the leader did not get it in time, or the error
-            of the last delivery if that failed.
+            ``CONTROL_UNREACHABLE`` if the leader did not record it in time, or did not
+            record the last batch.
         """
         self.add(heartbeat)
         if self._failure is not None:
-            raise BulrushleadError(self._failure.code, self._failure.detail)
+            # Not its own code: the leader's may blame the server for another's fault.
+            raise _not_recorded(f"the last batch failed: {self._failure}")
         delivery = self._next_round
         try:
             await self.clock.wait_for(delivery.finished.wait(), DELIVERY_TIMEOUT_MS)
         except TimeoutError as error:
-            raise BulrushleadError(
-                ResultCode.CONTROL_UNREACHABLE,
-                f"the leader did not get the heartbeat within {DELIVERY_TIMEOUT_MS} ms",
-            ) from error
+            raise _not_recorded(f"no answer in {DELIVERY_TIMEOUT_MS} ms") from error
         if not delivery.is_delivered:
-            raise BulrushleadError(
-                ResultCode.CONTROL_UNREACHABLE, "the leader did not get the heartbeat"
-            )
+            raise _not_recorded("its batch failed")
 
     async def forward(self) -> None:
         """Send what is queued to the leader; after a failure, it stays queued."""
@@ -113,3 +109,10 @@
             delivery.is_delivered = True
         finally:
             delivery.finished.set()
+
+
+def _not_recorded(detail: str) -> BulrushleadError:
+    return BulrushleadError(
+        ResultCode.CONTROL_UNREACHABLE,
+        f"the leader did not record the heartbeat ({detail}); ask another host",
+    )
--- a/bulrushlead/coordinator/tests/test_heartbeats.py
+++ b/bulrushlead/coordinator/tests/test_heartbeats.py
@@ -85,12 +85,12 @@
 
 async def test_after_a_failed_delivery_servers_are_sent_on_at_once(queue, leader):
     """Guards against delaying each heartbeat by a second while the leader is away."""
-    leader.error = BulrushleadError(ResultCode.CONTROL_UNREACHABLE, "no leader")
-    with pytest.raises(BulrushleadError, match="the leader did not get"):
+    leader.error = BulrushleadError(ResultCode.BAD_REQUEST, "odd batch")
+    with pytest.raises(BulrushleadError, match="CONTROL_UNREACHABLE.*its batch"):
         await queue.deliver(heartbeat())
     leader.is_cut = True
     started_ms = CLOCK.now_ms()
-    with pytest.raises(BulrushleadError, match="no leader"):
+    with pytest.raises(BulrushleadError, match="CONTROL_UNREACHABLE.*odd batch"):
         await queue.deliver(heartbeat(sequence=2))
     assert CLOCK.now_ms() - started_ms < DELIVERY_TIMEOUT_MS / 2
 
