Let the soak start a host that another fault stopped

Its logs: a SIGTERM, a planned end after 2.97 s, and no start after it.

Cause: the faults overlap. One sends SIGTERM to a process that another one has just started, waits for the end of the process before it, and then calls `start`, which did nothing while a process lived, a stopping one included. The platform would have started it again, so the fault is the soak's.

Change: `start` waits for the end of a process that got SIGTERM, at most its grace, before it decides.

Test: a process that takes 0.5 s to stop; it failed before, as `start` returned while the process still ran.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -52,6 +52,7 @@
         self.proxy = None  # of a core host
         self.process = None
         self.paused = False
+        self.stopping = False
         # Two faults may start a host at the same time. Without the lock, the reference
         # to one of the two processes is lost and nothing ever kills it.
         self._starting = asyncio.Lock()
@@ -80,6 +81,9 @@
 
     async def _start_unless_alive(self):
         async with self._starting:
+            if self.alive and self.stopping:
+                # Another fault stops it. The platform starts what has ended.
+                await self._wait_for_end()
             if not self.alive:
                 await self._spawn()
 
@@ -102,7 +106,7 @@
                 stdout=log,
                 stderr=log,
             )
-        self.paused = False
+        self.paused = self.stopping = False
 
     def write_settings(self):
         """Write the settings with the present seeds; return their path."""
@@ -117,6 +121,7 @@
 
     def signal(self, number):
         if self.alive:
+            self.stopping |= number == signal.SIGTERM
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
@@ -136,12 +141,18 @@
     async def stop(self):
         """Request a planned stop; kill the process after its grace period."""
         self.signal(signal.SIGTERM)
+        if not await self._wait_for_end():
+            self.harness.checker.record_grace_exceeded(self.name)
+
+    async def _wait_for_end(self):
+        """Kill the process unless it ends in its grace period; return whether so."""
         try:
             async with asyncio.timeout(GRACE_S):
                 await self.process.wait()
         except TimeoutError:
-            self.harness.checker.record_grace_exceeded(self.name)
             await self.kill()
+            return False
+        return True
 
     def cut_links(self, new, open_connections):
         """Cut the links to all servers; see ``tests.soak.cut_host``."""
