Let cut links be refused by the server's host, or unreachable

The stand-in for cut links failed new connections at once without a cause, in the tests of cut-off hosts and in the soak. A real refusal has one, and a check after a lost connection tells a server that has ended by it. The stand-in now has both: `refused` with the cause, and `unreachable`, which is what `refused` was for such a check.

--- a/bulrushlead/gateway/tests/host_fleet.py
+++ b/bulrushlead/gateway/tests/host_fleet.py
@@ -1,6 +1,7 @@
 """Several gateways on loopback, some of which lose their links to all servers."""
 
 import asyncio
+import errno
 import random
 
 from bulrushlead.clock import MonotonicClock
@@ -27,7 +28,8 @@
     Attributes
     ----------
     new : str
-        What new connections do: ``open``, ``hang`` or ``refused``.
+        What new connections do: ``open``, ``hang``, are ``refused`` by the server's
+        host, or find it ``unreachable``.
     """
 
     def __init__(self, clock, id_header):
@@ -40,7 +42,13 @@
             await self.clock.sleep_ms(timeout_ms)
             raise ExchangeError(ExchangeFault.NOT_SENT, "timed out")
         if self.new == "refused":
-            raise ExchangeError(ExchangeFault.NOT_SENT, "refused")
+            raise ExchangeError(ExchangeFault.NOT_SENT, "refused") from (
+                ConnectionRefusedError(errno.ECONNREFUSED, "refused")
+            )
+        if self.new == "unreachable":
+            raise ExchangeError(ExchangeFault.NOT_SENT, "unreachable") from (
+                OSError(errno.EHOSTUNREACH, "unreachable")
+            )
         connection = await super().connect(address, timeout_ms)
         self.opened.append(connection)
         return connection
--- a/bulrushlead/gateway/tests/test_cut_off_hosts.py
+++ b/bulrushlead/gateway/tests/test_cut_off_hosts.py
@@ -10,6 +10,7 @@
 
 # Least share that hosts which are cut off serve, of what the others serve.
 MIN_RELATIVE_SHARE = 2 / 3
+NEW_CONNECTIONS = ["hang", "refused", "unreachable"]
 
 
 @pytest.fixture
@@ -28,7 +29,7 @@
 
 
 @pytest.mark.parametrize("open_connections", ["live", "hang", "reset"])
-@pytest.mark.parametrize("new", ["hang", "refused"])
+@pytest.mark.parametrize("new", NEW_CONNECTIONS)
 @pytest.mark.parametrize(
     "zones, cut",
     [
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -203,7 +203,7 @@
     harness.cut_active = True
     rng = harness.rng
     edges = rng.sample(harness.edges, rng.randrange(1, len(harness.edges) + 1))
-    new = rng.choice(("hang", "refused"))
+    new = rng.choice(("hang", "refused", "unreachable"))
     open_connections = rng.choice(("live", "hang", "reset"))
     cut = harness.checker.record_cut([edge.front_address for edge in edges])
     for edge in edges:
