Pass on what was lost in a cut when it comes again

A gateway that had lost its links to all servers refused the most frequent request at once with 3203 for seconds, though another gateway carried all others.

Cause: connections that were reset in the cut had carried the same request (method, host, target, organisation, body) to two servers or more. The check of a server after a lost connection shows nothing there, so that it counts as perhaps ended for 10 s, and a request under which two servers may have ended was not passed on. No server had got the later requests: for them passing on is the first try, which a host in touch makes in spite of such losses. The host took its own failure for that of its servers.

Change: a request that no server has got is passed on unless two servers are known to have ended under it. Retries, and requests that are passed on for a quota, keep the stricter rule.

Before: test_requests_like_those_lost_in_a_cut_are_passed_on fails with hang and unreachable (10 of 10 answers 503); with refused one crash counts and it passes. After: all three pass.

--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -362,7 +362,12 @@
 
         With ``to_keeper``, the keeper of the caller's organisation is asked first.
         """
-        if self.relay is None or not self.observer.may_repeat(state.fingerprint):
+        if self.relay is None:
+            return None
+        # Lost connections forbid no first try: this host's links may be the cause.
+        observer = self.observer
+        may_send = observer.may_repeat if sent or to_keeper else observer.may_pass_on
+        if not may_send(state.fingerprint):
             return None
         preferred = self.relay.carriers.keeper(state.caller.name) if to_keeper else ""
         result = await self.relay.send(state, work, sent, preferred)
--- a/bulrushlead/gateway/tests/test_cut_off_hosts.py
+++ b/bulrushlead/gateway/tests/test_cut_off_hosts.py
@@ -60,6 +60,34 @@
     assert not any(gateway.observer.table.quarantined for gateway in fleet.gateways)
 
 
+@pytest.mark.parametrize("new", NEW_CONNECTIONS)
+async def test_requests_like_those_lost_in_a_cut_are_passed_on(build, new):
+    """Guards against refusing for seconds what was lost at two servers in a cut."""
+    may_answer = asyncio.Event()
+
+    async def answer_when_allowed(server, head, writer):
+        await may_answer.wait()
+        return await good(server, head, writer)
+
+    fleet = await build("ab", script=answer_when_allowed)
+    fleet.publish()
+    may_answer.set()
+    await fleet.send_everywhere(200)
+    may_answer.clear()
+    for server in fleet.servers:
+        server.heads.clear()
+    lost = [asyncio.create_task(fleet.send(0)) for _ in range(12)]
+    async with asyncio.timeout(2):
+        while sum(bool(server.heads) for server in fleet.servers) < 3:
+            await asyncio.sleep(0.01)
+    fleet.cut([0], new, "reset")
+    may_answer.set()
+    await asyncio.gather(*lost)
+    await fleet.send_everywhere(1_500)  # until the host notices
+    answers = [await fleet.send(0) for _ in range(10)]
+    assert [answer.status for answer in answers] == [200] * 10
+
+
 async def test_a_host_with_few_requests_notices_from_its_silent_connections(build):
     """Guards against requests that are lost one by one on connections that hang.
 
--- a/bulrushlead/quarantine/_observer.py
+++ b/bulrushlead/quarantine/_observer.py
@@ -148,9 +148,17 @@
         return self._suspicion(fingerprint) > 0
 
     def may_repeat(self, fingerprint: str) -> bool:
-        """Return whether a request may be retried, hedged or passed on."""
+        """Return whether a request may be sent again after one server has got it."""
         return self._suspicion(fingerprint) < CAUTIOUS_CRASHES
 
+    def may_pass_on(self, fingerprint: str) -> bool:
+        """Return whether another host may send a request that no server has got.
+
+        Connections that were lost do not forbid it: a host that is cut off from all
+        servers cannot learn whether any of them has ended.
+        """
+        return self.table.crash_count(fingerprint) < CAUTIOUS_CRASHES
+
     def awaits_checks(self, fingerprint: str) -> bool:
         """Return whether a request may not be repeated until checks have ended."""
         return self.table.crash_count(fingerprint) < CAUTIOUS_CRASHES and (
--- a/bulrushlead/quarantine/tests/test_observer.py
+++ b/bulrushlead/quarantine/tests/test_observer.py
@@ -77,6 +77,17 @@
     assert not observer.may_repeat("f")
 
 
+def test_losses_alone_do_not_keep_a_request_from_other_hosts(observer):
+    """Guards against a host that takes its own cut for servers that have ended."""
+    for number in range(4):
+        lose(observer, f"s{number}")
+    assert observer.may_pass_on("f")
+    observer.record_ended("s0", 1)
+    assert observer.may_pass_on("f")
+    observer.record_ended("s1", 1)
+    assert not observer.may_pass_on("f")
+
+
 def test_a_request_with_two_crashes_is_sent_to_one_server_at_a_time(observer):
     crash(observer, "s1")
     crash(observer, "s2")
