--- a/bulrushlead/gateway/tests/test_cut_off_hosts.py
+++ b/bulrushlead/gateway/tests/test_cut_off_hosts.py
@@ -60,20 +60,22 @@
     assert not any(gateway.observer.table.quarantined for gateway in fleet.gateways)
 
 
-@pytest.mark.parametrize("new", NEW_CONNECTIONS)
-async def test_requests_like_those_lost_in_a_cut_are_passed_on(build, new):
-    """Guards against refusing for seconds what was lost at two servers in a cut."""
+@pytest.fixture
+def held():
+    """Return a script of servers that answer while its event is set."""
     may_answer = asyncio.Event()
 
     async def answer_when_allowed(server, head, writer):
         await may_answer.wait()
         return await good(server, head, writer)
 
-    fleet = await build("ab", script=answer_when_allowed)
-    fleet.publish()
-    may_answer.set()
-    await fleet.send_everywhere(200)
-    may_answer.clear()
+    answer_when_allowed.event = may_answer
+    return answer_when_allowed
+
+
+async def lose_in_cut(fleet, held, new):
+    """Reset the connections of a host while equal requests run at three servers."""
+    held.event.clear()
     for server in fleet.servers:
         server.heads.clear()
     lost = [asyncio.create_task(fleet.send(0)) for _ in range(12)]
@@ -81,9 +83,29 @@
         while sum(bool(server.heads) for server in fleet.servers) < 3:
             await asyncio.sleep(0.01)
     fleet.cut([0], new, "reset")
-    may_answer.set()
+    held.event.set()
     await asyncio.gather(*lost)
     await fleet.send_everywhere(1_500)  # until the host notices
+
+
+@pytest.mark.parametrize("new", NEW_CONNECTIONS)
+async def test_requests_like_those_lost_in_a_cut_are_passed_on(build, held, new):
+    """Guards against refusing for seconds what was lost at two servers in a cut."""
+    fleet = await build("ab", script=held)
+    fleet.publish()
+    held.event.set()
+    await fleet.send_everywhere(200)
+    await lose_in_cut(fleet, held, new)
+    answers = [await fleet.send(0) for _ in range(10)]
+    assert [answer.status for answer in answers] == [200] * 10
+
+
+@pytest.mark.parametrize("new", NEW_CONNECTIONS)
+async def test_requests_first_sent_in_a_cut_are_passed_on(build, held, new):
+    """Guards against taking refused connections of a cut for servers that ended."""
+    fleet = await build("ab", script=held)
+    fleet.publish()
+    await lose_in_cut(fleet, held, new)
     answers = [await fleet.send(0) for _ in range(10)]
     assert [answer.status for answer in answers] == [200] * 10
 
