Count all notices of dropped lines in the test of a stalled reader

Cause: the test's. The buffer is emptied every 100 ms, and the pipe holds six of its fillings. When the 20,000 writes take longer than that, the buffer fills up twice, and two notices report the dropped lines, as documented: "before the next line that fits". The test took the first one for all.

Change: with and without that pause, the counts of all notices add up to the dropped lines, and the lines that arrive to the others. That asks more than before.

--- a/bulrushlead/logs/tests/test_bounds.py
+++ b/bulrushlead/logs/tests/test_bounds.py
@@ -7,6 +7,7 @@
 import json
 import os
 import threading
+import time
 
 import pytest
 
@@ -49,15 +50,23 @@
     stream.close()
 
 
-def test_stalled_reader_blocks_no_writer_and_memory_stays_bounded(pipe):
-    """The pipe is full, so the writing thread blocks in the system call."""
+@pytest.mark.parametrize("pause_s", [0.0, 0.3], ids=["at-once", "paused"])
+def test_stalled_reader_blocks_no_writer_and_memory_stays_bounded(pipe, pause_s):
+    """The pipe is full, so the writing thread blocks in the system call.
+
+    The buffer may be emptied into the pipe meanwhile and fill up again, so that
+    several notices report the dropped lines.
+    """
     read_end, write_end = pipe
     stream = BufferedStream(write_end, max_bytes=10_000)
     stream.start()
     done = threading.Event()
 
     def write_many():
-        for _ in range(20_000):
+        for _ in range(10_000):
+            stream.write(LINE)
+        time.sleep(pause_s)
+        for _ in range(10_000):
             stream.write(LINE)
         done.set()
 
@@ -65,18 +74,18 @@
     assert done.wait(30), "a write blocked on the reader"
     assert stream.dropped > 0
     assert stream._bytes <= 10_000
-    # Once the reader resumes, the next line reports the number of dropped lines.
-    while os.read(read_end, 65_536):
-        if stream._bytes == 0:
-            break
+    text = b""
+    while stream._bytes > 0:
+        text += os.read(read_end, 65_536)
     dropped = stream.dropped
+    # Once the reader resumes, each dropped line is reported before the next one.
     stream.write("after\n")
-    while True:
-        text = os.read(read_end, 65_536).decode()
-        if "after" in text:
-            break
-    notice = next(line for line in text.splitlines() if "LINES_DROPPED" in line)
-    assert json.loads(notice)["count"] == dropped
+    while not text.endswith(b"after\n"):
+        text += os.read(read_end, 65_536)
+    lines = text.decode().splitlines()
+    notices = [json.loads(line) for line in lines if "LINES_DROPPED" in line]
+    assert sum(notice["count"] for notice in notices) == dropped
+    assert lines.count(LINE.strip()) == 20_000 - dropped
     stream.close()
 
 
