--- a/bulrushlead/coordinator/_heartbeats.py
+++ b/bulrushlead/coordinator/_heartbeats.py
@@ -71,7 +71,8 @@
         """
         self.add(heartbeat)
         if self._failure is not None:
-            # Not its own code: the leader's may blame the server for another's fault.
+            # The leader's own code may refuse the heartbeat of another server as
+            # invalid, and would make this one look invalid as well.
             raise _not_recorded(f"the last batch failed: {self._failure}")
         delivery = self._next_round
         try:
--- a/bulrushlead/gateway/_forwarding.py
+++ b/bulrushlead/gateway/_forwarding.py
@@ -364,7 +364,8 @@
         """
         if self.relay is None:
             return None
-        # Lost connections forbid no first try: this host's links may be the cause.
+        # Lost connections do not rule out a first try: they may be the fault of
+        # this host's own links.
         observer = self.observer
         may_send = observer.may_repeat if sent or to_keeper else observer.may_pass_on
         if not may_send(state.fingerprint):
--- a/bulrushlead/gateway/_refusals.py
+++ b/bulrushlead/gateway/_refusals.py
@@ -20,7 +20,7 @@
 CUT_OFF = Refusal(
     ResultCode.CONNECT_FAILED,
     retry_after_ms=300,  # about the time until the next probe of the servers
-    detail="this host reaches no server, and no other host could carry the request",
+    detail="this host reaches no server, and no other host sent the request",
 )
 SHED = Refusal(
     ResultCode.BACKEND_REFUSED,
--- a/bulrushlead/quarantine/_observer.py
+++ b/bulrushlead/quarantine/_observer.py
@@ -148,14 +148,17 @@
         return self._suspicion(fingerprint) > 0
 
     def may_repeat(self, fingerprint: str) -> bool:
-        """Return whether a request may be sent again after one server has got it."""
+        """Return whether a request may be sent to one more server.
+
+        Servers that lost it and may have ended count like those that are known to.
+        """
         return self._suspicion(fingerprint) < CAUTIOUS_CRASHES
 
     def may_pass_on(self, fingerprint: str) -> bool:
         """Return whether another host may send a request that no server has got.
 
-        Connections that were lost do not forbid it: a host that is cut off from all
-        servers cannot learn whether any of them has ended.
+        Only servers that are known to have ended count. A host that is cut off from all
+        servers cannot tell which of those that lost the request have ended.
         """
         return self.table.crash_count(fingerprint) < CAUTIOUS_CRASHES
 
--- a/bulrushlead/traffic/_validation.py
+++ b/bulrushlead/traffic/_validation.py
@@ -11,7 +11,8 @@
 
 # A target latency this far above the timeout is a typo or a wrong unit.
 MAX_TARGET_OVER_TIMEOUT_MS = 60_000
-DURATION_DIGITS = 6  # decimals of a millisecond; floats hold no more of a long one
+# Decimals of a millisecond that are compared: a sum of floats is not exact beyond them.
+DURATION_DIGITS = 6
 MAX_NAME_BYTES = 200  # the name of an organisation is sent with each of its requests
 
 
