--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -67,9 +67,11 @@
         self.write(f"TROUBLE={int(TROUBLE)}")
 
     def now_s(self):
+        """Return the seconds since the start."""
         return time.monotonic() - self.started_s
 
     def write(self, line):
+        """Write a line with its time."""
         self._file.write(f"{self.now_s():8.3f} {line}\n")
         self._file.flush()
 
@@ -87,9 +89,11 @@
 
     @property
     def front(self):
+        """Address for clients."""
         return self.ip, FRONT_PORT
 
     async def start(self):
+        """Start."""
         role = "coordinator" if self.kind == "core" else "gateway"
         command = system_file()["roles"][role]["run"].split()
         command[0] = sys.executable if command[0] == "python3" else command[0]
@@ -113,10 +117,12 @@
             )
 
     def signal(self, number):
+        """Send a signal to the process."""
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
     async def kill(self):
+        """Kill the process and wait for its end."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         if self.process is not None:
@@ -164,6 +170,7 @@
 
 
 def system_file():
+    """Return the deploy file."""
     return tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 
 
@@ -180,9 +187,11 @@
         self.edges = [Host(self, "edge", n, zone) for n, zone in enumerate(edge_zones)]
 
     def ip(self, group, number):
+        """Return the loopback address of a host."""
         return f"127.{self.network}.{group}.{number + 1}"
 
     async def start(self, timeout_s=25.0):
+        """Start."""
         await asyncio.gather(*(host.start() for host in [*self.cores, *self.edges]))
         # Ready to take orders once a coordinator answers a read with 503 or 200.
         end_s = time.monotonic() + timeout_s
@@ -208,6 +217,7 @@
         return True
 
     async def close(self):
+        """End everything."""
         for host in [*self.cores, *self.edges]:
             with contextlib.suppress(ProcessLookupError):
                 await host.kill()
@@ -236,9 +246,11 @@
 
     @property
     def status(self):
+        """Status code of an answer."""
         return int(self.first.split(" ")[1])
 
     def header(self, name):
+        """Return the value of a header field, or None."""
         return self.headers.get(name.lower())
 
 
@@ -258,6 +270,7 @@
 
 
 async def read_body(reader, headers):
+    """Return the body that belongs to a head."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         parts = []
         while True:
@@ -281,6 +294,7 @@
 
 
 def render(first, headers, body=b""):
+    """Return a message as bytes."""
     lines = [first] + [f"{name}: {value}" for name, value in headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
@@ -331,6 +345,7 @@
 
 
 def route(name, kind, service, timeout_ms, target_ms, **more):
+    """Return a route of a configuration."""
     spec = {
         "host": "review.example",
         "pathPrefix": f"/{name}/",
@@ -348,6 +363,7 @@
 
 
 def service(name, **more):
+    """Return a service of a configuration."""
     spec = {
         "healthPath": "/health",
         "maxConnections": 390,
@@ -361,6 +377,7 @@
 
 
 def limits(**more):
+    """Return the limits of a configuration."""
     spec = {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 67108864,
@@ -388,12 +405,14 @@
         self.writers = set()
 
     async def start(self):
+        """Start."""
         self._server = await asyncio.start_server(
             self._serve, self.ip, INSTANCE_PORT, limit=2**20
         )
         self._task = asyncio.create_task(self._beat())
 
     async def close(self):
+        """End everything."""
         if self._task is not None:
             self._task.cancel()
         if self._server is not None:
@@ -402,6 +421,7 @@
             writer.transport.abort()
 
     async def beat_once(self):
+        """Send a heartbeat until a coordinator acknowledges it."""
         self.sequence += 1
         fields = {
             "service": self.service,
@@ -449,6 +469,7 @@
             writer.close()
 
     def answer(self, writer, headers, status, body=b"", seal=True, not_run=False):
+        """Write an answer."""
         fields = {"Request-Id": headers.get("request-id", ""), **self.extra}
         if seal:
             fields["Server-Seal"] = f"{self.id}.{headers.get('request-id')}"
